--- /dev/null
+++ b/src/agent.rs
@@ -0,0 +1,469 @@
+//! The agent: the final arbiter of flows and requests for the targets on its host.
+
+use std::cell::RefCell;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::{Arc, RwLock};
+use std::time::Duration;
+
+use compio::BufResult;
+use compio::net::UdpSocket;
+use compio::quic::ServerConfig;
+use serde_json::{Value, json};
+
+use crate::admission::{Decision, Opener};
+use crate::balancer::packet_counts;
+use crate::code::Code;
+use crate::config_store::{HOSTS_NAME, KEYS_NAME, TABLE_PREFIX};
+use crate::control::Control;
+use crate::envelope::{Envelope, EnvelopeKey, EnvelopeKind};
+use crate::error::{Error, Result};
+use crate::flow_socket::{FLOW_IDLE_MS, FlowKey, FlowSocket};
+use crate::hosts::HostState;
+use crate::packet::{self, PacketView};
+use crate::relay::RevisionChaser;
+use crate::return_path::ReturnPath;
+use crate::sealed_id::{Purpose, SealedId};
+use crate::service_id::ServiceId;
+use crate::stateless_reset::stateless_reset;
+use crate::table::{Row, Table};
+use crate::target::Target;
+use crate::token_source::{SharedRing, TokenSource};
+use crate::udp::{self, BUFFER_BYTES};
+use crate::{flow, load_exchange, quic_endpoint};
+
+/// How often an agent tidies what it remembers, in milliseconds.
+const PRUNE_PERIOD_MS: u64 = 1_000;
+/// How often requests that wait are checked against their deadlines, in milliseconds.
+const EXPIRE_PERIOD_MS: u64 = 20;
+/// How often a leaving agent looks whether its last flow has ended.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// How many sockets an agent keeps beyond the connections that its rows allow.
+const SPARE_FLOW_SOCKETS: usize = 1_024;
+
+/// An agent with its targets.
+pub(crate) struct Agent {
+    pub(crate) control: Rc<Control>,
+    pub(crate) targets: RefCell<Vec<Rc<Target>>>,
+    pub(crate) ring: SharedRing,
+    key: EnvelopeKey,
+    reset_key: ring::hmac::Key,
+    server: ServerConfig,
+    socket: UdpSocket,
+    flows: RefCell<Vec<Rc<FlowSocket>>>,
+    return_path: RefCell<ReturnPath>,
+    chaser: RevisionChaser,
+}
+
+impl Agent {
+    /// Makes the agent and binds its datagram socket.
+    pub(crate) fn new(control: &Rc<Control>) -> Result<Rc<Self>> {
+        let settings = &control.settings;
+        let address = SocketAddr::from((settings.host, settings.datagram_port));
+        let ring = control.store.borrow().ring().clone();
+        Ok(Rc::new(Self {
+            targets: RefCell::default(),
+            ring: Arc::new(RwLock::new(ring)),
+            key: EnvelopeKey::new(&settings.cluster_key),
+            reset_key: settings.cluster_key.reset_key(),
+            server: quic_endpoint::server_config(settings)?,
+            socket: udp::bind(address)?,
+            flows: RefCell::default(),
+            return_path: RefCell::default(),
+            chaser: RevisionChaser::new(control),
+            control: control.clone(),
+        }))
+    }
+
+    /// Runs until `stop` completes and the last flow has ended or the drain limit has passed.
+    pub(crate) async fn run(self: &Rc<Self>, stop: impl Future<Output = ()>) -> Result<()> {
+        self.subscribe();
+        self.apply_keys();
+        self.sync_targets().await;
+        let receiver = self.clone();
+        let envelopes = compio::runtime::spawn(async move { receiver.take_envelopes().await });
+        stop.await;
+        self.drain().await;
+        drop(envelopes);
+        Ok(())
+    }
+
+    fn subscribe(self: &Rc<Self>) {
+        let agent = self.clone();
+        self.control
+            .on_change(move |name| agent.clone().value_changed(name));
+        let agent = self.clone();
+        let timers = &self.control.timers;
+        timers.every(PRUNE_PERIOD_MS, move || agent.prune());
+        let agent = self.clone();
+        timers.every(EXPIRE_PERIOD_MS, move || {
+            agent.for_each_target(|target| {
+                target.slots.expire();
+                target.expire_reservations();
+            });
+        });
+        let agent = self.clone();
+        timers.every(load_exchange::PERIOD_MS, move || {
+            load_exchange::start(&agent)
+        });
+        let agent = self.clone();
+        timers.on_resume(move || {
+            agent.for_each_target(|target| {
+                target.slots.expire();
+                target.board.borrow_mut().forget_all();
+            });
+        });
+    }
+
+    fn value_changed(self: Rc<Self>, name: &str) {
+        if name == KEYS_NAME {
+            self.apply_keys();
+        }
+        if name == HOSTS_NAME || name.starts_with(TABLE_PREFIX) {
+            compio::runtime::spawn(async move { self.sync_targets().await }).detach();
+        }
+    }
+
+    fn apply_keys(&self) {
+        let ring = self.control.store.borrow().ring().clone();
+        let mut held = self
+            .ring
+            .write()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        *held = ring;
+    }
+
+    fn for_each_target(&self, action: impl Fn(&Rc<Target>)) {
+        let targets = self.targets.borrow().clone();
+        targets.iter().for_each(action);
+    }
+
+    /// Returns the target of a service, if this host serves one.
+    pub(crate) fn target(&self, service: ServiceId) -> Option<Rc<Target>> {
+        let targets = self.targets.borrow();
+        let index = targets.binary_search_by_key(&service, |target| target.service);
+        index.ok().map(|index| targets[index].clone())
+    }
+
+    /// Brings targets, limits and drains in line with the tables and the host list in force.
+    async fn sync_targets(self: &Rc<Self>) {
+        for (table, row) in self.own_rows() {
+            if self.target(table.service_id()).is_none()
+                && let Err(error) = self.add_target(&table, &row).await
+            {
+                let service = &table.service;
+                log::error!("event=target_failed service={service} error={error}");
+            }
+        }
+        let leaves = self.host_leaves();
+        self.for_each_target(|target| {
+            let store = self.control.store.borrow();
+            let table = store.table(target.service);
+            target.apply(table.and_then(|table| table.row_on(target.host)), leaves);
+        });
+    }
+
+    fn own_rows(&self) -> Vec<(Table, Row)> {
+        let store = self.control.store.borrow();
+        let host = self.control.settings.host;
+        let own = |table: &Table| Some((table.clone(), table.row_on(host)?.clone()));
+        store.tables().filter_map(own).collect()
+    }
+
+    fn host_leaves(&self) -> bool {
+        let store = self.control.store.borrow();
+        let host = store.hosts().get(self.control.settings.host);
+        host.is_some_and(|host| host.state == HostState::Leaving)
+    }
+
+    async fn add_target(self: &Rc<Self>, table: &Table, row: &Row) -> Result<()> {
+        let service = table.service_id();
+        let (ring, host) = (self.ring.clone(), row.host);
+        let incarnation = self.control.incarnation;
+        let tokens = move || TokenSource {
+            ring: ring.clone(),
+            host,
+            incarnation,
+            service,
+        };
+        let endpoint = quic_endpoint::open(&self.control.settings, &self.server, tokens).await?;
+        let target = Target::new(table, row, endpoint, self.control.clock, incarnation)?;
+        let mut targets = self.targets.borrow_mut();
+        match targets.binary_search_by_key(&service, |target| target.service) {
+            Ok(_) => return Ok(()),
+            Err(index) => targets.insert(index, target.clone()),
+        }
+        drop(targets);
+        log::info!(
+            "event=target_open service={} target={}",
+            table.service,
+            row.target
+        );
+        compio::runtime::spawn(flow::accept_flows(self.clone(), target)).detach();
+        Ok(())
+    }
+
+    async fn take_envelopes(self: &Rc<Self>) {
+        let mut buffer = Vec::with_capacity(BUFFER_BYTES);
+        loop {
+            buffer.clear();
+            let BufResult(result, received) = self.socket.recv_from(buffer).await;
+            buffer = received;
+            if result.is_err() {
+                continue;
+            }
+            self.control.metrics.packets_in.inc();
+            if let Err(error) = self.take_envelope(&buffer).await {
+                self.control.metrics.packets_dropped.inc(error.code);
+            }
+        }
+    }
+
+    async fn take_envelope(self: &Rc<Self>, datagram: &[u8]) -> Result<()> {
+        let (envelope, packet) = self.key.open(datagram)?;
+        let now_ms = self.control.now_ms();
+        match envelope.kind {
+            EnvelopeKind::Leaving => {
+                self.return_path.borrow_mut().leaving(envelope.balancer);
+                return Ok(());
+            }
+            EnvelopeKind::Outbound => {
+                return Err(Error::new(
+                    Code::EnvelopeForged,
+                    "an answer sent to an agent",
+                ));
+            }
+            EnvelopeKind::Inbound | EnvelopeKind::Deflected => {}
+        }
+        self.return_path
+            .borrow_mut()
+            .heard(envelope.balancer, now_ms);
+        self.chaser.saw(envelope.balancer, envelope.revision);
+        let target = self.target(envelope.service);
+        let unknown = || Error::new(Code::ServiceUnknown, envelope.service.to_string());
+        let target = target.ok_or_else(unknown)?;
+        let view = packet::parse(packet)?;
+        match self.token(&view, envelope.service) {
+            Some(token) if self.is_own(&token) => self.deliver(&target, &envelope, packet).await,
+            Some(_) => self.reset(&envelope, &view, packet.len()).await,
+            None if view.may_open => self.take_opener(&target, &envelope, &view, packet).await,
+            None => Err(Error::new(Code::PacketUnroutable, "no token")),
+        }
+    }
+
+    fn token(&self, view: &PacketView<'_>, service: ServiceId) -> Option<SealedId> {
+        let store = self.control.store.borrow();
+        SealedId::open(store.ring(), Purpose::Token, service, view.id)
+    }
+
+    /// Opens a ticket for a request of `service`.
+    pub(crate) fn open_ticket(&self, service: ServiceId, ticket: &[u8]) -> Option<SealedId> {
+        let store = self.control.store.borrow();
+        SealedId::open(store.ring(), Purpose::Ticket, service, ticket)
+    }
+
+    /// Tells whether a token or ticket was issued by this incarnation.
+    pub(crate) fn is_own(&self, id: &SealedId) -> bool {
+        id.host == self.control.settings.host && id.incarnation == self.control.incarnation
+    }
+
+    async fn take_opener(
+        self: &Rc<Self>,
+        target: &Rc<Target>,
+        envelope: &Envelope,
+        view: &PacketView<'_>,
+        packet: &[u8],
+    ) -> Result<()> {
+        self.control.metrics.openers.inc();
+        let opener = Opener {
+            hash: view.opener_hash(),
+            deflected: envelope.kind == EnvelopeKind::Deflected,
+            health_permille: target.health.borrow().share_permille(),
+        };
+        match self.decide(target, &opener) {
+            Decision::Deflect(host) => {
+                self.control.metrics.flows_deflected.inc();
+                self.hand_on(envelope, packet, host).await;
+                Ok(())
+            }
+            // The endpoint answers a refused opener too, with a refusal that QUIC defines.
+            Decision::Accept | Decision::Refuse(_) => self.deliver(target, envelope, packet).await,
+        }
+    }
+
+    fn decide(&self, target: &Target, opener: &Opener) -> Decision {
+        let store = self.control.store.borrow();
+        let Some(table) = store.table(target.service) else {
+            return Decision::Refuse(Code::NoTarget);
+        };
+        let mut admission = target.admission.borrow_mut();
+        let mut board = target.board.borrow_mut();
+        let now_ms = self.control.now_ms();
+        admission.decide(opener, table, &mut board, now_ms, &mut rand::rng())
+    }
+
+    async fn hand_on(&self, envelope: &Envelope, packet: &[u8], host: Ipv4Addr) {
+        let deflected = Envelope {
+            kind: EnvelopeKind::Deflected,
+            ..*envelope
+        };
+        self.send(packet.to_vec(), &deflected, host).await;
+    }
+
+    async fn deliver(
+        self: &Rc<Self>,
+        target: &Rc<Target>,
+        envelope: &Envelope,
+        packet: &[u8],
+    ) -> Result<()> {
+        let key = (envelope.caller, envelope.service);
+        let flow = match self.flow(&key) {
+            Some(flow) => flow,
+            None => self.open_flow(key, target, envelope.balancer).await?,
+        };
+        flow.heard(envelope.balancer, self.control.now_ms());
+        flow.deliver(packet.to_vec()).await;
+        Ok(())
+    }
+
+    fn flow(&self, key: &FlowKey) -> Option<Rc<FlowSocket>> {
+        let flows = self.flows.borrow();
+        let index = flows.binary_search_by_key(key, |flow| flow.key);
+        index.ok().map(|index| flows[index].clone())
+    }
+
+    async fn open_flow(
+        self: &Rc<Self>,
+        key: FlowKey,
+        target: &Rc<Target>,
+        balancer: Ipv4Addr,
+    ) -> Result<Rc<FlowSocket>> {
+        if self.flows.borrow().len() >= self.flow_limit() {
+            return Err(Error::new(Code::NoTarget, "too many callers"));
+        }
+        let flow = FlowSocket::open(key, target.endpoint_address, balancer).await?;
+        let mut flows = self.flows.borrow_mut();
+        let index = flows.partition_point(|known| known.key < key);
+        flows.insert(index, flow.clone());
+        drop(flows);
+        let agent = self.clone();
+        let weak = Rc::downgrade(&flow);
+        let socket = flow.socket.clone();
+        flow.set_receiver(compio::runtime::spawn(async move {
+            agent.hand_back(&socket, weak).await;
+        }));
+        Ok(flow)
+    }
+
+    fn flow_limit(&self) -> usize {
+        let allowed: u64 = self.own_limits().sum();
+        allowed as usize + SPARE_FLOW_SOCKETS
+    }
+
+    fn own_limits(&self) -> impl Iterator<Item = u64> {
+        let store = self.control.store.borrow();
+        let host = self.control.settings.host;
+        let rows = store.tables().filter_map(move |table| table.row_on(host));
+        let limits: Vec<u64> = rows.map(|row| u64::from(row.connections)).collect();
+        limits.into_iter()
+    }
+
+    async fn hand_back(&self, socket: &UdpSocket, flow: std::rc::Weak<FlowSocket>) {
+        let mut buffer = Vec::with_capacity(BUFFER_BYTES);
+        loop {
+            buffer.clear();
+            let BufResult(result, received) = socket.recv(buffer).await;
+            buffer = received;
+            if result.is_err() {
+                continue;
+            }
+            let Some(flow) = flow.upgrade() else {
+                return;
+            };
+            flow.last_ms.set(self.control.now_ms());
+            buffer = self.answer(buffer, &flow).await;
+        }
+    }
+
+    async fn answer(&self, buffer: Vec<u8>, flow: &FlowSocket) -> Vec<u8> {
+        let balancer = self.answering_balancer(flow.last_balancer.get());
+        let revision = self.control.store.borrow().digest().highest;
+        let envelope = flow.envelope(balancer, revision);
+        self.send(buffer, &envelope, balancer).await
+    }
+
+    fn answering_balancer(&self, last: Ipv4Addr) -> Ipv4Addr {
+        let listed = self.control.entry_hosts();
+        let now_ms = self.control.now_ms();
+        self.return_path.borrow_mut().choose(last, now_ms, &listed)
+    }
+
+    async fn send(&self, mut buffer: Vec<u8>, envelope: &Envelope, host: Ipv4Addr) -> Vec<u8> {
+        self.key.append(&mut buffer, envelope);
+        let address = SocketAddr::from((host, self.control.settings.datagram_port));
+        let BufResult(result, buffer) = self.socket.send_to(buffer, address).await;
+        if result.is_ok() {
+            self.control.metrics.packets_out.inc();
+        }
+        buffer
+    }
+
+    /// Ends a flow of an earlier incarnation or another host at once, instead of by a timeout.
+    async fn reset(
+        &self,
+        envelope: &Envelope,
+        view: &PacketView<'_>,
+        received_bytes: usize,
+    ) -> Result<()> {
+        let reset = stateless_reset(&self.reset_key, view.id, received_bytes, &mut rand::rng());
+        if let Some(reset) = reset {
+            self.control.metrics.stateless_resets.inc();
+            let outbound = Envelope {
+                kind: EnvelopeKind::Outbound,
+                ..*envelope
+            };
+            self.send(reset, &outbound, envelope.balancer).await;
+        }
+        Err(Error::new(Code::TokenForeign, "of another incarnation"))
+    }
+
+    fn prune(&self) {
+        let now_ms = self.control.now_ms();
+        self.for_each_target(|target| {
+            target.admission.borrow_mut().prune(now_ms);
+            target.board.borrow_mut().prune(now_ms);
+        });
+        self.return_path.borrow_mut().prune(now_ms, FLOW_IDLE_MS);
+        let idle = |flow: &FlowSocket| now_ms.saturating_sub(flow.last_ms.get()) > FLOW_IDLE_MS;
+        self.flows.borrow_mut().retain(|flow| !idle(flow));
+    }
+
+    async fn drain(&self) {
+        self.for_each_target(|target| target.set_draining(true));
+        let limit_ms = self.control.now_ms() + self.control.settings.drain_limit_s * 1_000;
+        while self.open_flows() > 0 && self.control.now_ms() < limit_ms {
+            compio::time::sleep(DRAIN_POLL).await;
+        }
+        log::info!("event=drained open_flows={}", self.open_flows());
+    }
+
+    fn open_flows(&self) -> u32 {
+        let targets = self.targets.borrow();
+        let open = |target: &Rc<Target>| target.admission.borrow().open_flows();
+        targets.iter().map(open).sum()
+    }
+
+    /// Returns the whole state for a dump.
+    pub(crate) fn state(&self) -> Value {
+        let now_ms = self.control.now_ms();
+        let targets: Vec<Value> = self.targets.borrow().iter().map(|t| t.state()).collect();
+        let balancers = self.return_path.borrow().ages_ms(now_ms);
+        let heard = |(host, age_ms)| json!({"host": host, "age_ms": age_ms});
+        let mut state = self.control.state("agent");
+        state["targets"] = Value::from(targets);
+        state["flow_sockets"] = json!(self.flows.borrow().len());
+        state["balancers"] = balancers.into_iter().map(heard).collect();
+        state["packets"] = packet_counts(&self.control.metrics);
+        state
+    }
+}
--- /dev/null
+++ b/src/balancer.rs
@@ -0,0 +1,314 @@
+//! The balancer: hands callers' datagrams to agents and their answers back; it holds no flow.
+
+use std::cell::RefCell;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::BufResult;
+use compio::net::UdpSocket;
+use compio::runtime::JoinHandle;
+use serde_json::{Value, json};
+
+use crate::code::Code;
+use crate::config_store::TABLE_PREFIX;
+use crate::control::Control;
+use crate::envelope::{ENVELOPE_BYTES, Envelope, EnvelopeKey, EnvelopeKind};
+use crate::error::Result;
+use crate::metrics::Metrics;
+use crate::node_server;
+use crate::relay::RevisionChaser;
+use crate::service_id::ServiceId;
+use crate::steering;
+use crate::udp::{self, BUFFER_BYTES, MAX_PACKET_BYTES};
+
+/// How long a balancer goes on forwarding after it has said that it leaves.
+const LEAVING_GRACE: Duration = Duration::from_millis(300);
+
+/// The socket on which callers reach a service.
+struct ServicePort {
+    service: ServiceId,
+    address: SocketAddr,
+    socket: Rc<UdpSocket>,
+    _receiver: JoinHandle<()>,
+}
+
+struct Balancer {
+    control: Rc<Control>,
+    key: EnvelopeKey,
+    socket: UdpSocket,
+    ports: RefCell<Vec<ServicePort>>,
+    agents: RefCell<Vec<Ipv4Addr>>,
+    chaser: RevisionChaser,
+}
+
+/// Runs a balancer until `stop` completes.
+pub(crate) async fn run(control: Rc<Control>, stop: impl Future<Output = ()>) -> Result<()> {
+    let datagram_address =
+        SocketAddr::from((control.settings.host, control.settings.datagram_port));
+    let balancer = Rc::new(Balancer {
+        key: EnvelopeKey::new(&control.settings.cluster_key),
+        socket: udp::bind(datagram_address)?,
+        ports: RefCell::default(),
+        agents: RefCell::default(),
+        chaser: RevisionChaser::new(&control),
+        control: control.clone(),
+    });
+    balancer.sync_ports();
+    balancer.clone().subscribe();
+    let receiver = balancer.clone();
+    let answers = compio::runtime::spawn(async move { receiver.hand_back_answers().await });
+    stop.await;
+    balancer.say_leaving().await;
+    compio::time::sleep(LEAVING_GRACE).await;
+    drop(answers);
+    Ok(())
+}
+
+/// Returns what a balancer answers on control links.
+pub(crate) fn hooks(control: &Rc<Control>) -> node_server::NodeHooks {
+    let control = control.clone();
+    node_server::hooks_without_flows(move || state(&control))
+}
+
+fn state(control: &Control) -> Value {
+    let metrics = &control.metrics;
+    let mut state = control.state("balancer");
+    state["packets"] = packet_counts(metrics);
+    state
+}
+
+/// Returns the packet counters of a process for its state dump.
+pub(crate) fn packet_counts(metrics: &Metrics) -> Value {
+    let dropped = [
+        Code::PacketShort,
+        Code::PacketUnroutable,
+        Code::EnvelopeForged,
+        Code::ServiceUnknown,
+        Code::TokenForeign,
+        Code::HostUnknown,
+    ];
+    let dropped =
+        dropped.map(|code| (code.number().to_string(), metrics.packets_dropped.get(code)));
+    json!({
+        "in": metrics.packets_in.get(),
+        "out": metrics.packets_out.get(),
+        "openers": metrics.openers.get(),
+        "dropped": dropped.into_iter().collect::<std::collections::BTreeMap<_, _>>(),
+    })
+}
+
+impl Balancer {
+    fn subscribe(self: Rc<Self>) {
+        let control = self.control.clone();
+        let balancer = self.clone();
+        control.on_change(move |name| {
+            if name.starts_with(TABLE_PREFIX) {
+                balancer.sync_ports();
+            }
+        });
+        let control = self.control.clone();
+        self.control.timers.every(1_000, move || {
+            let now_ms = control.now_ms();
+            control.suspicion.borrow_mut().prune(now_ms);
+        });
+    }
+
+    /// Binds a socket for each service and closes those of services whose address has changed.
+    fn sync_ports(self: &Rc<Self>) {
+        let wanted = self.wanted_ports();
+        let mut ports = self.ports.borrow_mut();
+        ports.retain(|port| wanted.contains(&(port.service, port.address)));
+        for (service, address) in wanted {
+            let found = ports.binary_search_by_key(&service, |port| port.service);
+            let Err(index) = found else {
+                continue;
+            };
+            match self.open_port(service, address) {
+                Ok(port) => ports.insert(index, port),
+                Err(error) => log::error!("event=port_failed service={service} error={error}"),
+            }
+        }
+    }
+
+    /// Returns each service with the address to bind, one service an address.
+    ///
+    /// Where two tables claim one address, the lower service id keeps it, on every balancer alike.
+    fn wanted_ports(&self) -> Vec<(ServiceId, SocketAddr)> {
+        let store = self.control.store.borrow();
+        let mut wanted: Vec<(ServiceId, SocketAddr)> = Vec::new();
+        for table in store.tables() {
+            let mut address = table.address;
+            if let Some(ip) = self.control.settings.bind_ip {
+                address.set_ip(ip.into());
+            }
+            if wanted.iter().any(|(_, taken)| *taken == address) {
+                log::error!(
+                    "event=address_taken service={} address={address}",
+                    table.service
+                );
+                continue;
+            }
+            wanted.push((table.service_id(), address));
+        }
+        wanted
+    }
+
+    fn open_port(self: &Rc<Self>, service: ServiceId, address: SocketAddr) -> Result<ServicePort> {
+        let socket = Rc::new(udp::bind(address)?);
+        let balancer = self.clone();
+        let receiving = socket.clone();
+        let receiver = compio::runtime::spawn(async move {
+            balancer.hand_over_packets(service, &receiving).await;
+        });
+        log::info!("event=port_open service={service} address={address}");
+        Ok(ServicePort {
+            service,
+            address,
+            socket,
+            _receiver: receiver,
+        })
+    }
+
+    async fn hand_over_packets(&self, service: ServiceId, socket: &UdpSocket) {
+        let mut buffer = Vec::with_capacity(BUFFER_BYTES);
+        loop {
+            buffer.clear();
+            let BufResult(result, received) = socket.recv_from(buffer).await;
+            buffer = received;
+            let Ok((bytes, caller)) = result else {
+                continue;
+            };
+            buffer = self.hand_over(service, caller, bytes, buffer).await;
+        }
+    }
+
+    async fn hand_over(
+        &self,
+        service: ServiceId,
+        caller: SocketAddr,
+        bytes: usize,
+        mut buffer: Vec<u8>,
+    ) -> Vec<u8> {
+        self.control.metrics.packets_in.inc();
+        if bytes > MAX_PACKET_BYTES {
+            self.control.metrics.packets_dropped.inc(Code::PacketShort);
+            return buffer;
+        }
+        let host = match self.route(service, &buffer) {
+            Ok(host) => host,
+            Err(error) => {
+                self.control.metrics.packets_dropped.inc(error.code);
+                return buffer;
+            }
+        };
+        self.key.append(
+            &mut buffer,
+            &self.envelope(EnvelopeKind::Inbound, service, caller),
+        );
+        self.send(buffer, host).await
+    }
+
+    fn route(&self, service: ServiceId, packet: &[u8]) -> Result<Ipv4Addr> {
+        let now_ms = self.control.now_ms();
+        let mut suspicion = self.control.suspicion.borrow_mut();
+        let store = self.control.store.borrow();
+        let route = steering::steer(&store, &suspicion, service, packet, now_ms)?;
+        if !route.opens {
+            return Ok(route.host);
+        }
+        self.control.metrics.openers.inc();
+        suspicion.sent(route.host, now_ms);
+        // The opener that makes its owner suspected goes to the runner-up already.
+        steering::steer(&store, &suspicion, service, packet, now_ms).map(|route| route.host)
+    }
+
+    fn envelope(&self, kind: EnvelopeKind, service: ServiceId, caller: SocketAddr) -> Envelope {
+        Envelope {
+            kind,
+            service,
+            caller,
+            balancer: self.control.settings.host,
+            revision: self.control.store.borrow().digest().highest,
+        }
+    }
+
+    async fn send(&self, buffer: Vec<u8>, host: Ipv4Addr) -> Vec<u8> {
+        let address = SocketAddr::from((host, self.control.settings.datagram_port));
+        let BufResult(result, buffer) = self.socket.send_to(buffer, address).await;
+        if result.is_ok() {
+            self.control.metrics.packets_out.inc();
+        }
+        buffer
+    }
+
+    async fn hand_back_answers(&self) {
+        let mut buffer = Vec::with_capacity(BUFFER_BYTES);
+        loop {
+            buffer.clear();
+            let BufResult(result, received) = self.socket.recv_from(buffer).await;
+            buffer = received;
+            let Ok((_, agent)) = result else {
+                continue;
+            };
+            buffer = self.hand_back(agent, buffer).await;
+        }
+    }
+
+    async fn hand_back(&self, agent: SocketAddr, mut buffer: Vec<u8>) -> Vec<u8> {
+        self.control.metrics.packets_in.inc();
+        let envelope = match self.key.open(&buffer) {
+            Ok((envelope, _)) if envelope.kind == EnvelopeKind::Outbound => envelope,
+            _ => {
+                self.control
+                    .metrics
+                    .packets_dropped
+                    .inc(Code::EnvelopeForged);
+                return buffer;
+            }
+        };
+        if let SocketAddr::V4(agent) = agent {
+            self.note_agent(*agent.ip(), envelope.revision);
+        }
+        let Some(socket) = self.socket_of(envelope.service) else {
+            self.control
+                .metrics
+                .packets_dropped
+                .inc(Code::ServiceUnknown);
+            return buffer;
+        };
+        buffer.truncate(buffer.len() - ENVELOPE_BYTES);
+        let BufResult(result, buffer) = socket.send_to(buffer, envelope.caller).await;
+        if result.is_ok() {
+            self.control.metrics.packets_out.inc();
+        }
+        buffer
+    }
+
+    fn note_agent(&self, host: Ipv4Addr, revision: u64) {
+        self.control.suspicion.borrow_mut().answered(host);
+        self.chaser.saw(host, revision);
+        let mut agents = self.agents.borrow_mut();
+        if let Err(index) = agents.binary_search(&host) {
+            agents.insert(index, host);
+        }
+    }
+
+    fn socket_of(&self, service: ServiceId) -> Option<Rc<UdpSocket>> {
+        let ports = self.ports.borrow();
+        let index = ports.binary_search_by_key(&service, |port| port.service);
+        index.ok().map(|index| ports[index].socket.clone())
+    }
+
+    /// Tells every agent that answered through this balancer to choose another one.
+    async fn say_leaving(&self) {
+        let agents = self.agents.borrow().clone();
+        let unspecified = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
+        let envelope = self.envelope(EnvelopeKind::Leaving, ServiceId(0), unspecified);
+        for host in agents {
+            let mut buffer = Vec::with_capacity(ENVELOPE_BYTES);
+            self.key.append(&mut buffer, &envelope);
+            self.send(buffer, host).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/config_store.rs
@@ -0,0 +1,315 @@
+//! The published values that a process holds, whose revisions only rise.
+
+use crate::code::Code;
+use crate::delta::Delta;
+use crate::error::{Error, Result};
+use crate::hash;
+use crate::hosts::HostList;
+use crate::keys::{ClusterKey, KeyRing};
+use crate::service_id::ServiceId;
+use crate::table::Table;
+
+/// The largest value that the platform holds, in bytes.
+pub(crate) const MAX_VALUE_BYTES: usize = 1 << 20;
+/// The name of the host list among the published values.
+pub const HOSTS_NAME: &str = "hosts";
+/// The name of the key epochs among the published values.
+pub const KEYS_NAME: &str = "keys";
+/// What the name of a service's table starts with.
+pub const TABLE_PREFIX: &str = "table/";
+
+/// A value that is in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredValue {
+    /// Its name.
+    pub name: String,
+    /// Its revision; 0 before the first accepted one.
+    pub revision: u64,
+    /// Its text.
+    pub text: String,
+    /// The revision before, from which most peers can be brought up by a delta.
+    pub previous_revision: u64,
+    previous_text: String,
+    rejected: Option<Rejection>,
+}
+
+/// The newest revision of a value that was rejected whole.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Rejection {
+    /// The revision that is not in force.
+    pub revision: u64,
+    /// Why.
+    pub error: Error,
+}
+
+/// A value on its way to a peer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ValueUpdate {
+    /// The value's name.
+    pub name: String,
+    /// The revision that it brings.
+    pub revision: u64,
+    /// The revision against which the delta was made; 0 where it makes the whole text of nothing.
+    pub base: u64,
+    /// The change.
+    pub delta: Delta,
+}
+
+/// The revisions of a process in short, by which two peers find out that they differ.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Digest {
+    /// The highest revision in force.
+    pub highest: u64,
+    /// A hash over all names and revisions.
+    pub hash: u64,
+}
+
+/// What became of an offered value.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Acceptance {
+    /// It is in force now.
+    Accepted,
+    /// An equal or newer revision is in force; nothing changed.
+    Old,
+}
+
+/// All published values with their parsed forms.
+///
+/// Whether a text is accepted depends on that text alone, so that all hosts come to the same
+/// verdict in whatever order values arrive.
+#[derive(Debug)]
+pub struct ConfigStore {
+    cluster: ClusterKey,
+    values: Vec<StoredValue>,
+    tables: Vec<(ServiceId, Table)>,
+    hosts: HostList,
+    ring: KeyRing,
+    digest: Digest,
+}
+
+enum Parsed {
+    Table(Table),
+    Hosts(HostList),
+    Keys(KeyRing),
+    Other,
+}
+
+impl ConfigStore {
+    /// Makes an empty store.
+    pub fn new(cluster: &ClusterKey) -> Self {
+        Self {
+            cluster: cluster.clone(),
+            values: Vec::new(),
+            tables: Vec::new(),
+            hosts: HostList::default(),
+            ring: KeyRing::initial(cluster),
+            digest: Digest::default(),
+        }
+    }
+
+    /// Takes a value if its revision is above the one in force and its text is sound.
+    ///
+    /// # Errors
+    ///
+    /// Returns the code of the first fault of the text; the value in force stays.
+    pub fn accept(&mut self, name: &str, revision: u64, text: &str) -> Result<Acceptance> {
+        let index = self.index_or_insert(name);
+        if !self.values[index].is_news(revision) {
+            return Ok(Acceptance::Old);
+        }
+        match self.parse(name, text) {
+            Ok(parsed) => {
+                self.put(index, revision, text);
+                self.apply(parsed);
+                Ok(Acceptance::Accepted)
+            }
+            Err(error) => {
+                self.values[index].rejected = Some(Rejection {
+                    revision,
+                    error: error.clone(),
+                });
+                Err(error)
+            }
+        }
+    }
+
+    /// Takes a value that a peer sent as a change.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 2302 where the change does not fit, else as [`ConfigStore::accept`].
+    pub fn accept_update(&mut self, update: &ValueUpdate) -> Result<Acceptance> {
+        let held = self.get(&update.name);
+        if held.is_some_and(|value| !value.is_news(update.revision)) {
+            return Ok(Acceptance::Old);
+        }
+        let held_revision = held.map_or(0, |value| value.revision);
+        let text = match update.base {
+            0 => update.delta.apply("")?,
+            base if base == held_revision => {
+                update.delta.apply(held.map_or("", |value| &value.text))?
+            }
+            _ => return Err(Error::new(Code::DeltaMismatch, update.name.clone())),
+        };
+        self.accept(&update.name, update.revision, &text)
+    }
+
+    /// Returns the update that brings a peer that holds revision `have` to the one in force.
+    pub fn update_for(&self, name: &str, have: u64) -> Option<ValueUpdate> {
+        let value = self.get(name).filter(|value| value.revision > 0)?;
+        let known = have > 0 && have == value.previous_revision;
+        let old = if known {
+            value.previous_text.as_str()
+        } else {
+            ""
+        };
+        Some(ValueUpdate {
+            name: value.name.clone(),
+            revision: value.revision,
+            base: if known { have } else { 0 },
+            delta: Delta::between(old, &value.text),
+        })
+    }
+
+    /// Returns names and revisions in force above `floor`.
+    pub fn changes_since(&self, floor: u64) -> Vec<(&str, u64)> {
+        let newer = self.values.iter().filter(|value| value.revision > floor);
+        newer
+            .map(|value| (value.name.as_str(), value.revision))
+            .collect()
+    }
+
+    /// Tells whether a revision would be news: neither in force, nor older, nor rejected before.
+    pub fn wants(&self, name: &str, revision: u64) -> bool {
+        self.get(name).is_none_or(|value| value.is_news(revision))
+    }
+
+    /// Returns the revision of a value in force, or 0.
+    pub fn revision(&self, name: &str) -> u64 {
+        self.get(name).map_or(0, |value| value.revision)
+    }
+
+    /// Returns all values in order of their names.
+    pub fn values(&self) -> &[StoredValue] {
+        &self.values
+    }
+
+    /// Returns the value with this name.
+    pub fn get(&self, name: &str) -> Option<&StoredValue> {
+        let index = self
+            .values
+            .binary_search_by(|value| value.name.as_str().cmp(name));
+        index.ok().map(|index| &self.values[index])
+    }
+
+    /// Returns the table of a service.
+    pub fn table(&self, service: ServiceId) -> Option<&Table> {
+        let index = self.tables.binary_search_by_key(&service, |(id, _)| *id);
+        index.ok().map(|index| &self.tables[index].1)
+    }
+
+    /// Returns all tables in order of their service ids.
+    pub fn tables(&self) -> impl Iterator<Item = &Table> {
+        self.tables.iter().map(|(_, table)| table)
+    }
+
+    /// Returns the host list.
+    pub fn hosts(&self) -> &HostList {
+        &self.hosts
+    }
+
+    /// Returns the keys that seal and open tokens.
+    pub fn ring(&self) -> &KeyRing {
+        &self.ring
+    }
+
+    /// Returns the revisions in short.
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    fn parse(&self, name: &str, text: &str) -> Result<Parsed> {
+        if text.len() > MAX_VALUE_BYTES {
+            return Err(Error::new(Code::ValueTooLarge, name));
+        }
+        if let Some(service) = name.strip_prefix(TABLE_PREFIX) {
+            let table = Table::parse(text)?;
+            if table.service != service {
+                let message = format!("value {name} holds service {}", table.service);
+                return Err(Error::new(Code::TableMixed, message));
+            }
+            return Ok(Parsed::Table(table));
+        }
+        match name {
+            HOSTS_NAME => Ok(Parsed::Hosts(HostList::parse(text)?)),
+            KEYS_NAME => Ok(Parsed::Keys(KeyRing::parse(&self.cluster, text)?)),
+            _ => Ok(Parsed::Other),
+        }
+    }
+
+    fn index_or_insert(&mut self, name: &str) -> usize {
+        let found = self
+            .values
+            .binary_search_by(|value| value.name.as_str().cmp(name));
+        found.unwrap_or_else(|index| {
+            self.values.insert(index, StoredValue::empty(name));
+            index
+        })
+    }
+
+    fn put(&mut self, index: usize, revision: u64, text: &str) {
+        let value = &mut self.values[index];
+        let name_hash = hash::name_hash(&value.name);
+        if value.revision > 0 {
+            self.digest.hash ^= hash::pair_hash(name_hash, value.revision);
+        }
+        self.digest.hash ^= hash::pair_hash(name_hash, revision);
+        self.digest.highest = self.digest.highest.max(revision);
+        value.previous_revision = std::mem::replace(&mut value.revision, revision);
+        value.previous_text = std::mem::replace(&mut value.text, text.to_owned());
+        value.rejected = None;
+    }
+
+    fn apply(&mut self, parsed: Parsed) {
+        match parsed {
+            Parsed::Table(table) => self.put_table(table),
+            Parsed::Hosts(hosts) => self.hosts = hosts,
+            Parsed::Keys(ring) => self.ring = ring,
+            Parsed::Other => {}
+        }
+    }
+
+    fn put_table(&mut self, table: Table) {
+        let id = table.service_id();
+        match self.tables.binary_search_by_key(&id, |(id, _)| *id) {
+            Ok(index) => self.tables[index].1 = table,
+            Err(index) => self.tables.insert(index, (id, table)),
+        }
+    }
+}
+
+impl StoredValue {
+    fn empty(name: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            revision: 0,
+            text: String::new(),
+            previous_revision: 0,
+            previous_text: String::new(),
+            rejected: None,
+        }
+    }
+
+    /// Returns the newest rejected revision, if it is newer than the one in force.
+    pub fn rejected(&self) -> Option<&Rejection> {
+        self.rejected.as_ref()
+    }
+
+    fn is_news(&self, revision: u64) -> bool {
+        let rejected = self
+            .rejected
+            .as_ref()
+            .map_or(0, |rejection| rejection.revision);
+        revision > self.revision.max(rejected)
+    }
+}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,131 @@
+//! What every daemon shares: the values in force, its links, its timers and its dump of state.
+
+use std::cell::{Cell, RefCell};
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+
+use serde_json::{Value, json};
+
+use crate::clock::{self, Clock};
+use crate::config_store::{Acceptance, ConfigStore, ValueUpdate};
+use crate::error::Result;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::settings::Settings;
+use crate::suspicion::Suspicion;
+use crate::timers::Timers;
+
+type ChangeAction = Rc<dyn Fn(&str)>;
+
+/// The parts of a process on which its controllers and filters build.
+pub(crate) struct Control {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) incarnation: u32,
+    pub(crate) metrics: Rc<Metrics>,
+    pub(crate) timers: Timers,
+    pub(crate) peers: Peers,
+    pub(crate) store: RefCell<ConfigStore>,
+    pub(crate) suspicion: RefCell<Suspicion>,
+    pub(crate) platform_answers: Cell<bool>,
+    on_change: RefCell<Vec<ChangeAction>>,
+}
+
+impl Control {
+    pub(crate) fn new(settings: Settings) -> Rc<Self> {
+        let clock = Clock::start();
+        let metrics = Rc::new(Metrics::default());
+        Rc::new(Self {
+            clock,
+            incarnation: clock::incarnation(),
+            timers: Timers::new(clock),
+            peers: Peers::new(&settings.cluster_key, settings.control_port, &metrics),
+            store: RefCell::new(ConfigStore::new(&settings.cluster_key)),
+            suspicion: RefCell::default(),
+            platform_answers: Cell::new(false),
+            on_change: RefCell::default(),
+            metrics,
+            settings,
+        })
+    }
+
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// Calls `action` with the name of each value that comes into force.
+    pub(crate) fn on_change(&self, action: impl Fn(&str) + 'static) {
+        self.on_change.borrow_mut().push(Rc::new(action));
+    }
+
+    /// Takes a value that the platform published.
+    pub(crate) fn accept(&self, name: &str, revision: u64, text: &str) -> Result<Acceptance> {
+        let result = self.store.borrow_mut().accept(name, revision, text);
+        self.note(name, revision, &result);
+        result
+    }
+
+    /// Takes a value that a peer sent.
+    pub(crate) fn accept_update(&self, update: &ValueUpdate) -> Result<Acceptance> {
+        let result = self.store.borrow_mut().accept_update(update);
+        self.note(&update.name, update.revision, &result);
+        result
+    }
+
+    fn note(&self, name: &str, revision: u64, result: &Result<Acceptance>) {
+        match result {
+            Ok(Acceptance::Old) => {}
+            Ok(Acceptance::Accepted) => {
+                self.metrics.values_accepted.inc();
+                let highest = self.store.borrow().digest().highest;
+                self.metrics.config_revision.set(highest as i64);
+                log::info!("event=value_in_force name={name} revision={revision}");
+                let actions = self.on_change.borrow().clone();
+                actions.iter().for_each(|action| action(name));
+            }
+            Err(error) if error.code == crate::code::Code::DeltaMismatch => {}
+            Err(error) => {
+                self.metrics.values_rejected.inc(error.code);
+                log::warn!("event=value_rejected name={name} revision={revision} error={error}");
+            }
+        }
+    }
+
+    /// Returns the entry hosts of the list, to which answers may go.
+    pub(crate) fn entry_hosts(&self) -> Vec<Ipv4Addr> {
+        let store = self.store.borrow();
+        let entries = store.hosts().in_role(crate::hosts::HostRole::Entry);
+        entries.map(|host| host.address).collect()
+    }
+
+    /// Returns the part of the state dump that all daemons have.
+    pub(crate) fn state(&self, role: &str) -> Value {
+        let now_ms = self.now_ms();
+        let store = self.store.borrow();
+        let values = store.values().iter().map(|value| {
+            json!({
+                "name": value.name,
+                "revision": value.revision,
+                "bytes": value.text.len(),
+                "rejected_revision": value.rejected().map(|rejected| rejected.revision),
+                "rejected_because": value.rejected().map(|rejected| rejected.error.to_string()),
+            })
+        });
+        let tables: Vec<Value> = store.tables().map(|table| json!(table)).collect();
+        json!({
+            "role": role,
+            "version": env!("CARGO_PKG_VERSION"),
+            "host": self.settings.host,
+            "zone": self.settings.zone,
+            "incarnation": self.incarnation,
+            "uptime_ms": now_ms,
+            "revision": store.digest().highest,
+            "platform_answers": self.platform_answers.get(),
+            "values": values.collect::<Vec<_>>(),
+            "tables": tables,
+            "hosts": store.hosts(),
+            "links": self.peers.linked(),
+            "suspected": self.suspicion.borrow().suspected(now_ms),
+        })
+    }
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,187 @@
+//! What the daemons do from their command line to their exit code.
+
+use std::future::Future;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use compio::net::TcpListener;
+use futures_util::future::{Either, select};
+use gumdrop::Options;
+use http::Response;
+use http_body_util::Full;
+
+use crate::agent::Agent;
+use crate::control::Control;
+use crate::error::Result;
+use crate::node_server::NodeHooks;
+use crate::platform_reader::ReaderDuty;
+use crate::settings::Settings;
+use crate::{balancer, http_server, logging, node_server, peer_service, platform_reader, relay};
+
+/// The exit code for a command line or settings file that can't be used.
+pub const EXIT_USAGE: u8 = 2;
+
+const SIGINT: i32 = 2;
+const SIGTERM: i32 = 15;
+
+#[derive(Debug, Options)]
+struct DaemonOptions {
+    #[options(help = "print this help and exit")]
+    help: bool,
+    #[options(no_short, help = "print the version and exit")]
+    version: bool,
+    #[options(help = "the settings file", meta = "FILE")]
+    settings: Option<PathBuf>,
+    #[options(no_short, help = "check the settings and exit")]
+    check: bool,
+}
+
+/// Runs a balancer with the arguments of the process.
+pub fn run_balancer() -> ExitCode {
+    run("endivedyke-balancer", |control| async move {
+        let hooks = balancer::hooks(&control);
+        start(&control, hooks).await?;
+        balancer::run(control, stop_signal()).await
+    })
+}
+
+/// Runs an agent with the arguments of the process.
+pub fn run_agent() -> ExitCode {
+    run("endivedyke-agent", |control| async move {
+        let agent = Agent::new(&control)?;
+        start(&control, peer_service::hooks(&agent)).await?;
+        agent.run(stop_signal()).await
+    })
+}
+
+fn run<F>(program: &str, role: impl FnOnce(Rc<Control>) -> F) -> ExitCode
+where
+    F: Future<Output = Result<()>>,
+{
+    let options = DaemonOptions::parse_args_default_or_exit();
+    if options.version {
+        println!("{program} {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = options.settings else {
+        eprintln!("{program}: name a settings file with --settings FILE; see --help");
+        return ExitCode::from(EXIT_USAGE);
+    };
+    let settings = match Settings::load(&path) {
+        Ok(settings) => settings,
+        Err(error) => return fail(program, &error, EXIT_USAGE),
+    };
+    if options.check {
+        println!("{}: settings are sound", path.display());
+        return ExitCode::SUCCESS;
+    }
+    match run_role(settings, role) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(program, &error, 1),
+    }
+}
+
+fn fail(program: &str, error: &crate::error::Error, exit_code: u8) -> ExitCode {
+    eprintln!("{program}: {error}");
+    ExitCode::from(exit_code)
+}
+
+fn run_role<F>(settings: Settings, role: impl FnOnce(Rc<Control>) -> F) -> Result<()>
+where
+    F: Future<Output = Result<()>>,
+{
+    logging::start(&settings)?;
+    let runtime = compio::runtime::Runtime::new()?;
+    runtime.block_on(async {
+        let control = Control::new(settings);
+        log::info!("event=start host={}", control.settings.host);
+        let result = role(control).await;
+        log::info!("event=stop");
+        result
+    })
+}
+
+/// Brings up what every daemon shares and returns when a configuration is in force.
+async fn start(control: &Rc<Control>, hooks: NodeHooks) -> Result<()> {
+    let settings = &control.settings;
+    let links = node_server::bind(settings.host, settings.control_port).await?;
+    let metrics = TcpListener::bind((settings.host, settings.metrics_port)).await?;
+    compio::runtime::spawn(node_server::serve(links, control.clone(), hooks)).detach();
+    compio::runtime::spawn(serve_metrics(metrics, control.clone())).detach();
+    let duty = ReaderDuty::new();
+    platform_reader::start(control, &duty).await;
+    subscribe(control, &duty);
+    compio::runtime::spawn(platform_reader::run(control.clone(), duty)).detach();
+    let timed = control.clone();
+    compio::runtime::spawn(async move { timed.timers.run(&timed.metrics).await }).detach();
+    log::info!(
+        "event=serving revision={}",
+        control.store.borrow().digest().highest
+    );
+    Ok(())
+}
+
+fn subscribe(control: &Rc<Control>, duty: &Rc<ReaderDuty>) {
+    let compared = control.clone();
+    let duty = duty.clone();
+    control.timers.every(relay::COMPARE_PERIOD_MS, move || {
+        let control = compared.clone();
+        let duty = duty.clone();
+        compio::runtime::spawn(async move {
+            if relay::compare_once(&control).await {
+                duty.peer_answered(control.now_ms());
+            }
+        })
+        .detach();
+    });
+    let resumed = control.clone();
+    control.timers.on_resume(move || {
+        resumed.peers.drop_all();
+        resumed.suspicion.borrow_mut().forget_all();
+        let control = resumed.clone();
+        compio::runtime::spawn(async move {
+            relay::compare_once(&control).await;
+        })
+        .detach();
+    });
+    let tidied = control.clone();
+    control.on_change(move |name| {
+        if name == crate::config_store::HOSTS_NAME {
+            let store = tidied.store.borrow();
+            tidied
+                .peers
+                .retain(|host| store.hosts().get(host).is_some());
+        }
+    });
+}
+
+async fn serve_metrics(listener: TcpListener, control: Rc<Control>) {
+    http_server::serve(listener, move |request| {
+        let found = request.uri().path() == "/metrics";
+        let text = if found {
+            control.metrics.render()
+        } else {
+            "see /metrics\n".to_owned()
+        };
+        let mut response = Response::new(Full::from(text));
+        if !found {
+            *response.status_mut() = http::StatusCode::NOT_FOUND;
+        }
+        std::future::ready(response)
+    })
+    .await;
+}
+
+/// Completes when the process is asked to stop.
+async fn stop_signal() {
+    let terminate = std::pin::pin!(compio::signal::unix::signal(SIGTERM));
+    let interrupt = std::pin::pin!(compio::signal::unix::signal(SIGINT));
+    match select(terminate, interrupt).await {
+        Either::Left((result, _)) | Either::Right((result, _)) => {
+            if let Err(error) = result {
+                log::error!("event=no_signals error={error}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/delta.rs
@@ -0,0 +1,61 @@
+//! A published value as a change of lines, so that an edit of one row costs one row on the wire.
+
+use crate::code::Code;
+use crate::error::{Error, Result};
+use crate::hash;
+
+/// A change from one text to the next: lines kept at the start, lines removed, lines put in.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Delta {
+    /// How many lines at the start stay.
+    pub kept_lines: u32,
+    /// How many lines after them go.
+    pub removed_lines: u32,
+    /// The lines that take their place, each with its line end.
+    pub text: String,
+    /// The hash of the whole resulting text.
+    pub digest: u64,
+}
+
+impl Delta {
+    /// Returns the change that makes `new` of `old`.
+    pub fn between(old: &str, new: &str) -> Delta {
+        let old_lines: Vec<&str> = old.split_inclusive('\n').collect();
+        let new_lines: Vec<&str> = new.split_inclusive('\n').collect();
+        let pairs = old_lines.iter().zip(&new_lines);
+        let kept = pairs.take_while(|(a, b)| a == b).count();
+        let tails = old_lines[kept..]
+            .iter()
+            .rev()
+            .zip(new_lines[kept..].iter().rev());
+        let tail = tails.take_while(|(a, b)| a == b).count();
+        Delta {
+            kept_lines: kept as u32,
+            removed_lines: (old_lines.len() - kept - tail) as u32,
+            text: new_lines[kept..new_lines.len() - tail].concat(),
+            digest: hash::bytes_hash(new.as_bytes()),
+        }
+    }
+
+    /// Applies the change to `old`.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 2302 where the change was made against another text.
+    pub fn apply(&self, old: &str) -> Result<String> {
+        let mismatch = || Error::new(Code::DeltaMismatch, "fetch the whole value");
+        let lines: Vec<&str> = old.split_inclusive('\n').collect();
+        let kept = self.kept_lines as usize;
+        let tail = kept.saturating_add(self.removed_lines as usize);
+        if tail > lines.len() {
+            return Err(mismatch());
+        }
+        let mut new = lines[..kept].concat();
+        new.push_str(&self.text);
+        new.push_str(&lines[tail..].concat());
+        if hash::bytes_hash(new.as_bytes()) != self.digest {
+            return Err(mismatch());
+        }
+        Ok(new)
+    }
+}
--- /dev/null
+++ b/src/envelope.rs
@@ -0,0 +1,137 @@
+//! The trailer that balancers and agents add to a datagram which they hand to each other.
+//!
+//! It follows the datagram instead of preceding it, so that a balancer forwards a packet from the
+//! buffer into which it was received. The tag covers the trailer and the first bytes of the
+//! packet; the rest is protected by QUIC itself. See docs/DESIGN.md, "Envelope".
+
+use std::hash::Hasher;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+
+use siphasher::sip::SipHasher24;
+
+use crate::code::Code;
+use crate::error::{Error, Result};
+use crate::keys::ClusterKey;
+use crate::service_id::ServiceId;
+
+/// The length of the trailer, in bytes.
+pub const ENVELOPE_BYTES: usize = 46;
+
+const VERSION: u8 = 1;
+const TAG_BYTES: usize = 8;
+const COVERED_PACKET_BYTES: usize = 64;
+
+/// Which way an envelope goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub enum EnvelopeKind {
+    /// From a caller to an agent.
+    Inbound = 1,
+    /// From an agent to a caller.
+    Outbound = 2,
+    /// An opener that its owner has handed to another agent, which may not hand it on again.
+    Deflected = 3,
+    /// The sending balancer stops soon: no more answers through it.
+    Leaving = 4,
+}
+
+/// What travels with a datagram between a balancer and an agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Envelope {
+    /// Which way it goes.
+    pub kind: EnvelopeKind,
+    /// The service that the caller addressed.
+    pub service: ServiceId,
+    /// The caller's address as the balancer saw it.
+    pub caller: SocketAddr,
+    /// The balancer's host, to which answers go.
+    pub balancer: Ipv4Addr,
+    /// The highest revision that the sender holds.
+    pub revision: u64,
+}
+
+/// The key under which envelopes are authenticated.
+#[derive(Clone)]
+pub struct EnvelopeKey([u8; 16]);
+
+impl std::fmt::Debug for EnvelopeKey {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("EnvelopeKey(hidden)")
+    }
+}
+
+impl EnvelopeKey {
+    /// Derives the key from the cluster key.
+    pub fn new(cluster: &ClusterKey) -> Self {
+        Self(cluster.derive_short("envelope", ""))
+    }
+
+    fn tag(&self, packet: &[u8], fields: &[u8]) -> [u8; TAG_BYTES] {
+        let mut hasher = SipHasher24::new_with_key(&self.0);
+        hasher.write(fields);
+        hasher.write(&(packet.len() as u32).to_le_bytes());
+        hasher.write(&packet[..packet.len().min(COVERED_PACKET_BYTES)]);
+        hasher.finish().to_le_bytes()
+    }
+
+    /// Appends the trailer to the packet in `buffer`.
+    pub fn append(&self, buffer: &mut Vec<u8>, envelope: &Envelope) {
+        let packet_bytes = buffer.len();
+        let (ip, port) = (envelope.caller.ip(), envelope.caller.port());
+        let ip = match ip {
+            IpAddr::V4(ip) => ip.to_ipv6_mapped(),
+            IpAddr::V6(ip) => ip,
+        };
+        buffer.extend_from_slice(&ip.octets());
+        buffer.extend_from_slice(&port.to_le_bytes());
+        buffer.extend_from_slice(&envelope.balancer.octets());
+        buffer.extend_from_slice(&envelope.service.0.to_le_bytes());
+        buffer.extend_from_slice(&envelope.revision.to_le_bytes());
+        buffer.extend_from_slice(&[envelope.kind as u8, VERSION, 0, 0]);
+        let (packet, fields) = buffer.split_at(packet_bytes);
+        let tag = self.tag(packet, fields);
+        buffer.extend_from_slice(&tag);
+    }
+
+    /// Checks the trailer and splits it from the packet.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 4003 for anything that no holder of the key has made.
+    pub fn open<'a>(&self, datagram: &'a [u8]) -> Result<(Envelope, &'a [u8])> {
+        let forged = |what| Error::new(Code::EnvelopeForged, what);
+        let packet_bytes = datagram.len().checked_sub(ENVELOPE_BYTES);
+        let packet_bytes = packet_bytes.ok_or_else(|| forged("too short"))?;
+        let (packet, trailer) = datagram.split_at(packet_bytes);
+        let (fields, tag) = trailer.split_at(ENVELOPE_BYTES - TAG_BYTES);
+        if self.tag(packet, fields) != tag {
+            return Err(forged("wrong tag"));
+        }
+        let envelope = read_fields(fields).ok_or_else(|| forged("unknown version or kind"))?;
+        Ok((envelope, packet))
+    }
+}
+
+fn read_fields(fields: &[u8]) -> Option<Envelope> {
+    let octets: [u8; 16] = fields[..16].try_into().ok()?;
+    let ip = Ipv6Addr::from(octets).to_canonical();
+    let port = u16::from_le_bytes(fields[16..18].try_into().ok()?);
+    let balancer: [u8; 4] = fields[18..22].try_into().ok()?;
+    let kind = match fields[34] {
+        1 => EnvelopeKind::Inbound,
+        2 => EnvelopeKind::Outbound,
+        3 => EnvelopeKind::Deflected,
+        4 => EnvelopeKind::Leaving,
+        _ => return None,
+    };
+    if fields[35] != VERSION {
+        return None;
+    }
+    Some(Envelope {
+        kind,
+        service: ServiceId(u32::from_le_bytes(fields[22..26].try_into().ok()?)),
+        caller: SocketAddr::new(ip, port),
+        balancer: balancer.into(),
+        revision: u64::from_le_bytes(fields[26..34].try_into().ok()?),
+    })
+}
--- /dev/null
+++ b/src/hash.rs
@@ -0,0 +1,24 @@
+//! Hashes that must agree on every host.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+const NAME_SEED: u64 = 0x656e_6469_7665_0001;
+const PAIR_SEED: u64 = 0x656e_6469_7665_0002;
+
+/// Hashes a name to the 64 bits by which processes refer to it.
+pub fn name_hash(name: &str) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), NAME_SEED)
+}
+
+/// Hashes bytes such as a connection id or a published text.
+pub fn bytes_hash(bytes: &[u8]) -> u64 {
+    xxh3_64_with_seed(bytes, NAME_SEED)
+}
+
+/// Hashes an unordered choice, such as "opener at target", from its two hashes.
+pub(crate) fn pair_hash(left: u64, right: u64) -> u64 {
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&left.to_le_bytes());
+    bytes[8..].copy_from_slice(&right.to_le_bytes());
+    xxh3_64_with_seed(&bytes, PAIR_SEED)
+}
--- /dev/null
+++ b/src/ledger.rs
@@ -0,0 +1,165 @@
+//! The record of requests that may run at most once.
+//!
+//! A ticket binds a request to one incarnation of one agent and carries a counter. The ledger of
+//! that incarnation remembers a window of counters; what lies below it never runs, so the memory is
+//! bounded and a request is never doubled. See docs/DESIGN.md, "At most once".
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+
+use crate::code::Code;
+
+/// How many begun tickets a ledger remembers.
+pub(crate) const LEDGER_ENTRIES: usize = 100_000;
+/// The largest answer that is kept to be given again, in bytes.
+pub const MAX_KEPT_ANSWER_BYTES: usize = 4_096;
+
+/// An answer kept for a caller that asks again with the same ticket.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeptAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The value of the content-type header.
+    pub content_type: Option<String>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// What the ledger says to a request that wants to run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Begin {
+    /// It is recorded as running and may be handed to the backend server, once.
+    Run,
+    /// It does not run; the code says why, and whether it ran before.
+    Stop(Code),
+    /// It ran before, and this was the answer.
+    Answered(KeptAnswer),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum State {
+    Running,
+    Refused,
+    Unknown(Code),
+    Answered(KeptAnswer),
+    AnsweredLarge,
+}
+
+#[derive(Debug)]
+struct Entry {
+    counter: u32,
+    digest: u64,
+    state: State,
+}
+
+/// The tickets of one incarnation.
+#[derive(Debug)]
+pub struct Ledger {
+    next_counter: u32,
+    floor: u32,
+    capacity: usize,
+    entries: VecDeque<Entry>,
+}
+
+impl Ledger {
+    /// Makes an empty ledger that remembers `capacity` begun tickets.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            next_counter: 0,
+            floor: 0,
+            capacity,
+            entries: VecDeque::new(),
+        }
+    }
+
+    /// Returns the counter of a new ticket, or `None` when the incarnation has used all of them.
+    pub fn issue(&mut self) -> Option<u32> {
+        let counter = self.next_counter;
+        self.next_counter = counter.checked_add(1)?;
+        Some(counter)
+    }
+
+    /// Returns how many begun tickets are remembered.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether no ticket has begun.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Asks whether the request with this ticket and `digest` may run now.
+    pub fn begin(&mut self, counter: u32, digest: u64) -> Begin {
+        match self.position(counter) {
+            Ok(index) => begin_again(&self.entries[index], digest),
+            Err(_) if counter < self.floor => Begin::Stop(Code::TicketExpired),
+            Err(_) if counter >= self.next_counter => Begin::Stop(Code::BadRequest),
+            Err(index) => {
+                let entry = Entry {
+                    counter,
+                    digest,
+                    state: State::Running,
+                };
+                self.entries.insert(index, entry);
+                self.trim();
+                Begin::Run
+            }
+        }
+    }
+
+    /// Records that the request was not run and from now on never will be.
+    pub fn refuse(&mut self, counter: u32) {
+        self.set(counter, State::Refused);
+    }
+
+    /// Records that nobody can know whether the request ran.
+    pub fn lose(&mut self, counter: u32, code: Code) {
+        self.set(counter, State::Unknown(code));
+    }
+
+    /// Records the answer of a request that ran.
+    pub fn finish(&mut self, counter: u32, answer: Option<KeptAnswer>) {
+        let kept = answer.filter(|answer| answer.body.len() <= MAX_KEPT_ANSWER_BYTES);
+        let state = kept.map_or(State::AnsweredLarge, State::Answered);
+        self.set(counter, state);
+    }
+
+    fn position(&self, counter: u32) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by_key(&counter, |entry| entry.counter)
+    }
+
+    fn set(&mut self, counter: u32, state: State) {
+        if let Ok(index) = self.position(counter) {
+            self.entries[index].state = state;
+        }
+    }
+
+    /// Raises the floor over the oldest entries that have ended; a running one holds it.
+    fn trim(&mut self) {
+        while self.entries.len() > self.capacity {
+            match self.entries.front() {
+                Some(entry) if entry.state != State::Running => {
+                    self.floor = entry.counter + 1;
+                    self.entries.pop_front();
+                }
+                _ => break,
+            }
+        }
+    }
+}
+
+fn begin_again(entry: &Entry, digest: u64) -> Begin {
+    if entry.digest != digest {
+        return Begin::Stop(Code::TicketMismatch);
+    }
+    match &entry.state {
+        State::Running => Begin::Stop(Code::InProgress),
+        State::Refused => Begin::Stop(Code::TicketSpent),
+        State::Unknown(code) => Begin::Stop(*code),
+        State::Answered(answer) => Begin::Answered(answer.clone()),
+        State::AnsweredLarge => Begin::Stop(Code::AnswerNotKept),
+    }
+}
--- /dev/null
+++ b/src/link.rs
@@ -0,0 +1,91 @@
+//! One control link: an authenticated TCP connection that carries `capnp-rpc`.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp::message::ReaderOptions;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use compio::net::TcpStream;
+use compio::runtime::JoinHandle;
+use futures_util::AsyncReadExt;
+
+use crate::code::Code;
+use crate::counted_stream::CountedStream;
+use crate::error::{Error, Result};
+use crate::keys::ClusterKey;
+use crate::link_auth::{self, LinkSide};
+use crate::metrics::Metrics;
+use crate::node_capnp::node;
+
+/// How long a connection may take to be made, in milliseconds.
+pub(crate) const CONNECT_TIMEOUT_MS: u64 = 1_000;
+/// The largest control message, in 8-byte words: a whole published value with room to spare.
+const MAX_MESSAGE_WORDS: usize = 512 * 1024;
+
+/// A link to a peer; it closes when it is dropped.
+pub(crate) struct Link {
+    pub(crate) client: node::Client,
+    _driver: JoinHandle<()>,
+}
+
+impl Link {
+    /// Connects to the peer at `address`.
+    pub(crate) async fn connect(
+        address: SocketAddr,
+        cluster: &ClusterKey,
+        metrics: &Rc<Metrics>,
+    ) -> Result<Link> {
+        let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
+        let connected = compio::time::timeout(timeout, TcpStream::connect(address)).await;
+        let closed = |what: String| Error::new(Code::LinkClosed, format!("{address}: {what}"));
+        let stream = connected.map_err(|_| closed("timed out".to_owned()))?;
+        let mut stream = stream.map_err(|error| closed(error.to_string()))?;
+        stream.set_nodelay(true)?;
+        link_auth::authenticate(&mut stream, cluster, LinkSide::Client).await?;
+        let network = network(stream, Side::Client, metrics);
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let client: node::Client = system.bootstrap(Side::Server);
+        let driver = compio::runtime::spawn(async move {
+            // Calls on a broken link fail, and are reported, one by one.
+            let _ = system.await;
+        });
+        Ok(Link {
+            client,
+            _driver: driver,
+        })
+    }
+}
+
+/// Serves one accepted connection until it closes.
+pub(crate) async fn serve(
+    mut stream: TcpStream,
+    cluster: &ClusterKey,
+    metrics: &Rc<Metrics>,
+    client: node::Client,
+) -> Result<()> {
+    stream.set_nodelay(true)?;
+    link_auth::authenticate(&mut stream, cluster, LinkSide::Server).await?;
+    let network = network(stream, Side::Server, metrics);
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    system
+        .await
+        .map_err(|error| Error::new(Code::LinkClosed, error.to_string()))
+}
+
+fn network(
+    stream: TcpStream,
+    side: Side,
+    metrics: &Rc<Metrics>,
+) -> twoparty::VatNetwork<impl futures_util::AsyncRead + 'static + Unpin> {
+    let (reader, writer) = CountedStream::new(stream, metrics).split();
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
+    twoparty::VatNetwork::new(reader, writer, side, options)
+}
+
+/// Returns the address of the control port on `host`.
+pub(crate) fn control_address(host: Ipv4Addr, control_port: u16) -> SocketAddr {
+    SocketAddr::from((host, control_port))
+}
--- /dev/null
+++ b/src/link_auth.rs
@@ -0,0 +1,89 @@
+//! How the two ends of a control link prove to each other that they hold the cluster key.
+
+use std::time::Duration;
+
+use compio::BufResult;
+use compio::io::{AsyncReadExt, AsyncWriteExt};
+use compio::net::TcpStream;
+use rand::Rng;
+use ring::hmac;
+
+use crate::code::Code;
+use crate::error::{Error, Result};
+use crate::keys::ClusterKey;
+
+const NONCE_BYTES: usize = 16;
+const PROOF_BYTES: usize = 32;
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Which end of the link this process is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkSide {
+    /// The end that connected.
+    Client,
+    /// The end that accepted.
+    Server,
+}
+
+impl LinkSide {
+    fn label(self) -> &'static [u8] {
+        match self {
+            LinkSide::Client => b"client",
+            LinkSide::Server => b"server",
+        }
+    }
+
+    fn other(self) -> Self {
+        match self {
+            LinkSide::Client => LinkSide::Server,
+            LinkSide::Server => LinkSide::Client,
+        }
+    }
+}
+
+/// Exchanges nonces and proofs before a byte of the control protocol is read.
+///
+/// # Errors
+///
+/// Returns code 4007 for a peer without the key, 4008 for one that closes or stays silent.
+pub async fn authenticate(
+    stream: &mut TcpStream,
+    cluster: &ClusterKey,
+    side: LinkSide,
+) -> Result<()> {
+    let handshake = exchange(stream, cluster, side);
+    let result = compio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await;
+    result.unwrap_or_else(|_| Err(Error::new(Code::LinkClosed, "no handshake in time")))
+}
+
+async fn exchange(stream: &mut TcpStream, cluster: &ClusterKey, side: LinkSide) -> Result<()> {
+    let key = hmac::Key::new(hmac::HMAC_SHA256, &cluster.derive("control link", ""));
+    let own_nonce: [u8; NONCE_BYTES] = rand::rng().random();
+    send(stream, own_nonce.to_vec()).await?;
+    let peer_nonce = receive(stream, NONCE_BYTES).await?;
+    let own_proof = hmac::sign(&key, &proof_input(side, &own_nonce, &peer_nonce));
+    send(stream, own_proof.as_ref().to_vec()).await?;
+    let peer_proof = receive(stream, PROOF_BYTES).await?;
+    let expected = proof_input(side.other(), &peer_nonce, &own_nonce);
+    hmac::verify(&key, &expected, &peer_proof)
+        .map_err(|_| Error::new(Code::LinkRefused, "wrong proof"))
+}
+
+fn proof_input(side: LinkSide, own_nonce: &[u8], peer_nonce: &[u8]) -> Vec<u8> {
+    [side.label(), own_nonce, peer_nonce].concat()
+}
+
+async fn send(stream: &mut TcpStream, bytes: Vec<u8>) -> Result<()> {
+    let BufResult(result, _) = stream.write_all(bytes).await;
+    result.map_err(closed)
+}
+
+async fn receive(stream: &mut TcpStream, count: usize) -> Result<Vec<u8>> {
+    let BufResult(result, bytes) = stream.read_exact(Vec::with_capacity(count)).await;
+    result.map_err(closed)?;
+    Ok(bytes)
+}
+
+fn closed(error: std::io::Error) -> Error {
+    Error::new(Code::LinkClosed, error.to_string())
+}
--- /dev/null
+++ b/src/load_board.rs
@@ -0,0 +1,121 @@
+//! What the agents of one service know of each other's load.
+
+use std::net::Ipv4Addr;
+
+use serde::Serialize;
+
+/// The full share of a target, in thousandths.
+pub const FULL_SHARE_PERMILLE: u16 = 1_000;
+/// The age at which a report no longer counts, in milliseconds.
+pub const REPORT_MAX_AGE_MS: u64 = 10_000;
+/// How long a report that no longer counts is remembered, so that peers which pass it on late can't
+/// revive it, in milliseconds.
+pub(crate) const REPORT_FORGET_MS: u64 = 60_000;
+
+/// What one agent counts itself for one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct LoadReport {
+    /// The agent's host.
+    pub host: Ipv4Addr,
+    /// The agent's incarnation; a later start has a higher one.
+    pub incarnation: u32,
+    /// Rises with each report of an incarnation.
+    pub sequence: u32,
+    /// The open flows.
+    pub open_flows: u32,
+    /// The requests that run.
+    pub busy_slots: u16,
+    /// The requests that wait.
+    pub queued: u16,
+    /// How much of its weight the target takes: less while it starts cold, 0 while it drains or
+    /// fails.
+    pub share_permille: u16,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    report: LoadReport,
+    received_ms: u64,
+    sent_flows: u32,
+}
+
+/// The newest report of each peer; older ones that arrive late are passed over.
+#[derive(Debug, Default)]
+pub struct LoadBoard {
+    entries: Vec<Entry>,
+}
+
+impl LoadBoard {
+    /// Takes a report if it is newer than the one held, and says whether it was.
+    pub fn merge(&mut self, report: LoadReport, now_ms: u64) -> bool {
+        let entry = Entry {
+            report,
+            received_ms: now_ms,
+            sent_flows: 0,
+        };
+        match self.position(report.host) {
+            Ok(index) => {
+                let held = &self.entries[index];
+                let held_age = (held.report.incarnation, held.report.sequence);
+                if (report.incarnation, report.sequence) <= held_age {
+                    return false;
+                }
+                self.entries[index] = entry;
+            }
+            Err(index) => self.entries.insert(index, entry),
+        }
+        true
+    }
+
+    /// Notes a flow handed to a peer, which its report can't show yet.
+    pub fn sent_flow(&mut self, host: Ipv4Addr) {
+        if let Ok(index) = self.position(host) {
+            self.entries[index].sent_flows += 1;
+        }
+    }
+
+    /// Returns the peer's report with the flows sent since, if it is fresh.
+    pub fn fresh(&self, host: Ipv4Addr, now_ms: u64) -> Option<LoadReport> {
+        let index = self.position(host).ok()?;
+        let entry = &self.entries[index];
+        if now_ms.saturating_sub(entry.received_ms) > REPORT_MAX_AGE_MS {
+            return None;
+        }
+        let mut report = entry.report;
+        report.open_flows += entry.sent_flows;
+        Some(report)
+    }
+
+    /// Returns all fresh reports as received, to pass on.
+    pub fn reports(&self, now_ms: u64) -> Vec<LoadReport> {
+        let fresh = |entry: &&Entry| now_ms.saturating_sub(entry.received_ms) <= REPORT_MAX_AGE_MS;
+        self.entries
+            .iter()
+            .filter(fresh)
+            .map(|entry| entry.report)
+            .collect()
+    }
+
+    /// Forgets a peer, as after a refused connection.
+    pub fn forget(&mut self, host: Ipv4Addr) {
+        if let Ok(index) = self.position(host) {
+            self.entries.remove(index);
+        }
+    }
+
+    /// Drops reports so old that no peer passes them on any more.
+    pub fn prune(&mut self, now_ms: u64) {
+        self.entries
+            .retain(|entry| now_ms.saturating_sub(entry.received_ms) <= REPORT_FORGET_MS);
+    }
+
+    /// Forgets everything, as after a pause.
+    pub fn forget_all(&mut self) {
+        self.entries.clear();
+    }
+
+    fn position(&self, host: Ipv4Addr) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by_key(&host, |entry| entry.report.host)
+    }
+}
--- /dev/null
+++ b/src/load_exchange.rs
@@ -0,0 +1,85 @@
+//! The controller that keeps the agents of a service informed of each other's load.
+
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+
+use rand::seq::IteratorRandom;
+
+use crate::agent::Agent;
+use crate::load_board::LoadReport;
+use crate::service_id::ServiceId;
+use crate::target::Target;
+
+/// How often an agent exchanges load with one random peer of each service, in milliseconds.
+///
+/// With a dozen agents a report reaches all of them in four or five rounds.
+pub(crate) const PERIOD_MS: u64 = 1_000;
+
+/// Starts one exchange for each target.
+pub(crate) fn start(agent: &Rc<Agent>) {
+    let targets = agent.targets.borrow().clone();
+    for target in targets {
+        let agent = agent.clone();
+        compio::runtime::spawn(async move { exchange(&agent, &target).await }).detach();
+    }
+}
+
+async fn exchange(agent: &Agent, target: &Target) {
+    let Some(peer) = random_peer(agent, target) else {
+        return;
+    };
+    let ours = reports(agent, target);
+    let theirs = agent
+        .control
+        .peers
+        .exchange_load(peer, target.service, &ours)
+        .await;
+    match theirs {
+        Ok(theirs) => merge(agent, target, &theirs),
+        Err(_) => {
+            let now_ms = agent.control.now_ms();
+            agent.control.suspicion.borrow_mut().suspect(peer, now_ms);
+            target.board.borrow_mut().forget(peer);
+        }
+    }
+}
+
+fn random_peer(agent: &Agent, target: &Target) -> Option<Ipv4Addr> {
+    let now_ms = agent.control.now_ms();
+    let suspicion = agent.control.suspicion.borrow();
+    let store = agent.control.store.borrow();
+    let hosts = store.table(target.service)?.rows.iter().map(|row| row.host);
+    let peers = hosts.filter(|host| *host != target.host);
+    let trusted = peers.filter(|host| !suspicion.is_suspected(*host, now_ms));
+    trusted.choose(&mut rand::rng())
+}
+
+fn reports(agent: &Agent, target: &Target) -> Vec<LoadReport> {
+    let mut reports = target.board.borrow().reports(agent.control.now_ms());
+    reports.push(target.report());
+    reports
+}
+
+fn merge(agent: &Agent, target: &Target, reports: &[LoadReport]) {
+    let now_ms = agent.control.now_ms();
+    let store = agent.control.store.borrow();
+    let Some(table) = store.table(target.service) else {
+        return;
+    };
+    let mut board = target.board.borrow_mut();
+    for report in reports {
+        if report.host != target.host && table.row_on(report.host).is_some() {
+            board.merge(*report, now_ms);
+        }
+    }
+}
+
+/// Answers a peer's exchange: takes its reports and returns ours.
+pub(crate) fn answer(agent: &Agent, service: ServiceId, theirs: &[LoadReport]) -> Vec<LoadReport> {
+    let Some(target) = agent.target(service) else {
+        return Vec::new();
+    };
+    let ours = reports(agent, &target);
+    merge(agent, &target, theirs);
+    ours
+}
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,33 @@
+//! Log lines: one for each change of state, with a time, a level and the part that speaks.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use crate::code::Code;
+use crate::error::{Error, Result};
+use crate::settings::Settings;
+
+/// Starts logging as the settings say.
+///
+/// # Errors
+///
+/// Returns code 5001 where the log file can't be opened or logging runs already.
+pub(crate) fn start(settings: &Settings) -> Result<()> {
+    let dispatch = fern::Dispatch::new()
+        .level(log::LevelFilter::Error)
+        .level_for("endivedyke", settings.log_level)
+        .format(|out, message, record| {
+            let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+            let time_ms = since_epoch.map_or(0, |time| time.as_millis());
+            out.finish(format_args!(
+                "time_ms={time_ms} level={} part={} {message}",
+                record.level(),
+                record.target()
+            ));
+        });
+    let dispatch = match &settings.log_file {
+        Some(path) => dispatch.chain(fern::log_file(path)?),
+        None => dispatch.chain(std::io::stderr()),
+    };
+    let applied = dispatch.apply();
+    applied.map_err(|error| Error::new(Code::Io, error.to_string()))
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,175 @@
+//! Counters and gauges of a process, read at `/metrics`.
+
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+use crate::code::Code;
+
+/// The label of counters that are split by result code.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CodeLabel {
+    code: u32,
+}
+
+/// A counter for each result code.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct CodeCounter(Family<CodeLabel, Counter<u64, AtomicU64>>);
+
+impl CodeCounter {
+    pub(crate) fn inc(&self, code: Code) {
+        let code = u32::from(code.number());
+        self.0.get_or_create(&CodeLabel { code }).inc();
+    }
+
+    pub(crate) fn get(&self, code: Code) -> u64 {
+        let code = u32::from(code.number());
+        self.0.get_or_create(&CodeLabel { code }).get()
+    }
+}
+
+/// All metrics; a balancer and an agent each use those that fit them.
+#[derive(Debug, Default)]
+pub(crate) struct Metrics {
+    pub(crate) packets_in: Counter,
+    pub(crate) packets_out: Counter,
+    pub(crate) packets_dropped: CodeCounter,
+    pub(crate) openers: Counter,
+    pub(crate) stateless_resets: Counter,
+    pub(crate) flows_accepted: Counter,
+    pub(crate) flows_deflected: Counter,
+    pub(crate) flows_refused: CodeCounter,
+    pub(crate) flows_open: Gauge,
+    pub(crate) requests: CodeCounter,
+    pub(crate) requests_moved: Counter,
+    pub(crate) control_calls: Counter,
+    pub(crate) control_bytes_sent: Counter,
+    pub(crate) control_bytes_received: Counter,
+    pub(crate) links_refused: CodeCounter,
+    pub(crate) platform_calls: Counter,
+    pub(crate) platform_failures: CodeCounter,
+    pub(crate) values_accepted: Counter,
+    pub(crate) values_rejected: CodeCounter,
+    pub(crate) config_revision: Gauge,
+    pub(crate) pauses: Counter,
+}
+
+impl Metrics {
+    /// Renders all metrics in the OpenMetrics text format.
+    pub(crate) fn render(&self) -> String {
+        let mut registry = Registry::with_prefix("endivedyke");
+        self.register_packets(&mut registry);
+        self.register_flows(&mut registry);
+        self.register_control(&mut registry);
+        let mut text = String::new();
+        match prometheus_client::encoding::text::encode(&mut text, &registry) {
+            Ok(()) => text,
+            Err(error) => format!("# {error}\n"),
+        }
+    }
+
+    fn register_packets(&self, registry: &mut Registry) {
+        let mut counter = |name: &str, help: &str, counter: &Counter| {
+            registry.register(name, help, counter.clone());
+        };
+        counter("packets_in", "Datagrams received", &self.packets_in);
+        counter("packets_out", "Datagrams sent", &self.packets_out);
+        counter("openers", "Datagrams that may open a flow", &self.openers);
+        counter(
+            "stateless_resets",
+            "Stateless resets sent",
+            &self.stateless_resets,
+        );
+        let dropped = self.packets_dropped.0.clone();
+        registry.register("packets_dropped", "Datagrams dropped, by code", dropped);
+    }
+
+    fn register_flows(&self, registry: &mut Registry) {
+        let mut counter = |name: &str, help: &str, counter: &Counter| {
+            registry.register(name, help, counter.clone());
+        };
+        counter("flows_accepted", "Flows accepted", &self.flows_accepted);
+        counter(
+            "flows_deflected",
+            "Openers handed to a peer",
+            &self.flows_deflected,
+        );
+        counter(
+            "requests_moved",
+            "Requests run at a peer",
+            &self.requests_moved,
+        );
+        registry.register("flows_open", "Open flows", self.flows_open.clone());
+        let refused = self.flows_refused.0.clone();
+        registry.register("flows_refused", "Openers refused, by code", refused);
+        let requests = self.requests.0.clone();
+        registry.register(
+            "requests",
+            "Requests that have their final answer, by code",
+            requests,
+        );
+    }
+
+    fn register_control(&self, registry: &mut Registry) {
+        let mut counter = |name: &str, help: &str, counter: &Counter| {
+            registry.register(name, help, counter.clone());
+        };
+        counter(
+            "control_calls",
+            "Calls made over control links",
+            &self.control_calls,
+        );
+        counter(
+            "control_bytes_sent",
+            "Bytes sent over control links",
+            &self.control_bytes_sent,
+        );
+        counter(
+            "control_bytes_received",
+            "Bytes received over control links",
+            &self.control_bytes_received,
+        );
+        counter(
+            "platform_calls",
+            "Calls to the configuration service",
+            &self.platform_calls,
+        );
+        counter(
+            "values_accepted",
+            "Published values accepted",
+            &self.values_accepted,
+        );
+        counter(
+            "pauses",
+            "Pauses of this process that its clock showed",
+            &self.pauses,
+        );
+        registry.register(
+            "config_revision",
+            "Highest revision in force",
+            self.config_revision.clone(),
+        );
+        let mut by_code = |name: &str, help: &str, counter: &CodeCounter| {
+            registry.register(name, help, counter.0.clone());
+        };
+        by_code(
+            "links_refused",
+            "Control links refused, by code",
+            &self.links_refused,
+        );
+        by_code(
+            "platform_failures",
+            "Failed calls to the configuration service, by code",
+            &self.platform_failures,
+        );
+        by_code(
+            "values_rejected",
+            "Published values rejected, by code",
+            &self.values_rejected,
+        );
+    }
+}
--- /dev/null
+++ b/src/node_server.rs
@@ -0,0 +1,263 @@
+//! The server side of the control protocol.
+
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+
+use compio::net::TcpListener;
+use futures_util::future::LocalBoxFuture;
+use serde_json::Value;
+
+use crate::code::Code;
+use crate::config_store::Acceptance;
+use crate::control::Control;
+use crate::error::Result;
+use crate::link;
+use crate::load_board::LoadReport;
+use crate::node_capnp::node;
+use crate::node_codec::{self, to_capnp};
+use crate::peer_request::{PeerAnswer, PeerRequest};
+use crate::peers::{OfferReply, ticket_bytes};
+use crate::relay;
+use crate::sealed_id::SealedBytes;
+use crate::service_id::ServiceId;
+
+/// The most control links that a process accepts at once.
+const MAX_INBOUND_LINKS: usize = 1_024;
+
+type Capnp<T = ()> = std::result::Result<T, capnp::Error>;
+
+type ExchangeLoad = dyn Fn(ServiceId, &[LoadReport]) -> Vec<LoadReport>;
+type Run = dyn Fn(SealedBytes, PeerRequest) -> LocalBoxFuture<'static, PeerAnswer>;
+
+/// Where the roles differ in what they answer.
+pub(crate) struct NodeHooks {
+    pub(crate) exchange_load: Box<ExchangeLoad>,
+    pub(crate) offer: Box<dyn Fn(ServiceId, u32) -> OfferReply>,
+    pub(crate) run: Box<Run>,
+    pub(crate) cancel: Box<dyn Fn(SealedBytes)>,
+    pub(crate) state: Box<dyn Fn() -> Value>,
+}
+
+struct NodeServer {
+    control: Rc<Control>,
+    hooks: Rc<NodeHooks>,
+}
+
+/// Accepts control links forever.
+pub(crate) async fn serve(listener: TcpListener, control: Rc<Control>, hooks: NodeHooks) {
+    let hooks = Rc::new(hooks);
+    let open = Rc::new(());
+    loop {
+        let Ok((stream, peer)) = listener.accept().await else {
+            continue;
+        };
+        if Rc::strong_count(&open) > MAX_INBOUND_LINKS {
+            control.metrics.links_refused.inc(Code::LinkClosed);
+            continue;
+        }
+        let server = NodeServer {
+            control: control.clone(),
+            hooks: hooks.clone(),
+        };
+        let control = control.clone();
+        let open = open.clone();
+        compio::runtime::spawn(async move {
+            let client: node::Client = capnp_rpc::new_client(server);
+            let cluster = &control.settings.cluster_key;
+            let result = link::serve(stream, cluster, &control.metrics, client).await;
+            if let Err(error) = result {
+                refused(&control, peer, &error);
+            }
+            drop(open);
+        })
+        .detach();
+    }
+}
+
+fn refused(control: &Control, peer: std::net::SocketAddr, error: &crate::error::Error) {
+    control.metrics.links_refused.inc(error.code);
+    if error.code == Code::LinkRefused {
+        log::warn!("event=link_refused peer={peer} error={error}");
+    }
+}
+
+impl node::Server for NodeServer {
+    async fn compare(
+        self: Rc<Self>,
+        _params: node::CompareParams,
+        mut results: node::CompareResults,
+    ) -> Capnp {
+        let digest = self.control.store.borrow().digest();
+        node_codec::write_digest(results.get().init_theirs(), digest);
+        Ok(())
+    }
+
+    async fn changes(
+        self: Rc<Self>,
+        params: node::ChangesParams,
+        mut results: node::ChangesResults,
+    ) -> Capnp {
+        let floor = params.get()?.get_floor();
+        let store = self.control.store.borrow();
+        let changes = store.changes_since(floor);
+        let mut entries = results.get().init_entries(changes.len() as u32);
+        for (index, (name, revision)) in changes.into_iter().enumerate() {
+            let mut entry = entries.reborrow().get(index as u32);
+            entry.set_name(name);
+            entry.set_revision(revision);
+        }
+        Ok(())
+    }
+
+    async fn fetch(
+        self: Rc<Self>,
+        params: node::FetchParams,
+        mut results: node::FetchResults,
+    ) -> Capnp {
+        let params = params.get()?;
+        let name = params.get_name()?.to_str()?;
+        let store = self.control.store.borrow();
+        let update = store.update_for(name, params.get_have());
+        let update = update.ok_or_else(|| capnp::Error::failed(format!("no value {name}")))?;
+        node_codec::write_value(results.get().init_value(), &update);
+        Ok(())
+    }
+
+    async fn tell(
+        self: Rc<Self>,
+        params: node::TellParams,
+        mut results: node::TellResults,
+    ) -> Capnp {
+        let value = params.get()?.get_value()?;
+        let update = node_codec::read_value(value).map_err(to_capnp)?;
+        let result = self.control.accept_update(&update);
+        if result == Ok(Acceptance::Accepted) {
+            relay::tell_peers(&self.control, &update.name);
+        }
+        // A rejected value is answered as known, so that the peer does not send it again whole.
+        let store = self.control.store.borrow();
+        let wanted = store.wants(&update.name, update.revision);
+        let held = store.revision(&update.name);
+        results
+            .get()
+            .set_revision(if wanted { held } else { update.revision });
+        Ok(())
+    }
+
+    async fn exchange_load(
+        self: Rc<Self>,
+        params: node::ExchangeLoadParams,
+        mut results: node::ExchangeLoadResults,
+    ) -> Capnp {
+        let params = params.get()?;
+        let service = ServiceId(params.get_service());
+        let theirs = node_codec::read_reports(params.get_reports()?);
+        let ours = (self.hooks.exchange_load)(service, &theirs);
+        let list = results.get().init_reports(ours.len() as u32);
+        node_codec::write_reports(list, &ours);
+        Ok(())
+    }
+
+    async fn offer(
+        self: Rc<Self>,
+        params: node::OfferParams,
+        mut results: node::OfferResults,
+    ) -> Capnp {
+        let params = params.get()?;
+        let service = ServiceId(params.get_service());
+        let mut builder = results.get();
+        match (self.hooks.offer)(service, params.get_timeout_ms()) {
+            OfferReply::Accepted(ticket) => builder.set_ticket(&ticket),
+            OfferReply::Refused(refusal) => {
+                builder.set_code(refusal.code.number());
+                builder.set_retry_after_ms(refusal.retry_after_ms);
+            }
+        }
+        Ok(())
+    }
+
+    async fn run(self: Rc<Self>, params: node::RunParams, mut results: node::RunResults) -> Capnp {
+        let (ticket, request) = read_run(&params).map_err(to_capnp)?;
+        let answer = (self.hooks.run)(ticket, request).await;
+        let mut builder = results.get().init_answer();
+        builder.set_code(answer.code.number());
+        builder.set_status(answer.status);
+        builder.set_body(&answer.body);
+        builder.set_retry_after_ms(answer.retry_after_ms);
+        let headers = builder.init_headers(answer.headers.len() as u32);
+        node_codec::write_headers(headers, &answer.headers);
+        Ok(())
+    }
+
+    async fn cancel(
+        self: Rc<Self>,
+        params: node::CancelParams,
+        _results: node::CancelResults,
+    ) -> Capnp {
+        let ticket = ticket_bytes(params.get()?.get_ticket()?);
+        if let Some(ticket) = ticket {
+            (self.hooks.cancel)(ticket);
+        }
+        Ok(())
+    }
+
+    async fn state(
+        self: Rc<Self>,
+        _params: node::StateParams,
+        mut results: node::StateResults,
+    ) -> Capnp {
+        results.get().set_json((self.hooks.state)().to_string());
+        Ok(())
+    }
+}
+
+fn read_run(params: &node::RunParams) -> Result<(SealedBytes, PeerRequest)> {
+    let params = params.get().map_err(node_codec::from_capnp)?;
+    let ticket = node_codec::data(params.get_ticket())?;
+    let ticket = ticket_bytes(&ticket);
+    let ticket = ticket
+        .ok_or_else(|| crate::error::Error::new(Code::BadRequest, "ticket of a wrong length"))?;
+    let request = params.get_request().map_err(node_codec::from_capnp)?;
+    let headers = request.get_headers().map_err(node_codec::from_capnp)?;
+    let request = PeerRequest {
+        service: ServiceId(request.get_service()),
+        method: node_codec::text(request.get_method())?,
+        path: node_codec::text(request.get_path())?,
+        headers: node_codec::read_headers(headers)?,
+        body: node_codec::data(request.get_body())?,
+        timeout_ms: request.get_timeout_ms(),
+    };
+    Ok((ticket, request))
+}
+
+/// Returns hooks for a process that serves no flows itself.
+pub(crate) fn hooks_without_flows(state: impl Fn() -> Value + 'static) -> NodeHooks {
+    NodeHooks {
+        exchange_load: Box::new(|_, _| Vec::new()),
+        offer: Box::new(|_, _| {
+            OfferReply::Refused(crate::slots::Refusal {
+                code: Code::NoTarget,
+                retry_after_ms: crate::slots::MIN_RETRY_MS,
+            })
+        }),
+        run: Box::new(|_, _| Box::pin(async { refused_answer(Code::NoTarget, 0) })),
+        cancel: Box::new(|_| {}),
+        state: Box::new(state),
+    }
+}
+
+/// Returns an answer without a body for a request that did not run or whose outcome is unknown.
+pub(crate) fn refused_answer(code: Code, retry_after_ms: u32) -> PeerAnswer {
+    PeerAnswer {
+        code,
+        status: 0,
+        headers: http::HeaderMap::new(),
+        body: bytes::Bytes::new(),
+        retry_after_ms,
+    }
+}
+
+/// Binds the control port on the process's own host.
+pub(crate) async fn bind(host: Ipv4Addr, control_port: u16) -> Result<TcpListener> {
+    Ok(TcpListener::bind(link::control_address(host, control_port)).await?)
+}
--- /dev/null
+++ b/src/peer_service.rs
@@ -0,0 +1,170 @@
+//! What an agent does for its peers: holds a slot for an offer, runs what comes with its ticket.
+
+use std::rc::Rc;
+
+use http::Method;
+
+use crate::agent::Agent;
+use crate::answer::{Answer, AnswerBody};
+use crate::caller_body::whole_body;
+use crate::code::Code;
+use crate::hash;
+use crate::ledger::Begin;
+use crate::load_exchange;
+use crate::local_run::{self, LocalRequest};
+use crate::node_server::{NodeHooks, refused_answer};
+use crate::peer_request::{PeerAnswer, PeerRequest};
+use crate::peers::OfferReply;
+use crate::request::new_ticket;
+use crate::run_once::LedgerEntry;
+use crate::sealed_id::SealedBytes;
+use crate::service_id::ServiceId;
+use crate::slot_queue::SlotGuard;
+use crate::slots::{MIN_RETRY_MS, Refusal};
+use crate::target::Target;
+
+/// How long a slot is held for an accepted offer, in milliseconds.
+const OFFER_HOLD_MS: u64 = 1_000;
+
+/// A slot held for an accepted offer.
+pub(crate) struct Reservation {
+    pub(crate) ticket: SealedBytes,
+    pub(crate) slot: SlotGuard,
+    pub(crate) expires_ms: u64,
+}
+
+/// Returns what an agent answers on control links.
+pub(crate) fn hooks(agent: &Rc<Agent>) -> NodeHooks {
+    let (loads, offers) = (agent.clone(), agent.clone());
+    let (runs, cancels, states) = (agent.clone(), agent.clone(), agent.clone());
+    NodeHooks {
+        exchange_load: Box::new(move |service, theirs| {
+            load_exchange::answer(&loads, service, theirs)
+        }),
+        offer: Box::new(move |service, timeout_ms| offer(&offers, service, timeout_ms)),
+        run: Box::new(move |ticket, request| {
+            let agent = runs.clone();
+            Box::pin(async move { run(&agent, ticket, request).await })
+        }),
+        cancel: Box::new(move |ticket| cancel(&cancels, &ticket)),
+        state: Box::new(move || states.state()),
+    }
+}
+
+fn offer(agent: &Agent, service: ServiceId, timeout_ms: u32) -> OfferReply {
+    let Some(target) = agent.target(service) else {
+        return refuse(Code::NoTarget, MIN_RETRY_MS);
+    };
+    if target.share_permille() == 0 {
+        return refuse(Code::Draining, MIN_RETRY_MS);
+    }
+    let now_ms = agent.control.now_ms();
+    let Some(slot) = target.slots.try_acquire(now_ms + u64::from(timeout_ms)) else {
+        return refuse(Code::Overloaded, target.slots.retry_after_ms());
+    };
+    let Some(ticket) = new_ticket(agent, &target) else {
+        return refuse(Code::NoTarget, MIN_RETRY_MS);
+    };
+    target.reservations.borrow_mut().push(Reservation {
+        ticket,
+        slot,
+        expires_ms: now_ms + OFFER_HOLD_MS,
+    });
+    OfferReply::Accepted(ticket)
+}
+
+fn refuse(code: Code, retry_after_ms: u32) -> OfferReply {
+    OfferReply::Refused(Refusal {
+        code,
+        retry_after_ms,
+    })
+}
+
+fn take_reservation(target: &Target, ticket: &SealedBytes) -> Option<SlotGuard> {
+    let mut reservations = target.reservations.borrow_mut();
+    let held = reservations
+        .iter()
+        .position(|held| held.ticket == *ticket)?;
+    Some(reservations.swap_remove(held).slot)
+}
+
+async fn run(agent: &Rc<Agent>, ticket: SealedBytes, request: PeerRequest) -> PeerAnswer {
+    let Some(target) = agent.target(request.service) else {
+        return refused_answer(Code::IncarnationGone, 0);
+    };
+    let Some(id) = agent.open_ticket(request.service, &ticket) else {
+        return refused_answer(Code::BadRequest, 0);
+    };
+    if !agent.is_own(&id) {
+        return refused_answer(Code::IncarnationGone, 0);
+    }
+    let begin = target.ledger.borrow_mut().begin(id.nonce, digest(&request));
+    let answer = match begin {
+        Begin::Run => run_begun(agent, &target, id.nonce, &ticket, request).await,
+        Begin::Stop(code) => Answer::refusal(code, target.slots.retry_after_ms()),
+        Begin::Answered(kept) => crate::run_once::kept_answer(kept),
+    };
+    into_peer_answer(answer)
+}
+
+async fn run_begun(
+    agent: &Agent,
+    target: &Rc<Target>,
+    counter: u32,
+    ticket: &SealedBytes,
+    request: PeerRequest,
+) -> Answer {
+    let entry = LedgerEntry::new(target, counter);
+    let deadline_ms = agent.control.now_ms() + u64::from(request.timeout_ms);
+    let slot = match take_reservation(target, ticket) {
+        Some(slot) => Ok(slot),
+        None => target.slots.acquire(deadline_ms).await,
+    };
+    let slot = match slot {
+        Ok(slot) => slot,
+        Err(refusal) => return entry.refuse(refusal),
+    };
+    let Ok(method) = Method::from_bytes(request.method.as_bytes()) else {
+        return entry.refuse(Refusal {
+            code: Code::BadRequest,
+            retry_after_ms: 0,
+        });
+    };
+    let local = LocalRequest {
+        target: target.clone(),
+        method,
+        path: request.path,
+        headers: request.headers,
+        body: whole_body(request.body),
+        deadline_ms,
+    };
+    let outcome = local_run::run(local, slot, agent.control.clock).await;
+    entry.conclude(outcome)
+}
+
+/// Hashes what names the request, as [`crate::RequestSpec`] does for a caller's.
+fn digest(request: &PeerRequest) -> u64 {
+    let length = request.headers.get("content-length");
+    let length = length.and_then(|length| length.to_str().ok()).unwrap_or("");
+    hash::bytes_hash(format!("{} {} {length}", request.method, request.path).as_bytes())
+}
+
+fn cancel(agent: &Agent, ticket: &SealedBytes) {
+    for target in agent.targets.borrow().iter() {
+        drop(take_reservation(target, ticket));
+    }
+}
+
+fn into_peer_answer(answer: Answer) -> PeerAnswer {
+    let body = match answer.body {
+        AnswerBody::Whole(body) => body,
+        AnswerBody::Stream(_) => bytes::Bytes::new(),
+    };
+    PeerAnswer {
+        code: answer.code,
+        status: answer.status,
+        headers: answer.headers,
+        body,
+        retry_after_ms: answer.retry_after_ms,
+    }
+}
--- /dev/null
+++ b/src/peers.rs
@@ -0,0 +1,273 @@
+//! Calls to other processes over cached control links.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::code::Code;
+use crate::config_store::{Digest, ValueUpdate};
+use crate::error::{Error, Result};
+use crate::keys::ClusterKey;
+use crate::link::{self, Link};
+use crate::load_board::LoadReport;
+use crate::metrics::Metrics;
+use crate::node_capnp::node;
+use crate::node_codec;
+use crate::peer_request::{PeerAnswer, PeerRequest};
+use crate::sealed_id::{SEALED_ID_BYTES, SealedBytes};
+use crate::service_id::ServiceId;
+use crate::slots::Refusal;
+
+/// How long a peer may take to answer a call, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 1_000;
+/// The longest state dump taken from a process, in bytes.
+const MAX_STATE_BYTES: usize = 4 << 20;
+
+/// What a peer said to an offer.
+#[derive(Debug)]
+pub(crate) enum OfferReply {
+    /// It holds a slot and binds the request to this ticket.
+    Accepted(SealedBytes),
+    /// It has no room.
+    Refused(Refusal),
+}
+
+/// The links of a process, made when first used and dropped when a call fails.
+pub(crate) struct Peers {
+    cluster: ClusterKey,
+    control_port: u16,
+    metrics: Rc<Metrics>,
+    links: RefCell<Vec<(Ipv4Addr, Rc<Link>)>>,
+}
+
+impl Peers {
+    pub(crate) fn new(cluster: &ClusterKey, control_port: u16, metrics: &Rc<Metrics>) -> Self {
+        Self {
+            cluster: cluster.clone(),
+            control_port,
+            metrics: metrics.clone(),
+            links: RefCell::default(),
+        }
+    }
+
+    /// Drops all links, as after a pause in which the other ends may have gone.
+    pub(crate) fn drop_all(&self) {
+        self.links.borrow_mut().clear();
+    }
+
+    /// Drops the links to hosts that `keep` rejects.
+    pub(crate) fn retain(&self, keep: impl Fn(Ipv4Addr) -> bool) {
+        self.links.borrow_mut().retain(|(host, _)| keep(*host));
+    }
+
+    /// Returns the hosts to which a link is open.
+    pub(crate) fn linked(&self) -> Vec<Ipv4Addr> {
+        self.links.borrow().iter().map(|(host, _)| *host).collect()
+    }
+
+    pub(crate) async fn compare(&self, host: Ipv4Addr, mine: Digest) -> Result<Digest> {
+        self.call(host, CALL_TIMEOUT_MS, |client| async move {
+            let mut request = client.compare_request();
+            node_codec::write_digest(request.get().init_mine(), mine);
+            let response = request.send().promise.await?;
+            Ok(node_codec::read_digest(response.get()?.get_theirs()?))
+        })
+        .await
+    }
+
+    pub(crate) async fn changes(&self, host: Ipv4Addr, floor: u64) -> Result<Vec<(String, u64)>> {
+        self.call(host, CALL_TIMEOUT_MS, |client| async move {
+            let mut request = client.changes_request();
+            request.get().set_floor(floor);
+            let response = request.send().promise.await?;
+            let mut changes = Vec::new();
+            for entry in response.get()?.get_entries()? {
+                changes.push((entry.get_name()?.to_string()?, entry.get_revision()));
+            }
+            Ok(changes)
+        })
+        .await
+    }
+
+    pub(crate) async fn fetch(&self, host: Ipv4Addr, name: &str, have: u64) -> Result<ValueUpdate> {
+        let name = name.to_owned();
+        self.call(host, CALL_TIMEOUT_MS, |client| async move {
+            let mut request = client.fetch_request();
+            request.get().set_name(&name);
+            request.get().set_have(have);
+            let response = request.send().promise.await?;
+            let value = response.get()?.get_value()?;
+            node_codec::read_value(value).map_err(node_codec::to_capnp)
+        })
+        .await
+    }
+
+    /// Tells a value and returns the revision that the peer holds then.
+    pub(crate) async fn tell(&self, host: Ipv4Addr, update: &ValueUpdate) -> Result<u64> {
+        self.call(host, CALL_TIMEOUT_MS, |client| async move {
+            let mut request = client.tell_request();
+            node_codec::write_value(request.get().init_value(), update);
+            let response = request.send().promise.await?;
+            Ok(response.get()?.get_revision())
+        })
+        .await
+    }
+
+    pub(crate) async fn exchange_load(
+        &self,
+        host: Ipv4Addr,
+        service: ServiceId,
+        reports: &[LoadReport],
+    ) -> Result<Vec<LoadReport>> {
+        self.call(host, CALL_TIMEOUT_MS, |client| async move {
+            let mut request = client.exchange_load_request();
+            request.get().set_service(service.0);
+            let list = request.get().init_reports(reports.len() as u32);
+            node_codec::write_reports(list, reports);
+            let response = request.send().promise.await?;
+            Ok(node_codec::read_reports(response.get()?.get_reports()?))
+        })
+        .await
+    }
+
+    pub(crate) async fn offer(
+        &self,
+        host: Ipv4Addr,
+        service: ServiceId,
+        timeout_ms: u32,
+    ) -> Result<OfferReply> {
+        self.call(host, CALL_TIMEOUT_MS, |client| async move {
+            let mut request = client.offer_request();
+            request.get().set_service(service.0);
+            request.get().set_timeout_ms(timeout_ms);
+            let response = request.send().promise.await?;
+            let reply = response.get()?;
+            let ticket: Option<SealedBytes> = reply.get_ticket()?.try_into().ok();
+            Ok(match ticket {
+                Some(ticket) => OfferReply::Accepted(ticket),
+                None => OfferReply::Refused(Refusal {
+                    code: Code::from_number(reply.get_code()).unwrap_or(Code::NoTarget),
+                    retry_after_ms: reply.get_retry_after_ms(),
+                }),
+            })
+        })
+        .await
+    }
+
+    /// Asks a peer to run a request under a ticket that it issued.
+    pub(crate) async fn run(
+        &self,
+        host: Ipv4Addr,
+        ticket: &SealedBytes,
+        peer_request: &PeerRequest,
+    ) -> Result<PeerAnswer> {
+        let timeout_ms = u64::from(peer_request.timeout_ms) + CALL_TIMEOUT_MS;
+        self.call(host, timeout_ms, |client| async move {
+            let mut request = client.run_request();
+            request.get().set_ticket(ticket);
+            let mut builder = request.get().init_request();
+            builder.set_service(peer_request.service.0);
+            builder.set_method(&peer_request.method);
+            builder.set_path(&peer_request.path);
+            builder.set_body(&peer_request.body);
+            builder.set_timeout_ms(peer_request.timeout_ms);
+            let headers = builder.init_headers(peer_request.headers.len() as u32);
+            node_codec::write_headers(headers, &peer_request.headers);
+            let response = request.send().promise.await?;
+            read_answer(response.get()?.get_answer()?).map_err(node_codec::to_capnp)
+        })
+        .await
+    }
+
+    /// Tells a peer that nobody waits for the request under this ticket any more.
+    pub(crate) async fn cancel(&self, host: Ipv4Addr, ticket: &SealedBytes) -> Result<()> {
+        self.call(host, CALL_TIMEOUT_MS, |client| async move {
+            let mut request = client.cancel_request();
+            request.get().set_ticket(ticket);
+            request.send().promise.await?;
+            Ok(())
+        })
+        .await
+    }
+
+    /// Returns a process's state as JSON.
+    pub(crate) async fn state(&self, host: Ipv4Addr) -> Result<String> {
+        self.call(host, CALL_TIMEOUT_MS, |client| async move {
+            let response = client.state_request().send().promise.await?;
+            let json = response.get()?.get_json()?;
+            if json.len() > MAX_STATE_BYTES {
+                return Err(capnp::Error::failed("state dump too long".to_owned()));
+            }
+            Ok(json.to_string()?)
+        })
+        .await
+    }
+
+    async fn call<T, F>(
+        &self,
+        host: Ipv4Addr,
+        timeout_ms: u64,
+        exchange: impl FnOnce(node::Client) -> F,
+    ) -> Result<T>
+    where
+        F: Future<Output = Result<T, capnp::Error>>,
+    {
+        self.metrics.control_calls.inc();
+        let link = self.link(host).await?;
+        let timeout = Duration::from_millis(timeout_ms);
+        let result = compio::time::timeout(timeout, exchange(link.client.clone())).await;
+        let result = match result {
+            Ok(result) => result.map_err(node_codec::from_capnp),
+            Err(_) => Err(Error::new(Code::LinkClosed, format!("{host}: no answer"))),
+        };
+        if result.is_err() {
+            self.drop_link(host, &link);
+        }
+        result
+    }
+
+    async fn link(&self, host: Ipv4Addr) -> Result<Rc<Link>> {
+        if let Some(link) = self.cached(host) {
+            return Ok(link);
+        }
+        let address = link::control_address(host, self.control_port);
+        let link = Link::connect(address, &self.cluster, &self.metrics).await;
+        let link = Rc::new(link.inspect_err(|error| self.metrics.links_refused.inc(error.code))?);
+        if let Some(link) = self.cached(host) {
+            return Ok(link);
+        }
+        let mut links = self.links.borrow_mut();
+        let index = links.partition_point(|(known, _)| *known < host);
+        links.insert(index, (host, link.clone()));
+        Ok(link)
+    }
+
+    fn cached(&self, host: Ipv4Addr) -> Option<Rc<Link>> {
+        let links = self.links.borrow();
+        let index = links.binary_search_by_key(&host, |(host, _)| *host);
+        index.ok().map(|index| links[index].1.clone())
+    }
+
+    fn drop_link(&self, host: Ipv4Addr, failed: &Rc<Link>) {
+        let mut links = self.links.borrow_mut();
+        links.retain(|(known, link)| *known != host || !Rc::ptr_eq(link, failed));
+    }
+}
+
+fn read_answer(reader: crate::node_capnp::answer::Reader<'_>) -> Result<PeerAnswer> {
+    let headers = reader.get_headers().map_err(node_codec::from_capnp)?;
+    Ok(PeerAnswer {
+        code: Code::from_number(reader.get_code()).unwrap_or(Code::OutcomeUnknown),
+        status: reader.get_status(),
+        headers: node_codec::read_headers(headers)?,
+        body: node_codec::data(reader.get_body())?,
+        retry_after_ms: reader.get_retry_after_ms(),
+    })
+}
+
+/// Takes a ticket from the bytes of a message.
+pub(crate) fn ticket_bytes(bytes: &[u8]) -> Option<SealedBytes> {
+    (bytes.len() == SEALED_ID_BYTES).then(|| bytes.try_into().ok())?
+}
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,60 @@
+//! Which target owns an opener: weighted rendezvous hashing over the table.
+//!
+//! The choice depends on the opener and the table alone, so that two balancers that each see one
+//! datagram of an opener agree without talking; see docs/DESIGN.md, "Owner of an opener".
+
+use crate::hash;
+use crate::table::{Row, Table};
+
+/// The owner of an opener and the target that takes it when the owner can't.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidates<'a> {
+    /// The owner.
+    pub first: &'a Row,
+    /// The runner-up, absent where the service has one target.
+    pub second: Option<&'a Row>,
+}
+
+/// Draws the two best targets for an opener among rows that `eligible` lets pass.
+///
+/// Returns `None` where no eligible row has a weight above 0.
+pub fn candidates(
+    table: &Table,
+    opener_hash: u64,
+    eligible: impl Fn(&Row) -> bool,
+) -> Option<Candidates<'_>> {
+    let mut first: Option<(f64, &Row)> = None;
+    let mut second: Option<(f64, &Row)> = None;
+    for row in table.rows.iter().filter(|row| row.weight > 0) {
+        if !eligible(row) {
+            continue;
+        }
+        let scored = Some((score(opener_hash, row), row));
+        if beats(scored, first) {
+            second = first;
+            first = scored;
+        } else if beats(scored, second) {
+            second = scored;
+        }
+    }
+    first.map(|(_, first)| Candidates {
+        first,
+        second: second.map(|(_, row)| row),
+    })
+}
+
+fn beats(challenger: Option<(f64, &Row)>, holder: Option<(f64, &Row)>) -> bool {
+    match (challenger, holder) {
+        (Some((score, _)), Some((held, _))) => score > held,
+        (Some(_), None) => true,
+        (None, _) => false,
+    }
+}
+
+/// Scores a row so that the greatest score wins with a probability proportional to its weight.
+fn score(opener_hash: u64, row: &Row) -> f64 {
+    const SCALE: f64 = 1.0 / (1u64 << 53) as f64;
+    let bits = hash::pair_hash(opener_hash, row.target_hash) >> 11;
+    let uniform = (bits as f64 + 0.5) * SCALE;
+    -f64::from(row.weight) / uniform.ln()
+}
--- /dev/null
+++ b/src/relay.rs
@@ -0,0 +1,166 @@
+//! Keeps the values of all processes level: told on a change, compared now and then.
+//!
+//! A change runs along the random graph of links, as a delta, and each process passes it on once.
+//! What is lost on the way is found by comparing digests; see docs/DESIGN.md, "Configuration".
+
+use std::cell::Cell;
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+
+use rand::seq::IndexedRandom;
+
+use crate::config_store::ValueUpdate;
+use crate::control::Control;
+use crate::error::Result;
+use crate::membership;
+
+/// How often a process compares its revisions with one peer, in milliseconds.
+pub(crate) const COMPARE_PERIOD_MS: u64 = 1_000;
+/// How far below its own highest revision a process first asks for changes.
+const RECENT_REVISIONS: u64 = 64;
+/// From how many peers a starting process takes what they hold.
+const START_PEERS: usize = 3;
+
+/// Returns the peers of this process, without those that are suspected.
+pub(crate) fn links(control: &Control) -> Vec<Ipv4Addr> {
+    let now_ms = control.now_ms();
+    let me = control.settings.host;
+    let suspicion = control.suspicion.borrow();
+    let trusted = |host| !suspicion.is_suspected(host, now_ms);
+    let links = membership::links(control.store.borrow().hosts(), me, trusted);
+    if !links.is_empty() {
+        return links;
+    }
+    let seeds = control.settings.seeds.iter();
+    seeds.copied().filter(|seed| *seed != me).collect()
+}
+
+/// Tells the value in force to all peers, each as a change against the revision it had.
+pub(crate) fn tell_peers(control: &Rc<Control>, name: &str) {
+    let Some(value) = control.store.borrow().get(name).cloned() else {
+        return;
+    };
+    for host in links(control) {
+        let control = control.clone();
+        let name = name.to_owned();
+        let base = value.previous_revision;
+        compio::runtime::spawn(async move {
+            if let Err(error) = tell(&control, host, &name, base).await {
+                suspect(&control, host, &error);
+            }
+        })
+        .detach();
+    }
+}
+
+/// Tells one peer, and once more against its own revision where the first change did not fit.
+async fn tell(control: &Control, host: Ipv4Addr, name: &str, base: u64) -> Result<()> {
+    let Some(update) = update_for(control, name, base) else {
+        return Ok(());
+    };
+    let held = control.peers.tell(host, &update).await?;
+    if held >= update.revision {
+        return Ok(());
+    }
+    if let Some(update) = update_for(control, name, held) {
+        control.peers.tell(host, &update).await?;
+    }
+    Ok(())
+}
+
+fn update_for(control: &Control, name: &str, have: u64) -> Option<ValueUpdate> {
+    control.store.borrow().update_for(name, have)
+}
+
+fn suspect(control: &Control, host: Ipv4Addr, error: &crate::error::Error) {
+    log::debug!("event=peer_silent host={host} error={error}");
+    let now_ms = control.now_ms();
+    control.suspicion.borrow_mut().suspect(host, now_ms);
+}
+
+/// Compares with one random peer and takes what is newer there.
+pub(crate) async fn compare_once(control: &Rc<Control>) -> bool {
+    let links = links(control);
+    let Some(host) = links.choose(&mut rand::rng()).copied() else {
+        return false;
+    };
+    let result = compare_with(control, host).await;
+    if let Err(error) = &result {
+        suspect(control, host, error);
+    }
+    result.is_ok()
+}
+
+async fn compare_with(control: &Rc<Control>, host: Ipv4Addr) -> Result<()> {
+    let mine = control.store.borrow().digest();
+    let theirs = control.peers.compare(host, mine).await?;
+    if theirs == mine {
+        return Ok(());
+    }
+    pull(control, host, mine.highest.saturating_sub(RECENT_REVISIONS)).await?;
+    let mine = control.store.borrow().digest();
+    if theirs.hash != mine.hash && theirs.highest >= mine.highest {
+        pull(control, host, 0).await?;
+    }
+    Ok(())
+}
+
+/// Takes from a peer what has a revision above `floor` and is news here.
+pub(crate) async fn pull(control: &Rc<Control>, host: Ipv4Addr, floor: u64) -> Result<()> {
+    for (name, revision) in control.peers.changes(host, floor).await? {
+        if !control.store.borrow().wants(&name, revision) {
+            continue;
+        }
+        let have = control.store.borrow().revision(&name);
+        let update = control.peers.fetch(host, &name, have).await?;
+        // A rejection is counted and kept in the store; the other values still count.
+        if control.accept_update(&update) == Ok(crate::config_store::Acceptance::Accepted) {
+            tell_peers(control, &name);
+        }
+    }
+    Ok(())
+}
+
+/// Takes what several peers hold, before this process serves; returns how many answered.
+pub(crate) async fn pull_at_start(control: &Rc<Control>) -> usize {
+    let mut answered = 0;
+    for host in links(control).into_iter().take(START_PEERS) {
+        match pull(control, host, 0).await {
+            Ok(()) => answered += 1,
+            Err(error) => suspect(control, host, &error),
+        }
+    }
+    answered
+}
+
+/// Asks a host whose packet showed a higher revision, at most one ask at a time.
+pub(crate) struct RevisionChaser {
+    control: Rc<Control>,
+    asking: Rc<Cell<bool>>,
+}
+
+impl RevisionChaser {
+    pub(crate) fn new(control: &Rc<Control>) -> Self {
+        Self {
+            control: control.clone(),
+            asking: Rc::default(),
+        }
+    }
+
+    /// Notes the revision on a packet from `host`.
+    pub(crate) fn saw(&self, host: Ipv4Addr, revision: u64) {
+        let mine = self.control.store.borrow().digest().highest;
+        if revision <= mine || self.asking.replace(true) {
+            return;
+        }
+        let control = self.control.clone();
+        let asking = self.asking.clone();
+        compio::runtime::spawn(async move {
+            if let Err(error) = pull(&control, host, mine).await {
+                suspect(&control, host, &error);
+            }
+            asking.set(false);
+        })
+        .detach();
+    }
+}
--- /dev/null
+++ b/src/repeatable.rs
@@ -0,0 +1,128 @@
+//! Requests that may run more than once: retried elsewhere within a budget, and feeds.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use hyper::body::Incoming;
+
+use crate::answer::{Answer, AnswerBody};
+use crate::backend::{self, BackendFailure, BackendRequest};
+use crate::caller_body::{CallerBody, whole_body};
+use crate::code::Code;
+use crate::local_run::{self, LocalRequest, Outcome};
+use crate::move_request::{self, Moved};
+use crate::request::RequestContext;
+use crate::slot_queue::SlotGuard;
+
+/// Answers a request that may be repeated.
+pub(crate) async fn answer(context: &RequestContext<'_>, body: CallerBody) -> Answer {
+    context.target.budget.borrow_mut().deposit();
+    let whole = body.whole().cloned();
+    if should_move(context)
+        && let Some(answer) = try_move(context, whole.as_ref()).await
+    {
+        return answer;
+    }
+    let slot = match context.target.slots.acquire(context.deadline_ms).await {
+        Ok(slot) => slot,
+        Err(refusal) => return refusal.into(),
+    };
+    match run_here(context, body, slot).await {
+        Ok(answer) => answer,
+        Err(outcome) => after_failure(context, outcome, whole.as_ref()).await,
+    }
+}
+
+/// Tells whether a peer should be asked first: no slot is free, or the backend server fails.
+pub(crate) fn should_move(context: &RequestContext<'_>) -> bool {
+    let mut health = context.target.health.borrow_mut();
+    let failing = health.is_failing() && !health.take_probe(context.agent.control.now_ms());
+    failing || !context.target.slots.has_free()
+}
+
+async fn try_move(context: &RequestContext<'_>, whole: Option<&Bytes>) -> Option<Answer> {
+    match move_request::run_at_peer(context, whole?).await {
+        Moved::Answered(answer) => Some(answer),
+        Moved::NotRun | Moved::Unknown => None,
+    }
+}
+
+async fn run_here(
+    context: &RequestContext<'_>,
+    body: CallerBody,
+    mut slot: SlotGuard,
+) -> Result<Answer, Outcome> {
+    let request = LocalRequest {
+        target: context.target.clone(),
+        method: context.head.method.clone(),
+        path: context.path.to_owned(),
+        headers: context.head.headers.clone(),
+        body: body.into_request_body(),
+        deadline_ms: context.deadline_ms,
+    };
+    let left = Duration::from_millis(context.left_ms());
+    let handed = local_run::hand_over(request, &mut slot, context.agent.control.clock);
+    match compio::time::timeout(left, handed).await {
+        Ok(Ok(response)) => Ok(streamed(response, Some(slot))),
+        Ok(Err(outcome)) => Err(outcome),
+        Err(_) => Ok(Answer::refusal(
+            Code::DeadlinePassed,
+            context.target.slots.retry_after_ms(),
+        )),
+    }
+}
+
+/// Tries a peer once more, if the failures of late leave a retry in the budget.
+async fn after_failure(
+    context: &RequestContext<'_>,
+    outcome: Outcome,
+    whole: Option<&Bytes>,
+) -> Answer {
+    if context.target.budget.borrow_mut().withdraw()
+        && let Some(answer) = try_move(context, whole).await
+    {
+        return answer;
+    }
+    match outcome {
+        Outcome::NotRun(refusal) => refusal.into(),
+        Outcome::Unknown(code) => Answer::refusal(code, context.target.slots.retry_after_ms()),
+        Outcome::Answered(answer) => move_request::whole_answer(answer),
+    }
+}
+
+/// Answers a feed: it holds no slot and ends when its backend server or its caller ends it.
+pub(crate) async fn feed(context: &RequestContext<'_>, body: CallerBody) -> Answer {
+    let whole = body.whole().cloned().unwrap_or_default();
+    let request = BackendRequest {
+        method: &context.head.method,
+        path: context.path,
+        headers: &context.head.headers,
+        body: whole_body(whole),
+        left_ms: None,
+    };
+    match backend::send(context.target.backend.get(), request).await {
+        Ok(response) => streamed(response, None),
+        Err(failure) => {
+            context.target.health.borrow_mut().outcome(false);
+            let code = match failure {
+                BackendFailure::NotHandedOver => Code::BackendUnreachable,
+                BackendFailure::Lost => Code::OutcomeUnknown,
+            };
+            Answer::refusal(code, context.target.slots.retry_after_ms())
+        }
+    }
+}
+
+fn streamed(response: Response<Incoming>, slot: Option<SlotGuard>) -> Answer {
+    let (parts, body) = response.into_parts();
+    Answer {
+        code: Code::Answered,
+        status: parts.status.as_u16(),
+        headers: backend::forwarded_headers(&parts.headers),
+        body: AnswerBody::Stream(body),
+        retry_after_ms: 0,
+        ticket: None,
+        slot,
+    }
+}
--- /dev/null
+++ b/src/request.rs
@@ -0,0 +1,151 @@
+//! A caller's request: through the filters, to where it runs, and its final answer.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use compio::quic::h3::BidiStream;
+use compio::quic::h3::quic::BidiStream as QuicStream;
+use compio::quic::h3::server::RequestStream;
+use http::request::Parts;
+use http_body_util::BodyExt;
+
+use crate::agent::Agent;
+use crate::answer::{Answer, AnswerBody};
+use crate::caller_body::{BodyStream, CallerBody};
+use crate::code::Code;
+use crate::request_spec::RequestSpec;
+use crate::sealed_id::{Purpose, SealedBytes, SealedId};
+use crate::target::Target;
+use crate::{repeatable, run_once};
+
+type AnswerStream = RequestStream<<BidiStream<Bytes> as QuicStream<Bytes>>::SendStream, Bytes>;
+
+/// A request with what is known of it.
+pub(crate) struct RequestContext<'a> {
+    pub(crate) agent: &'a Rc<Agent>,
+    pub(crate) target: &'a Rc<Target>,
+    pub(crate) head: &'a Parts,
+    pub(crate) path: &'a str,
+    pub(crate) spec: &'a RequestSpec,
+    pub(crate) deadline_ms: u64,
+}
+
+impl RequestContext<'_> {
+    /// Returns the time that the request has left, in milliseconds.
+    pub(crate) fn left_ms(&self) -> u64 {
+        self.deadline_ms.saturating_sub(self.agent.control.now_ms())
+    }
+}
+
+/// A step that lets a request pass or gives its final answer.
+type Filter = fn(&RequestContext<'_>) -> Option<Answer>;
+
+/// All steps before a request may wait for a slot, in their order.
+const FILTERS: &[Filter] = &[refuse_late, require_ticket];
+
+/// Serves one request to its final answer.
+pub(crate) async fn serve(
+    agent: &Rc<Agent>,
+    target: &Rc<Target>,
+    head: http::Request<()>,
+    stream: RequestStream<BidiStream<Bytes>, Bytes>,
+) {
+    let (sender, receiver) = stream.split();
+    let (head, ()) = head.into_parts();
+    let answer = answer(agent, target, &head, receiver).await;
+    agent.control.metrics.requests.inc(answer.code);
+    // A caller that is gone needs no answer; dropping it cancels what still streams.
+    let _ = send(sender, answer).await;
+}
+
+async fn answer(
+    agent: &Rc<Agent>,
+    target: &Rc<Target>,
+    head: &Parts,
+    receiver: BodyStream,
+) -> Answer {
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let spec = match RequestSpec::parse(&head.method, path, &head.headers) {
+        Ok(spec) => spec,
+        Err(error) => return bad_request(&error.message),
+    };
+    let context = RequestContext {
+        agent,
+        target,
+        head,
+        path,
+        spec: &spec,
+        deadline_ms: agent.control.now_ms() + spec.timeout_ms,
+    };
+    if let Some(answer) = FILTERS.iter().find_map(|filter| filter(&context)) {
+        return answer;
+    }
+    let Ok(body) = CallerBody::read(receiver).await else {
+        return bad_request("the body ended early");
+    };
+    match spec.ticket {
+        Some(ticket) if !spec.repeatable => run_once::answer(&context, ticket, body).await,
+        _ if spec.feed => repeatable::feed(&context, body).await,
+        _ => repeatable::answer(&context, body).await,
+    }
+}
+
+fn bad_request(what: &str) -> Answer {
+    let mut answer = Answer::refusal(Code::BadRequest, 0);
+    answer.body = AnswerBody::Whole(format!("{what}\n").into());
+    answer
+}
+
+fn refuse_late(context: &RequestContext<'_>) -> Option<Answer> {
+    let late = context.spec.timeout_ms == 0;
+    late.then(|| {
+        Answer::refusal(Code::Deadline, context.target.slots.retry_after_ms())
+            .with_ticket(ticket_for(context))
+    })
+}
+
+fn require_ticket(context: &RequestContext<'_>) -> Option<Answer> {
+    let missing = !context.spec.repeatable && context.spec.ticket.is_none();
+    missing.then(|| Answer::refusal(Code::TicketNeeded, 0).with_ticket(ticket_for(context)))
+}
+
+/// Returns a ticket for a request that may not be repeated.
+pub(crate) fn ticket_for(context: &RequestContext<'_>) -> Option<SealedBytes> {
+    if context.spec.repeatable {
+        return None;
+    }
+    new_ticket(context.agent, context.target)
+}
+
+/// Issues a ticket of this incarnation.
+pub(crate) fn new_ticket(agent: &Agent, target: &Target) -> Option<SealedBytes> {
+    let ticket = SealedId {
+        host: target.host,
+        incarnation: agent.control.incarnation,
+        service: target.service,
+        nonce: target.ledger.borrow_mut().issue()?,
+    };
+    let store = agent.control.store.borrow();
+    Some(ticket.seal(store.ring(), Purpose::Ticket, rand::random()))
+}
+
+async fn send(mut stream: AnswerStream, answer: Answer) -> Option<()> {
+    stream.send_response(answer.head()).await.ok()?;
+    let _slot = answer.slot;
+    match answer.body {
+        AnswerBody::Whole(body) => stream.send_data(body).await.ok()?,
+        AnswerBody::Stream(mut body) => {
+            while let Some(frame) = body.frame().await {
+                let Ok(frame) = frame else {
+                    // A truncated answer must not look like a whole one.
+                    stream.stop_stream(compio::quic::h3::error::Code::H3_INTERNAL_ERROR);
+                    return None;
+                };
+                if let Ok(data) = frame.into_data() {
+                    stream.send_data(data).await.ok()?;
+                }
+            }
+        }
+    }
+    stream.finish().await.ok()
+}
--- /dev/null
+++ b/src/service_id.rs
@@ -0,0 +1,26 @@
+//! The number by which packets and peers name a service.
+
+use std::fmt;
+
+use crate::hash;
+
+/// A 32-bit hash of the service's name.
+///
+/// It rides in routing tokens and envelopes, so that a packet of one service is told apart from
+/// another's without the table; see docs/DESIGN.md, "Routing token". Two names with the same hash
+/// are rejected when the second one is published.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ServiceId(pub u32);
+
+impl ServiceId {
+    /// Returns the id of the service with this name.
+    pub fn of(name: &str) -> Self {
+        Self(hash::name_hash(name) as u32)
+    }
+}
+
+impl fmt::Display for ServiceId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:08x}", self.0)
+    }
+}
--- /dev/null
+++ b/src/slots.rs
@@ -0,0 +1,193 @@
+//! The slots of one target and the bounded queue before them.
+
+use std::collections::VecDeque;
+
+use crate::code::Code;
+
+/// How many requests may wait for each slot.
+pub(crate) const QUEUE_PER_SLOT: u32 = 2;
+/// The service time assumed before the first request has ended, in milliseconds.
+pub(crate) const FIRST_SERVICE_MS: f64 = 20.0;
+/// The shortest time after which a refused caller is told to come back, in milliseconds.
+pub(crate) const MIN_RETRY_MS: u32 = 50;
+/// The longest such time, in milliseconds.
+pub(crate) const MAX_RETRY_MS: u32 = 30_000;
+
+const WEIGHT_OF_NEW: f64 = 0.1;
+
+/// Identifies a request in its agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RequestId(pub u64);
+
+/// What happens to a request that arrives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Arrival {
+    /// It has a slot.
+    Run,
+    /// It waits.
+    Queued,
+    /// It gets its final answer at once.
+    Refused(Refusal),
+}
+
+/// Why a request does not run, and when to come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// The reason.
+    pub code: Code,
+    /// After how long a new try makes sense, in milliseconds.
+    pub retry_after_ms: u32,
+}
+
+/// What becomes of waiting requests when a slot is free.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Next {
+    /// The request that runs now.
+    pub run: Option<RequestId>,
+    /// Requests whose deadline can no longer be met; each is refused with [`Code::Deadline`].
+    pub expired: Vec<RequestId>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    id: RequestId,
+    deadline_ms: u64,
+}
+
+/// Slots, running requests and waiting requests of one target.
+#[derive(Debug)]
+pub struct Slots {
+    slots: u32,
+    busy: u32,
+    queue: VecDeque<Waiting>,
+    service_ms: f64,
+}
+
+impl Slots {
+    /// Makes free slots.
+    pub fn new(slots: u32) -> Self {
+        Self {
+            slots,
+            busy: 0,
+            queue: VecDeque::new(),
+            service_ms: FIRST_SERVICE_MS,
+        }
+    }
+
+    /// Changes the limit; requests above a lower one end undisturbed.
+    pub fn set_limit(&mut self, slots: u32) {
+        self.slots = slots;
+    }
+
+    /// Returns how many requests run.
+    pub fn busy(&self) -> u32 {
+        self.busy
+    }
+
+    /// Returns how many requests wait.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Tells whether a request could run at once.
+    pub fn has_free(&self) -> bool {
+        self.busy < self.slots && self.queue.is_empty()
+    }
+
+    /// Returns the mean service time, in milliseconds.
+    pub fn service_ms(&self) -> f64 {
+        self.service_ms
+    }
+
+    /// Returns for how long a request that arrives now would wait, in milliseconds.
+    pub fn wait_ms(&self) -> u64 {
+        if self.has_free() {
+            return 0;
+        }
+        let ahead = self.queue.len() as f64 + 1.0;
+        (ahead * self.service_ms / f64::from(self.slots.max(1))).ceil() as u64
+    }
+
+    /// Takes a request that must have ended by `deadline_ms`.
+    pub fn arrive(&mut self, id: RequestId, deadline_ms: u64, now_ms: u64) -> Arrival {
+        if deadline_ms <= now_ms {
+            return self.refuse(Code::Deadline);
+        }
+        if self.has_free() {
+            self.busy += 1;
+            return Arrival::Run;
+        }
+        if self.queue.len() as u64 >= u64::from(self.slots) * u64::from(QUEUE_PER_SLOT) {
+            return self.refuse(Code::Overloaded);
+        }
+        let end_ms = now_ms as f64 + self.wait_ms() as f64 + self.service_ms;
+        if end_ms > deadline_ms as f64 {
+            return self.refuse(Code::Deadline);
+        }
+        self.queue.push_back(Waiting { id, deadline_ms });
+        Arrival::Queued
+    }
+
+    /// Frees a slot after a service time of `took_ms`.
+    pub fn finished(&mut self, took_ms: u64) {
+        self.service_ms += (took_ms as f64 - self.service_ms) * WEIGHT_OF_NEW;
+        self.release();
+    }
+
+    /// Frees a slot whose request never ran, so that it says nothing about the service time.
+    pub fn release(&mut self) {
+        self.busy = self.busy.saturating_sub(1);
+    }
+
+    /// Gives a free slot to the first waiting request that can still meet its deadline.
+    pub fn next(&mut self, now_ms: u64) -> Next {
+        let mut next = Next::default();
+        while self.busy < self.slots {
+            let Some(waiting) = self.queue.pop_front() else {
+                break;
+            };
+            if waiting.deadline_ms <= now_ms {
+                next.expired.push(waiting.id);
+                continue;
+            }
+            self.busy += 1;
+            next.run = Some(waiting.id);
+            break;
+        }
+        next
+    }
+
+    /// Removes waiting requests whose deadline has passed, so that they are answered at once.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<RequestId> {
+        let late = |waiting: &&Waiting| waiting.deadline_ms <= now_ms;
+        let expired = self
+            .queue
+            .iter()
+            .filter(late)
+            .map(|waiting| waiting.id)
+            .collect();
+        self.queue.retain(|waiting| waiting.deadline_ms > now_ms);
+        expired
+    }
+
+    /// Removes a waiting request that its caller has cancelled, and says whether it waited.
+    pub fn cancel(&mut self, id: RequestId) -> bool {
+        let before = self.queue.len();
+        self.queue.retain(|waiting| waiting.id != id);
+        self.queue.len() < before
+    }
+
+    /// Returns after how long a refused caller should come back, in milliseconds.
+    pub fn retry_after_ms(&self) -> u32 {
+        let backlog = self.queue.len() as f64 + f64::from(self.busy);
+        let clear_ms = backlog * self.service_ms / f64::from(self.slots.max(1));
+        (clear_ms as u32).clamp(MIN_RETRY_MS, MAX_RETRY_MS)
+    }
+
+    fn refuse(&self, code: Code) -> Arrival {
+        Arrival::Refused(Refusal {
+            code,
+            retry_after_ms: self.retry_after_ms(),
+        })
+    }
+}
--- /dev/null
+++ b/src/table_diff.rs
@@ -0,0 +1,98 @@
+//! What an edit of a table will do: to shares, limits and open flows.
+
+use crate::table::{Row, Table};
+
+/// What an edit does to one target.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RowChange {
+    /// The target's name.
+    pub target: String,
+    /// Its share of the service before and after, from 0 to 1.
+    pub share: (f64, f64),
+    /// Its slots before and after.
+    pub slots: (u32, u32),
+    /// Its connections before and after.
+    pub connections: (u32, u32),
+    /// What follows for flows that are open.
+    pub effect: &'static str,
+}
+
+/// What an edit does to one service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TableDiff {
+    /// The service's name.
+    pub service: String,
+    /// The targets that change, in order of their names.
+    pub changes: Vec<RowChange>,
+}
+
+impl TableDiff {
+    /// Compares two versions of one service's table; an absent one has no targets.
+    pub fn between(old: Option<&Table>, new: Option<&Table>) -> TableDiff {
+        let service = new
+            .or(old)
+            .map_or_else(String::new, |table| table.service.clone());
+        let mut names: Vec<&str> = [old, new]
+            .into_iter()
+            .flatten()
+            .flat_map(|table| table.rows.iter().map(|row| row.target.as_str()))
+            .collect();
+        names.sort_unstable();
+        names.dedup();
+        let changes = names.into_iter().filter_map(|name| {
+            let before = old.and_then(|table| Some((table, table.row(name)?)));
+            let after = new.and_then(|table| Some((table, table.row(name)?)));
+            row_change(name, before, after)
+        });
+        TableDiff {
+            service,
+            changes: changes.collect(),
+        }
+    }
+}
+
+fn row_change(
+    name: &str,
+    before: Option<(&Table, &Row)>,
+    after: Option<(&Table, &Row)>,
+) -> Option<RowChange> {
+    let share = |side: Option<(&Table, &Row)>| side.map_or(0.0, |(table, row)| table.share(row));
+    let slots = |side: Option<(&Table, &Row)>| side.map_or(0, |(_, row)| row.slots);
+    let connections = |side: Option<(&Table, &Row)>| side.map_or(0, |(_, row)| row.connections);
+    let change = RowChange {
+        target: name.to_owned(),
+        share: (share(before), share(after)),
+        slots: (slots(before), slots(after)),
+        connections: (connections(before), connections(after)),
+        effect: effect(before.map(|(_, row)| row), after.map(|(_, row)| row)),
+    };
+    let same_limits =
+        change.slots.0 == change.slots.1 && change.connections.0 == change.connections.1;
+    let same_share = (change.share.0 - change.share.1).abs() < f64::EPSILON;
+    let unchanged = same_limits && same_share && change.effect == KEEP;
+    (!unchanged).then_some(change)
+}
+
+const KEEP: &str = "open flows stay; new ones follow the new share";
+
+fn effect(before: Option<&Row>, after: Option<&Row>) -> &'static str {
+    match (before, after) {
+        (None, _) => "starts cold and takes new flows only",
+        (Some(_), None) => {
+            "drains: open flows are told to move, none is cut before the drain limit"
+        }
+        (Some(old), Some(new)) if old.host != new.host => {
+            "moves to another host: flows on the old host drain there"
+        }
+        (Some(old), Some(new)) if old.backend != new.backend => {
+            "requests go to the new backend address; open feeds stay"
+        }
+        (Some(old), Some(new)) if old.weight > 0 && new.weight == 0 => {
+            "takes no new flow; open flows stay"
+        }
+        (Some(old), Some(new)) if new.connections < old.connections => {
+            "open flows above the new limit stay; new ones are taken below it"
+        }
+        (Some(_), Some(_)) => KEEP,
+    }
+}
--- /dev/null
+++ b/src/target.rs
@@ -0,0 +1,154 @@
+//! One target of this host: its flows, slots, ledger and what it knows of its peers.
+
+use std::cell::{Cell, RefCell};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+
+use compio::quic::Endpoint;
+use serde_json::{Value, json};
+
+use crate::admission::Admission;
+use crate::clock::Clock;
+use crate::drain_signal::DrainSignal;
+use crate::health::Health;
+use crate::ledger::{LEDGER_ENTRIES, Ledger};
+use crate::load_board::{LoadBoard, LoadReport};
+use crate::peer_service::Reservation;
+use crate::retry_budget::RetryBudget;
+use crate::service_id::ServiceId;
+use crate::slot_queue::SlotQueue;
+use crate::table::{Row, Table};
+
+/// A target that this agent serves.
+pub(crate) struct Target {
+    pub(crate) service: ServiceId,
+    pub(crate) service_name: String,
+    pub(crate) name: String,
+    pub(crate) host: Ipv4Addr,
+    pub(crate) endpoint: Endpoint,
+    pub(crate) endpoint_address: SocketAddr,
+    pub(crate) backend: Cell<SocketAddr>,
+    pub(crate) slots: Rc<SlotQueue>,
+    pub(crate) admission: RefCell<Admission>,
+    pub(crate) board: RefCell<LoadBoard>,
+    pub(crate) health: RefCell<Health>,
+    pub(crate) ledger: RefCell<Ledger>,
+    pub(crate) budget: RefCell<RetryBudget>,
+    pub(crate) drain: DrainSignal,
+    pub(crate) reservations: RefCell<Vec<Reservation>>,
+    clock: Clock,
+    incarnation: u32,
+    sequence: Cell<u32>,
+}
+
+impl Target {
+    pub(crate) fn new(
+        table: &Table,
+        row: &Row,
+        endpoint: Endpoint,
+        clock: Clock,
+        incarnation: u32,
+    ) -> std::io::Result<Rc<Self>> {
+        Ok(Rc::new(Self {
+            service: table.service_id(),
+            service_name: table.service.clone(),
+            name: row.target.clone(),
+            host: row.host,
+            endpoint_address: endpoint.local_addr()?,
+            endpoint,
+            backend: Cell::new(row.backend),
+            slots: SlotQueue::new(row.slots, clock),
+            admission: RefCell::new(Admission::new(row.host, clock.now_ms())),
+            board: RefCell::default(),
+            health: RefCell::default(),
+            ledger: RefCell::new(Ledger::new(LEDGER_ENTRIES)),
+            budget: RefCell::default(),
+            drain: DrainSignal::new(),
+            reservations: RefCell::default(),
+            clock,
+            incarnation,
+            sequence: Cell::new(0),
+        }))
+    }
+
+    /// Takes the limits of a changed row, or drains where the row is gone.
+    pub(crate) fn apply(&self, row: Option<&Row>, host_leaves: bool) {
+        if let Some(row) = row {
+            self.backend.set(row.backend);
+            self.slots.set_limit(row.slots);
+        }
+        self.set_draining(row.is_none() || host_leaves);
+    }
+
+    /// Starts or ends the drain; flows that run are told to move, and none is cut.
+    pub(crate) fn set_draining(&self, draining: bool) {
+        let mut admission = self.admission.borrow_mut();
+        if admission.is_draining() == draining {
+            return;
+        }
+        admission.set_draining(draining);
+        log::info!("event=drain service={} on={draining}", self.service_name);
+        if draining {
+            self.drain.start();
+        } else {
+            self.drain.rearm();
+        }
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.admission.borrow().is_draining()
+    }
+
+    /// Returns the share of its weight that the target takes now, in thousandths.
+    pub(crate) fn share_permille(&self) -> u16 {
+        let health_permille = self.health.borrow().share_permille();
+        let now_ms = self.clock.now_ms();
+        self.admission
+            .borrow()
+            .share_permille(health_permille, now_ms)
+    }
+
+    /// Returns a new report of this target's load, newer than any before.
+    pub(crate) fn report(&self) -> LoadReport {
+        self.sequence.set(self.sequence.get() + 1);
+        LoadReport {
+            host: self.host,
+            incarnation: self.incarnation,
+            sequence: self.sequence.get(),
+            open_flows: self.admission.borrow().open_flows(),
+            busy_slots: self.slots.busy().min(u32::from(u16::MAX)) as u16,
+            queued: self.slots.queued().min(usize::from(u16::MAX)) as u16,
+            share_permille: self.share_permille(),
+        }
+    }
+
+    /// Frees the slots of offers that were accepted and never used.
+    pub(crate) fn expire_reservations(&self) {
+        let now_ms = self.clock.now_ms();
+        let mut reservations = self.reservations.borrow_mut();
+        let all = std::mem::take(&mut *reservations);
+        let (kept, expired): (Vec<_>, Vec<_>) =
+            all.into_iter().partition(|held| held.expires_ms > now_ms);
+        *reservations = kept;
+        drop(reservations);
+        // Freeing a slot may grant it to a task, so it is done outside the borrow.
+        drop(expired);
+    }
+
+    pub(crate) fn state(&self) -> Value {
+        let now_ms = self.clock.now_ms();
+        json!({
+            "service": self.service_name,
+            "target": self.name,
+            "backend": self.backend.get(),
+            "open_flows": self.admission.borrow().open_flows(),
+            "busy_slots": self.slots.busy(),
+            "queued": self.slots.queued(),
+            "service_ms": self.slots.service_ms(),
+            "share_permille": self.share_permille(),
+            "draining": self.is_draining(),
+            "ledger_entries": self.ledger.borrow().len(),
+            "peers": self.board.borrow().reports(now_ms),
+        })
+    }
+}
--- /dev/null
+++ b/src/token_source.rs
@@ -0,0 +1,47 @@
+//! Connection ids that carry a routing token.
+
+use std::net::Ipv4Addr;
+use std::sync::{Arc, RwLock};
+
+use compio::quic::{ConnectionId, ConnectionIdGenerator};
+use rand::Rng;
+
+use crate::keys::KeyRing;
+use crate::sealed_id::{Purpose, SEALED_ID_BYTES, SealedId};
+use crate::service_id::ServiceId;
+
+/// The keys in force, shared with the endpoints.
+pub(crate) type SharedRing = Arc<RwLock<KeyRing>>;
+
+/// Makes the connection ids of one target.
+pub(crate) struct TokenSource {
+    pub(crate) ring: SharedRing,
+    pub(crate) host: Ipv4Addr,
+    pub(crate) incarnation: u32,
+    pub(crate) service: ServiceId,
+}
+
+impl ConnectionIdGenerator for TokenSource {
+    fn generate_cid(&mut self) -> ConnectionId {
+        let mut random = rand::rng();
+        let token = SealedId {
+            host: self.host,
+            incarnation: self.incarnation,
+            service: self.service,
+            nonce: random.random(),
+        };
+        let ring = self
+            .ring
+            .read()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        ConnectionId::new(&token.seal(&ring, Purpose::Token, random.random()))
+    }
+
+    fn cid_len(&self) -> usize {
+        SEALED_ID_BYTES
+    }
+
+    fn cid_lifetime(&self) -> Option<std::time::Duration> {
+        None
+    }
+}
