Serve the whole path with separate processes

Cause: nothing showed yet that a request passes the fabric, any balancer, an agent, a backend server and back.

Change: the lab package with its stand-ins (fabric, configuration service, backend server, callers), a site builder that starts them and the daemons as processes on loopback, and the quickstart, in which a balancer restarts and a weight changes.

--- /dev/null
+++ b/lab/src/cli.rs
@@ -0,0 +1,196 @@
+//! The command line of `endivedyke-lab`.
+
+use std::future::Future;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use endivedyke::{Code, EXIT_USAGE, Error, Result};
+use gumdrop::Options;
+
+use crate::backend_server::{self, BackendOptions};
+use crate::callers::{self, CallersPlan};
+use crate::quickstart::run_quickstart;
+use crate::{config_service, fabric};
+
+#[derive(Debug, Options)]
+struct LabOptions {
+    #[options(help = "print this help and exit")]
+    help: bool,
+    #[options(no_short, help = "print the version and exit")]
+    version: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "run a small site end to end")]
+    Quickstart(NoOptions),
+    #[options(help = "stand in for the fabric")]
+    Fabric(FabricOptions),
+    #[options(help = "stand in for the platform's configuration service")]
+    ConfigService(AddressOptions),
+    #[options(help = "stand in for a backend server")]
+    BackendServer(BackendServerOptions),
+    #[options(help = "stand in for callers of one service")]
+    Callers(CallersOptions),
+}
+
+#[derive(Debug, Options)]
+struct NoOptions {
+    #[options(help = "print this help and exit")]
+    help: bool,
+}
+
+#[derive(Debug, Options)]
+struct AddressOptions {
+    #[options(help = "print this help and exit")]
+    help: bool,
+    #[options(no_short, required, help = "the address to serve", meta = "IP:PORT")]
+    address: Option<SocketAddr>,
+}
+
+#[derive(Debug, Options)]
+struct FabricOptions {
+    #[options(help = "print this help and exit")]
+    help: bool,
+    #[options(no_short, help = "service addresses, split by commas")]
+    services: String,
+    #[options(no_short, help = "balancer hosts, split by commas")]
+    balancers: String,
+    #[options(no_short, required, help = "the address for orders", meta = "IP:PORT")]
+    admin: Option<SocketAddr>,
+}
+
+#[derive(Debug, Options)]
+struct BackendServerOptions {
+    #[options(help = "print this help and exit")]
+    help: bool,
+    #[options(no_short, required, help = "the address to serve", meta = "IP:PORT")]
+    address: Option<SocketAddr>,
+    #[options(no_short, required, help = "the service's name")]
+    service: String,
+    #[options(no_short, help = "how many requests it can run at once", default = "4")]
+    slots: u32,
+    #[options(no_short, help = "how long a request takes", default = "5")]
+    service_ms: u64,
+}
+
+#[derive(Debug, Options)]
+struct CallersOptions {
+    #[options(help = "print this help and exit")]
+    help: bool,
+    #[options(no_short, required, help = "the service's address", meta = "IP:PORT")]
+    address: Option<SocketAddr>,
+    #[options(no_short, required, help = "the service's name")]
+    service: String,
+    #[options(no_short, help = "what the ids of requests start with", default = "c")]
+    prefix: String,
+    #[options(no_short, help = "how many feeds to hold", default = "10")]
+    feeds: u64,
+    #[options(
+        no_short,
+        help = "how many clients ask one request after another",
+        default = "10"
+    )]
+    clients: u64,
+    #[options(no_short, help = "for how long", default = "5")]
+    seconds: u64,
+    #[options(no_short, help = "the mean pause of a client", default = "20")]
+    think_ms: u64,
+    #[options(no_short, required, help = "the file for the counts", meta = "FILE")]
+    report: Option<PathBuf>,
+}
+
+/// Runs the lab with the arguments of the process.
+pub fn run() -> ExitCode {
+    let options = LabOptions::parse_args_default_or_exit();
+    if options.version {
+        println!("endivedyke-lab {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let result = match options.command {
+        Some(Command::Quickstart(_)) => quickstart(),
+        Some(Command::Fabric(options)) => run_fabric(&options),
+        Some(Command::ConfigService(options)) => {
+            given(options.address).and_then(|address| block_on(config_service::run(address)))
+        }
+        Some(Command::BackendServer(options)) => run_backend(&options),
+        Some(Command::Callers(options)) => run_callers(&options),
+        None => Err(Error::new(Code::Usage, "name a command")),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("endivedyke-lab: {error}");
+            ExitCode::from(if error.code == Code::Usage {
+                EXIT_USAGE
+            } else {
+                1
+            })
+        }
+    }
+}
+
+fn block_on<T>(future: impl Future<Output = Result<T>>) -> Result<T> {
+    compio::runtime::Runtime::new()?.block_on(future)
+}
+
+fn given<T>(option: Option<T>) -> Result<T> {
+    option.ok_or_else(|| Error::new(Code::Usage, "an option is missing"))
+}
+
+fn list<T: std::str::FromStr>(text: &str) -> Result<Vec<T>> {
+    let words = text.split(',').filter(|word| !word.is_empty());
+    let parse = |word: &str| {
+        let parsed = word.parse().ok();
+        parsed.ok_or_else(|| Error::new(Code::Usage, format!("{word:?} is no address")))
+    };
+    words.map(parse).collect()
+}
+
+fn quickstart() -> Result<()> {
+    let report = run_quickstart(|step| println!("{step}"))?;
+    println!("{}", report.line());
+    if report.tally.is_clean() {
+        return Ok(());
+    }
+    let message = format!(
+        "{} unknown, {} lost",
+        report.tally.unknown, report.tally.lost
+    );
+    Err(Error::new(Code::OutcomeUnknown, message))
+}
+
+fn run_fabric(options: &FabricOptions) -> Result<()> {
+    let services: Vec<SocketAddr> = list(&options.services)?;
+    let balancers: Vec<IpAddr> = list(&options.balancers)?;
+    block_on(fabric::run(&services, balancers, given(options.admin)?))
+}
+
+fn run_backend(options: &BackendServerOptions) -> Result<()> {
+    block_on(backend_server::run(BackendOptions {
+        address: given(options.address)?,
+        service: options.service.clone(),
+        slots: options.slots,
+        service_ms: options.service_ms,
+    }))
+}
+
+fn run_callers(options: &CallersOptions) -> Result<()> {
+    let plan = CallersPlan {
+        address: given(options.address)?,
+        service: options.service.clone(),
+        prefix: options.prefix.clone(),
+        feeds: options.feeds,
+        clients: options.clients,
+        seconds: options.seconds,
+        think_ms: options.think_ms,
+    };
+    let tally = block_on(callers::run(&plan))?;
+    let text = serde_json::to_string(&tally);
+    let text = text.map_err(|error| Error::new(Code::Io, error.to_string()))?;
+    let path = options.report.clone().unwrap_or_default();
+    Ok(std::fs::write(path, text)?)
+}
--- /dev/null
+++ b/lab/src/http_text.rs
@@ -0,0 +1,35 @@
+//! Short text answers of the stand-ins, and short questions to them.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use endivedyke::Result;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+
+/// How long a stand-in may take to answer, in milliseconds.
+const TIMEOUT_MS: u64 = 5_000;
+
+/// Makes an answer of a status and a text.
+pub(crate) fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(text.into()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Asks a stand-in and returns its answer's text.
+pub(crate) async fn ask(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> Result<String> {
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", address.to_string())
+        .body(Full::from(body.to_owned()))
+        .map_err(|error| endivedyke::Error::new(endivedyke::Code::Io, error.to_string()))?;
+    let response = endivedyke::call(address, request, TIMEOUT_MS).await?;
+    Ok(String::from_utf8_lossy(response.body()).into_owned())
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,1 +1,24 @@
-//! Lab.
+//! Stand-ins for what surrounds endivedyke, and the tool that drives load and experiments.
+//!
+//! Each stand-in is a small process that speaks the published protocols of docs/PLATFORM.md and
+//! docs/CALLERS.md, and can misbehave on request. None of it is part of the product.
+
+mod backend_server;
+mod caller;
+mod callers;
+mod cli;
+mod config_service;
+mod fabric;
+mod http_text;
+mod ledger_check;
+mod process;
+mod quickstart;
+mod site;
+mod tally;
+
+pub use crate::caller::{Caller, Reply};
+pub use crate::cli::run;
+pub use crate::process::{Process, binary};
+pub use crate::quickstart::{QuickstartReport, run_quickstart};
+pub use crate::site::{Site, SiteBuilder};
+pub use crate::tally::Tally;
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,7 @@
+//! The program `endivedyke-lab`; see README.md.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    endivedyke_lab::run()
+}
--- /dev/null
+++ b/lab/src/site.rs
@@ -0,0 +1,530 @@
+//! A whole site on loopback: stand-ins, balancers and agents, each a process of its own.
+
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use endivedyke::{Code, Error, HOSTS_HEADER, HOSTS_NAME, Result, TABLE_HEADER, TABLE_PREFIX};
+use tempfile::TempDir;
+
+use crate::http_text;
+use crate::process::Process;
+
+const CONTROL_PORT: u16 = 4_700;
+const DATAGRAM_PORT: u16 = 4_701;
+const METRICS_PORT: u16 = 4_702;
+const PLATFORM_PORT: u16 = 8_500;
+const FABRIC_ADMIN_PORT: u16 = 8_501;
+const FIRST_SERVICE_PORT: u16 = 7_000;
+const FIRST_BACKEND_PORT: u16 = 9_000;
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(20);
+
+/// A service of the site.
+#[derive(Debug, Clone)]
+struct ServiceSpec {
+    name: String,
+    targets: usize,
+    slots: u32,
+    connections: u32,
+    service_ms: u64,
+}
+
+/// Describes a site before it is started.
+#[derive(Debug, Clone)]
+pub struct SiteBuilder {
+    balancers: usize,
+    services: Vec<ServiceSpec>,
+    zones: Vec<String>,
+    drain_limit_s: u64,
+}
+
+impl SiteBuilder {
+    /// Describes a site with this many balancers and no service yet.
+    pub fn new(balancers: usize) -> Self {
+        Self {
+            balancers,
+            services: Vec::new(),
+            zones: vec!["zone-a".to_owned(), "zone-b".to_owned()],
+            drain_limit_s: 20,
+        }
+    }
+
+    /// Adds a service whose targets stand on the first hosts.
+    pub fn service(mut self, name: &str, targets: usize, slots: u32, service_ms: u64) -> Self {
+        self.services.push(ServiceSpec {
+            name: name.to_owned(),
+            targets,
+            slots,
+            connections: 2_000,
+            service_ms,
+        });
+        self
+    }
+
+    /// Sets how many connections each target may have.
+    pub fn connections(mut self, connections: u32) -> Self {
+        self.services
+            .iter_mut()
+            .for_each(|service| service.connections = connections);
+        self
+    }
+
+    /// Starts all processes and waits until they serve.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where a process does not come up.
+    pub async fn start(self) -> Result<Site> {
+        let mut site = Site {
+            net: free_net()?,
+            folder: tempfile::tempdir()?,
+            spec: self,
+            platform: None,
+            fabric: None,
+            balancers: Vec::new(),
+            agents: Vec::new(),
+            backends: Vec::new(),
+        };
+        site.start().await?;
+        Ok(site)
+    }
+}
+
+/// A running site; its processes end when it is dropped.
+#[derive(Debug)]
+pub struct Site {
+    net: (u8, u8),
+    folder: TempDir,
+    spec: SiteBuilder,
+    platform: Option<Process>,
+    fabric: Option<Process>,
+    balancers: Vec<Option<Process>>,
+    agents: Vec<Option<Process>>,
+    backends: Vec<Process>,
+}
+
+/// Finds a loopback network that no other site of this machine uses.
+fn free_net() -> Result<(u8, u8)> {
+    for _ in 0..100 {
+        let net = (rand::random_range(16..=250), rand::random_range(0..=250));
+        let address = (Ipv4Addr::new(127, net.0, net.1, 2), PLATFORM_PORT);
+        if std::net::TcpListener::bind(address).is_ok() {
+            return Ok(net);
+        }
+    }
+    Err(Error::new(Code::Io, "no free loopback network"))
+}
+
+impl Site {
+    fn ip(&self, last: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.net.0, self.net.1, last as u8)
+    }
+
+    /// Returns the address of the configuration service.
+    pub fn platform_address(&self) -> SocketAddr {
+        SocketAddr::from((self.ip(2), PLATFORM_PORT))
+    }
+
+    fn fabric_admin(&self) -> SocketAddr {
+        SocketAddr::from((self.ip(1), FABRIC_ADMIN_PORT))
+    }
+
+    /// Returns the address at which callers reach a service through the fabric.
+    pub fn service_address(&self, service: usize) -> SocketAddr {
+        SocketAddr::from((self.ip(1), FIRST_SERVICE_PORT + service as u16))
+    }
+
+    /// Returns the host of a balancer.
+    pub fn balancer_host(&self, index: usize) -> Ipv4Addr {
+        self.ip(10 + index)
+    }
+
+    /// Returns the host of an agent.
+    pub fn agent_host(&self, index: usize) -> Ipv4Addr {
+        self.ip(100 + index)
+    }
+
+    /// Returns the address of a backend server.
+    pub fn backend_address(&self, service: usize, host: usize) -> SocketAddr {
+        SocketAddr::from((self.agent_host(host), FIRST_BACKEND_PORT + service as u16))
+    }
+
+    /// Returns the name of a service.
+    pub fn service_name(&self, service: usize) -> &str {
+        &self.spec.services[service].name
+    }
+
+    /// Returns the number of backend server hosts.
+    pub fn agent_count(&self) -> usize {
+        self.spec
+            .services
+            .iter()
+            .map(|service| service.targets)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Returns the settings file of a process for the operators' client.
+    pub fn settings_file(&self) -> PathBuf {
+        self.file("balancer-0.ini")
+    }
+
+    /// Returns the path of a file of this site.
+    pub fn file(&self, name: &str) -> PathBuf {
+        self.folder.path().join(name)
+    }
+
+    async fn start(&mut self) -> Result<()> {
+        self.write_certificate()?;
+        self.start_platform().await?;
+        self.publish_all().await?;
+        self.start_fabric()?;
+        for service in 0..self.spec.services.len() {
+            for host in 0..self.spec.services[service].targets {
+                self.start_backend(service, host)?;
+            }
+        }
+        for index in 0..self.agent_count() {
+            self.agents.push(None);
+            self.start_agent(index)?;
+        }
+        for index in 0..self.spec.balancers {
+            self.balancers.push(None);
+            self.start_balancer(index)?;
+        }
+        self.wait_ready().await
+    }
+
+    fn write_certificate(&self) -> Result<()> {
+        let made = rcgen::generate_simple_self_signed(vec!["localhost".to_owned()]);
+        let made = made.map_err(|error| Error::new(Code::Io, error.to_string()))?;
+        fs::write(self.file("certificate.pem"), made.cert.pem())?;
+        fs::write(self.file("key.pem"), made.signing_key.serialize_pem())?;
+        Ok(())
+    }
+
+    /// Starts the configuration service, empty as after a loss of all it had.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where it does not come up.
+    pub async fn start_platform(&mut self) -> Result<()> {
+        let address = self.platform_address().to_string();
+        let arguments = ["config-service", "--address", &address].map(str::to_owned);
+        self.platform = Some(Process::start("endivedyke-lab", &arguments, false)?);
+        self.until("the configuration service", async |site| {
+            site.platform_order("GET", "calls", "").await.is_ok()
+        })
+        .await
+    }
+
+    fn start_fabric(&mut self) -> Result<()> {
+        let services = (0..self.spec.services.len()).map(|s| self.service_address(s).to_string());
+        let balancers = (0..self.spec.balancers).map(|b| self.balancer_host(b).to_string());
+        let arguments = [
+            "fabric".to_owned(),
+            "--services".to_owned(),
+            services.collect::<Vec<_>>().join(","),
+            "--balancers".to_owned(),
+            balancers.collect::<Vec<_>>().join(","),
+            "--admin".to_owned(),
+            self.fabric_admin().to_string(),
+        ];
+        self.fabric = Some(Process::start("endivedyke-lab", &arguments, false)?);
+        Ok(())
+    }
+
+    fn start_backend(&mut self, service: usize, host: usize) -> Result<()> {
+        let spec = &self.spec.services[service];
+        let arguments = [
+            "backend-server".to_owned(),
+            "--address".to_owned(),
+            self.backend_address(service, host).to_string(),
+            "--service".to_owned(),
+            spec.name.clone(),
+            "--slots".to_owned(),
+            spec.slots.to_string(),
+            "--service-ms".to_owned(),
+            spec.service_ms.to_string(),
+        ];
+        let backend = Process::start("endivedyke-lab", &arguments, false)?;
+        self.backends.push(backend);
+        Ok(())
+    }
+
+    fn write_settings(&self, name: &str, host: Ipv4Addr, zone: &str) -> Result<PathBuf> {
+        let path = self.file(name);
+        let text = format!(
+            "[process]\nhost = {host}\nzone = {zone}\n\n\
+             [network]\ncontrol_port = {CONTROL_PORT}\ndatagram_port = {DATAGRAM_PORT}\n\
+             metrics_port = {METRICS_PORT}\n\n\
+             [balancer]\nbind_ip = {host}\n\n\
+             [platform]\naddress = {}\n\n\
+             [keys]\ncluster = {}\n\n\
+             [agent]\ncertificate_file = {}\nkey_file = {}\ndrain_limit_s = {}\n\n\
+             [log]\nlevel = info\nfile = {}\n",
+            self.platform_address(),
+            "5a".repeat(endivedyke::CLUSTER_KEY_BYTES),
+            self.file("certificate.pem").display(),
+            self.file("key.pem").display(),
+            self.spec.drain_limit_s,
+            self.file(&format!("{name}.log")).display(),
+        );
+        fs::write(&path, text)?;
+        Ok(path)
+    }
+
+    fn start_daemon(
+        &self,
+        program: &str,
+        name: &str,
+        host: Ipv4Addr,
+        index: usize,
+    ) -> Result<Process> {
+        let zone = &self.spec.zones[index % self.spec.zones.len()];
+        let settings = self.write_settings(&format!("{name}-{index}.ini"), host, zone)?;
+        let arguments = ["--settings".to_owned(), settings.display().to_string()];
+        Process::start(program, &arguments, false)
+    }
+
+    /// Starts a balancer, for the first time or again.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where it can't be started.
+    pub fn start_balancer(&mut self, index: usize) -> Result<()> {
+        let host = self.balancer_host(index);
+        let process = self.start_daemon("endivedyke-balancer", "balancer", host, index)?;
+        self.balancers[index] = Some(process);
+        Ok(())
+    }
+
+    /// Starts an agent, for the first time or again.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where it can't be started.
+    pub fn start_agent(&mut self, index: usize) -> Result<()> {
+        let host = self.agent_host(index);
+        let process = self.start_daemon("endivedyke-agent", "agent", host, index)?;
+        self.agents[index] = Some(process);
+        Ok(())
+    }
+
+    /// Returns a balancer's process.
+    pub fn balancer(&mut self, index: usize) -> Option<&mut Process> {
+        self.balancers[index].as_mut()
+    }
+
+    /// Returns an agent's process.
+    pub fn agent(&mut self, index: usize) -> Option<&mut Process> {
+        self.agents[index].as_mut()
+    }
+
+    /// Returns the host list as the platform publishes it.
+    pub fn hosts_text(&self, leaving: &[Ipv4Addr]) -> String {
+        let zone = |index: usize| &self.spec.zones[index % self.spec.zones.len()];
+        let state = |host| {
+            if leaving.contains(&host) {
+                "leaving"
+            } else {
+                "live"
+            }
+        };
+        let line = |host, index, role| format!("{host},{},{role},{}\n", zone(index), state(host));
+        let entries = (0..self.spec.balancers).map(|i| line(self.balancer_host(i), i, "entry"));
+        let backends = (0..self.agent_count()).map(|i| line(self.agent_host(i), i, "backend"));
+        format!("{HOSTS_HEADER}\n") + &entries.chain(backends).collect::<String>()
+    }
+
+    /// Returns a service's table with these weights, one a target; targets beyond them get none.
+    pub fn table_text(&self, service: usize, weights: &[u32]) -> String {
+        let spec = &self.spec.services[service];
+        let mut text = format!("{TABLE_HEADER}\n");
+        for (host, weight) in weights.iter().enumerate() {
+            text += &format!(
+                "{},{},t{host},{},{},{weight},{},{}\n",
+                spec.name,
+                self.service_address(service),
+                self.agent_host(host),
+                self.backend_address(service, host),
+                spec.slots,
+                spec.connections,
+            );
+        }
+        text
+    }
+
+    async fn publish_all(&self) -> Result<()> {
+        self.publish(HOSTS_NAME, &self.hosts_text(&[])).await?;
+        for (service, spec) in self.spec.services.iter().enumerate() {
+            let table = self.table_text(service, &vec![100; spec.targets]);
+            self.publish(&format!("{TABLE_PREFIX}{}", spec.name), &table)
+                .await?;
+        }
+        Ok(())
+    }
+
+    /// Publishes a value and returns its revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where the configuration service does not answer.
+    pub async fn publish(&self, name: &str, text: &str) -> Result<u64> {
+        let revision = self
+            .platform_order("PUT", &format!("values/{name}"), text)
+            .await?;
+        revision
+            .trim()
+            .parse()
+            .map_err(|_| Error::new(Code::Io, format!("not a revision: {revision}")))
+    }
+
+    /// Publishes new weights of a service and returns the revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where the configuration service does not answer.
+    pub async fn set_weights(&self, service: usize, weights: &[u32]) -> Result<u64> {
+        let name = format!("{TABLE_PREFIX}{}", self.spec.services[service].name);
+        self.publish(&name, &self.table_text(service, weights))
+            .await
+    }
+
+    /// Gives the configuration service an order, such as `mode/silent`.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where it does not answer.
+    pub async fn platform_order(&self, method: &str, order: &str, body: &str) -> Result<String> {
+        let path = format!("/admin/{order}");
+        http_text::ask(self.platform_address(), method, &path, body).await
+    }
+
+    /// Gives the fabric an order, such as `faults/10/10/10`.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where it does not answer.
+    pub async fn fabric_order(&self, order: &str) -> Result<String> {
+        http_text::ask(self.fabric_admin(), "POST", &format!("/{order}"), "").await
+    }
+
+    /// Gives a backend server an order, such as `mode/fail-fast`, or asks for `counts`.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where it does not answer.
+    pub async fn backend_order(&self, service: usize, host: usize, order: &str) -> Result<String> {
+        let address = self.backend_address(service, host);
+        http_text::ask(address, "GET", &format!("/lab/{order}"), "").await
+    }
+
+    /// Returns all claims that the backend servers of a service ran.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where one does not answer.
+    pub async fn journal(&self, service: usize) -> Result<Vec<String>> {
+        let mut journal = Vec::new();
+        for host in 0..self.spec.services[service].targets {
+            let claims = self.backend_order(service, host, "claims").await?;
+            journal.extend(claims.lines().map(str::to_owned));
+        }
+        Ok(journal)
+    }
+
+    /// Returns a metric of the process on `host`, or 0 where it has none of that name.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where the process does not answer.
+    pub async fn metric(&self, host: Ipv4Addr, name: &str) -> Result<f64> {
+        let address = SocketAddr::from((host, METRICS_PORT));
+        let text = http_text::ask(address, "GET", "/metrics", "").await?;
+        let prefix = format!("endivedyke_{name}");
+        let values = text.lines().filter_map(|line| {
+            let (series, value) = line.rsplit_once(' ')?;
+            let named = series == prefix || series.starts_with(&format!("{prefix}{{"));
+            named.then(|| value.parse::<f64>().unwrap_or(0.0))
+        });
+        Ok(values.sum())
+    }
+
+    /// Returns the hosts of all daemons.
+    pub fn daemon_hosts(&self) -> Vec<Ipv4Addr> {
+        let balancers = (0..self.spec.balancers).map(|index| self.balancer_host(index));
+        let agents = (0..self.agent_count()).map(|index| self.agent_host(index));
+        balancers.chain(agents).collect()
+    }
+
+    /// Waits until every daemon takes the packets of its services.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where that takes too long.
+    pub async fn wait_ready(&self) -> Result<()> {
+        self.until("the daemons", async |site| {
+            for (index, host) in site.daemon_hosts().into_iter().enumerate() {
+                let agent = index.checked_sub(site.spec.balancers);
+                let open = site.metric(host, "services_open").await.unwrap_or(0.0);
+                if (open as usize) < site.expected_services(agent) {
+                    return false;
+                }
+            }
+            true
+        })
+        .await
+    }
+
+    fn expected_services(&self, agent: Option<usize>) -> usize {
+        let serves = |targets: usize| agent.is_none_or(|agent| agent < targets);
+        self.spec
+            .services
+            .iter()
+            .filter(|service| serves(service.targets))
+            .count()
+    }
+
+    /// Waits until the daemons on `hosts` have a revision in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where that takes too long.
+    pub async fn wait_revision(&self, hosts: &[Ipv4Addr], revision: u64) -> Result<()> {
+        self.until("the revision", async |site| {
+            for host in hosts {
+                let held = site.metric(*host, "config_revision").await.unwrap_or(0.0);
+                if (held as u64) < revision {
+                    return false;
+                }
+            }
+            true
+        })
+        .await
+    }
+
+    /// Waits until a condition holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001, naming `what`, where that takes too long.
+    pub async fn until(&self, what: &str, holds: impl AsyncFn(&Site) -> bool) -> Result<()> {
+        let until = Instant::now() + READY_TIMEOUT;
+        while !holds(self).await {
+            if Instant::now() >= until {
+                return Err(Error::new(Code::Io, format!("{what}: not in time")));
+            }
+            compio::time::sleep(POLL).await;
+        }
+        Ok(())
+    }
+
+    /// Returns the log of a daemon, such as `agent-0`.
+    pub fn log(&self, daemon: &str) -> String {
+        let path: &Path = &self.file(&format!("{daemon}.ini.log"));
+        fs::read_to_string(path).unwrap_or_default()
+    }
+}
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -193,6 +193,7 @@
             Ok(_) => return Ok(()),
             Err(index) => targets.insert(index, target.clone()),
         }
+        self.control.metrics.services_open.set(targets.len() as i64);
         drop(targets);
         log::info!(
             "event=target_open service={} target={}",
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -129,6 +129,7 @@
                 Err(error) => log::error!("event=port_failed service={service} error={error}"),
             }
         }
+        self.control.metrics.services_open.set(ports.len() as i64);
     }
 
     /// Returns each service with the address to bind, one service an address.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -56,6 +56,7 @@
     pub(crate) values_rejected: CodeCounter,
     pub(crate) config_revision: Gauge,
     pub(crate) pauses: Counter,
+    pub(crate) services_open: Gauge,
 }
 
 impl Metrics {
@@ -153,6 +154,11 @@
             "Highest revision in force",
             self.config_revision.clone(),
         );
+        registry.register(
+            "services_open",
+            "Services whose packets this process takes",
+            self.services_open.clone(),
+        );
         let mut by_code = |name: &str, help: &str, counter: &CodeCounter| {
             registry.register(name, help, counter.0.clone());
         };
