Bound the ledger while an old request still runs

Cause: the ledger forgot entries from its front only, and a running one at the front held all the ended ones behind it; memory grew with every claim for as long as one hung. Ruled out: a leak of running entries (each ends through its guard).

Change: the oldest ended entry goes, wherever it stands, on each begin and each ending; a running one below the floor stays and is found.

Figures: tests/ledger.rs no_ticket_runs_twice, red before (3 entries kept with capacity 1 and none running), green after, 256 cases.

Conclusion: at most capacity plus running entries, and still no ticket runs twice.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -134,18 +134,21 @@
     fn set(&mut self, counter: u32, state: State) {
         if let Ok(index) = self.position(counter) {
             self.entries[index].state = state;
+            self.trim();
         }
     }
 
-    /// Raises the floor over the oldest entries that have ended; a running one holds it.
+    /// Forgets the oldest entries that have ended and raises the floor over them.
+    ///
+    /// A running entry below the floor stays, and is still found, until it has ended.
     fn trim(&mut self) {
         while self.entries.len() > self.capacity {
-            match self.entries.front() {
-                Some(entry) if entry.state != State::Running => {
-                    self.floor = entry.counter + 1;
-                    self.entries.pop_front();
-                }
-                _ => break,
+            let ended = |entry: &Entry| entry.state != State::Running;
+            let Some(oldest) = self.entries.iter().position(ended) else {
+                return;
+            };
+            if let Some(entry) = self.entries.remove(oldest) {
+                self.floor = self.floor.max(entry.counter + 1);
             }
         }
     }
--- /dev/null
+++ b/tests/ledger.rs
@@ -0,0 +1,113 @@
+//! A request that may not be repeated runs at most once, against a plain version that never forgets.
+
+use bytes::Bytes;
+use endivedyke::{Begin, Code, KeptAnswer, Ledger, MAX_KEPT_ANSWER_BYTES};
+use proptest::prelude::*;
+
+fn answer(bytes: usize) -> KeptAnswer {
+    KeptAnswer {
+        status: 200,
+        content_type: None,
+        body: Bytes::from(vec![1; bytes]),
+    }
+}
+
+#[test]
+fn each_ending_is_final() {
+    type End = fn(&mut Ledger, u32);
+    let cases: &[(End, Begin)] = &[
+        (|_, _| {}, Begin::Stop(Code::InProgress)),
+        (
+            |ledger, ticket| ledger.refuse(ticket),
+            Begin::Stop(Code::TicketSpent),
+        ),
+        (
+            |ledger, ticket| ledger.lose(ticket, Code::OutcomeUnknown),
+            Begin::Stop(Code::OutcomeUnknown),
+        ),
+        (
+            |ledger, ticket| ledger.finish(ticket, Some(answer(3))),
+            Begin::Answered(answer(3)),
+        ),
+        (
+            |ledger, ticket| ledger.finish(ticket, Some(answer(MAX_KEPT_ANSWER_BYTES + 1))),
+            Begin::Stop(Code::AnswerNotKept),
+        ),
+        (
+            |ledger, ticket| ledger.finish(ticket, None),
+            Begin::Stop(Code::AnswerNotKept),
+        ),
+    ];
+    for (end, expected) in cases {
+        let mut ledger = Ledger::new(10);
+        let ticket = ledger.issue().expect("a ticket");
+        assert_eq!(ledger.begin(ticket, 9), Begin::Run);
+        end(&mut ledger, ticket);
+        assert_eq!(ledger.begin(ticket, 9), *expected);
+        assert_eq!(ledger.begin(ticket, 8), Begin::Stop(Code::TicketMismatch));
+    }
+}
+
+#[test]
+fn tickets_that_were_never_issued_do_not_run() {
+    let mut ledger = Ledger::new(10);
+    assert_eq!(ledger.begin(0, 1), Begin::Stop(Code::BadRequest));
+}
+
+#[test]
+fn tickets_below_the_window_never_run() {
+    let mut ledger = Ledger::new(2);
+    let tickets: Vec<u32> = (0..5).map(|_| ledger.issue().expect("a ticket")).collect();
+    for ticket in &tickets[1..] {
+        assert_eq!(ledger.begin(*ticket, 1), Begin::Run);
+        ledger.finish(*ticket, None);
+    }
+    assert_eq!(ledger.len(), 2);
+    assert_eq!(
+        ledger.begin(tickets[0], 1),
+        Begin::Stop(Code::TicketExpired)
+    );
+    assert_eq!(
+        ledger.begin(tickets[1], 1),
+        Begin::Stop(Code::TicketExpired)
+    );
+}
+
+proptest! {
+    /// Any order of first tries, repeats, endings and forgetting: no ticket runs twice.
+    #[test]
+    fn no_ticket_runs_twice(
+        capacity in 1usize..8,
+        events in proptest::collection::vec((0u8..5, 0u32..24), 1..200),
+    ) {
+        let mut ledger = Ledger::new(capacity);
+        let mut runs = [0u32; 24];
+        let mut running: Vec<u32> = Vec::new();
+        for _ in 0..24 {
+            ledger.issue();
+        }
+        for (event, ticket) in events {
+            match event {
+                0 | 1 => {
+                    if ledger.begin(ticket, 7) == Begin::Run {
+                        runs[ticket as usize] += 1;
+                        running.push(ticket);
+                    }
+                }
+                _ => {
+                    if running.is_empty() {
+                        continue;
+                    }
+                    let ended = running.swap_remove(ticket as usize % running.len());
+                    match event {
+                        2 => ledger.refuse(ended),
+                        3 => ledger.lose(ended, Code::OutcomeUnknown),
+                        _ => ledger.finish(ended, Some(answer(4))),
+                    }
+                }
+            }
+            prop_assert!(runs.iter().all(|count| *count <= 1), "{:?}", runs);
+            prop_assert!(ledger.len() <= capacity + running.len() + 1);
+        }
+    }
+}
