Take a sound revision that comes after a rejected higher one

Cause: a store that had seen an unsound revision refused every lower one, so a host that saw 35 (unsound) before 16 stayed on nothing while the others had 16 in force: hosts disagreed for good. Ruled out: the parser (its verdict depends on the text alone).

Change: a rejected revision is only remembered so that it is not fetched again; what is in force is the highest sound one seen, in any order.

Conclusion: the verdict and the value in force are the same everywhere.

--- a/src/config_store.rs
+++ b/src/config_store.rs
@@ -267,7 +267,8 @@
         self.digest.highest = self.digest.highest.max(revision);
         value.previous_revision = std::mem::replace(&mut value.revision, revision);
         value.previous_text = std::mem::replace(&mut value.text, text.to_owned());
-        value.rejected = None;
+        let rejected = value.rejected.take();
+        value.rejected = rejected.filter(|rejection| rejection.revision > revision);
     }
 
     fn apply(&mut self, parsed: Parsed) {
@@ -305,11 +306,12 @@
         self.rejected.as_ref()
     }
 
+    /// Tells whether a revision is above the one in force and was not rejected already.
+    ///
+    /// One below a rejected revision is news all the same: where the rejected one came first, the
+    /// sound one before it is what the other hosts have in force.
     fn is_news(&self, revision: u64) -> bool {
-        let rejected = self
-            .rejected
-            .as_ref()
-            .map_or(0, |rejection| rejection.revision);
-        revision > self.revision.max(rejected)
+        let rejected = self.rejected.as_ref().map(|rejection| rejection.revision);
+        revision > self.revision && rejected != Some(revision)
     }
 }
--- /dev/null
+++ b/tests/revisions.rs
@@ -0,0 +1,153 @@
+//! Values in force never go back, whatever order they come in and however they travel.
+
+mod common;
+
+use common::{cluster_key, host, table_text};
+use endivedyke::{Acceptance, Code, ConfigStore, Delta, HOSTS_HEADER, HostList, links, readers};
+use proptest::prelude::*;
+
+const NAME: &str = "table/panel-front";
+
+fn text(weight: u32) -> String {
+    table_text("panel-front", &[weight, 100, 100], 2_000)
+}
+
+/// A published revision: every fifth one is unsound and must be rejected everywhere alike.
+fn published(revision: u64) -> String {
+    if revision.is_multiple_of(5) {
+        return text(1).replace("10.0.0.1,", "nowhere,");
+    }
+    text(revision as u32)
+}
+
+/// The plain version: the highest sound revision of those seen.
+fn naive_in_force(seen: &[u64]) -> u64 {
+    seen.iter()
+        .copied()
+        .filter(|revision| !revision.is_multiple_of(5))
+        .max()
+        .unwrap_or(0)
+}
+
+#[test]
+fn an_unsound_value_leaves_the_one_in_force() {
+    let mut store = ConfigStore::new(&cluster_key());
+    assert_eq!(
+        store.accept(NAME, 4, &published(4)),
+        Ok(Acceptance::Accepted)
+    );
+    let error = store.accept(NAME, 5, &published(5)).expect_err("unsound");
+    assert_eq!(error.code, Code::TableAddress);
+    assert_eq!(store.revision(NAME), 4);
+    assert_eq!(
+        store.tables().next().map(|table| table.rows[0].weight),
+        Some(4)
+    );
+    assert!(
+        !store.wants(NAME, 5),
+        "a rejected revision is not asked for again"
+    );
+    assert_eq!(store.accept(NAME, 3, &published(3)), Ok(Acceptance::Old));
+    assert_eq!(
+        store.accept(NAME, 6, &published(6)),
+        Ok(Acceptance::Accepted)
+    );
+}
+
+#[test]
+fn a_value_must_hold_the_service_it_is_named_after() {
+    let mut store = ConfigStore::new(&cluster_key());
+    let error = store
+        .accept("table/other", 1, &text(1))
+        .expect_err("unsound");
+    assert_eq!(error.code, Code::TableMixed);
+    let large = "x".repeat((1 << 20) + 1);
+    let error = store.accept("notes", 1, &large).expect_err("unsound");
+    assert_eq!(error.code, Code::ValueTooLarge);
+}
+
+#[test]
+fn an_edit_of_one_row_travels_as_one_row() {
+    let old = table_text("panel-front", &vec![100; 500], 2_000);
+    let new = old.replacen(
+        "t0250,10.0.1.1,10.0.1.1:8080,100",
+        "t0250,10.0.1.1,10.0.1.1:8080,150",
+        1,
+    );
+    assert_ne!(old, new);
+    let delta = Delta::between(&old, &new);
+    assert_eq!(delta.text.lines().count(), 1);
+    assert_eq!(delta.apply(&old), Ok(new));
+}
+
+#[test]
+fn readers_are_few_and_the_same_on_every_host() {
+    let mut text = format!("{HOSTS_HEADER}\n");
+    for index in 0..60 {
+        text += &format!("{},zone-{},backend,live\n", host(index), index % 3);
+    }
+    let hosts = HostList::parse(&text).expect("sound");
+    let chosen = readers(&hosts, "zone-1", |_| true);
+    assert_eq!(chosen.len(), 3);
+    let without_first = readers(&hosts, "zone-1", |address| address != chosen[0]);
+    assert_eq!(without_first[..2], chosen[1..], "the others stay readers");
+    let links = links(&hosts, host(0), |_| true);
+    assert_eq!(links.len(), 6);
+    assert!(!links.contains(&host(0)));
+}
+
+proptest! {
+    #[test]
+    fn revisions_only_rise_in_any_order(order in proptest::collection::vec(1u64..40, 1..60)) {
+        let mut store = ConfigStore::new(&cluster_key());
+        let mut highest = 0;
+        for (index, revision) in order.iter().enumerate() {
+            let _ = store.accept(NAME, *revision, &published(*revision));
+            let held = store.revision(NAME);
+            prop_assert!(held >= highest, "went back from {} to {}", highest, held);
+            highest = held;
+            prop_assert_eq!(held, naive_in_force(&order[..=index]));
+        }
+    }
+
+    #[test]
+    fn peers_that_tell_each_other_end_level(
+        edits in proptest::collection::vec((0usize..4, 0u32..3), 1..20),
+        tells in proptest::collection::vec((0usize..4, 0usize..4), 0..60),
+    ) {
+        let names = ["table/panel-front", "notes", "plan"];
+        let mut stores: Vec<ConfigStore> =
+            (0..4).map(|_| ConfigStore::new(&cluster_key())).collect();
+        for (revision, (at, which)) in edits.iter().enumerate() {
+            let name = names[*which as usize];
+            let value = if *which == 0 { text(revision as u32 + 1) } else { format!("{revision}\n") };
+            let accepted = stores[*at].accept(name, revision as u64 + 1, &value);
+            prop_assert_eq!(accepted, Ok(Acceptance::Accepted));
+        }
+        // Lost and doubled messages: any pairs tell any others, then one full round.
+        let round = (0..4).flat_map(|from| (0..4).map(move |to| (from, to)));
+        let rounds: Vec<(usize, usize)> = tells.into_iter().chain(round.clone()).chain(round).collect();
+        for (from, to) in rounds {
+            let changes: Vec<(String, u64)> = stores[from]
+                .changes_since(0)
+                .into_iter()
+                .map(|(name, revision)| (name.to_owned(), revision))
+                .collect();
+            for (name, _) in changes {
+                let have = stores[to].revision(&name);
+                let update = stores[from].update_for(&name, have).expect("held");
+                let before = stores[to].revision(&name);
+                let _ = stores[to].accept_update(&update);
+                prop_assert!(stores[to].revision(&name) >= before);
+            }
+        }
+        for store in &stores[1..] {
+            prop_assert_eq!(store.digest(), stores[0].digest());
+        }
+    }
+
+    #[test]
+    fn deltas_make_the_new_text(old in "([ab]{0,2}\n){0,12}", new in "([ab]{0,2}\n){0,12}[ab]?") {
+        prop_assert_eq!(Delta::between(&old, &new).apply(&old), Ok(new));
+    }
+}
