Test the decision core against plain versions

Placement against lots, tables by their faults, envelopes and tokens against changed, cut and foreign bytes, slots in any order of events. Not covered yet: admission, load reports, the return path, suspicion, the timer service and the processes.

--- /dev/null
+++ b/tests/hostile_input.rs
@@ -0,0 +1,239 @@
+//! Truncated, oversized, forged and replayed input is counted out, never a panic.
+
+mod common;
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use common::cluster_key;
+use endivedyke::{
+    ClusterKey, Code, Delta, ENVELOPE_BYTES, Envelope, EnvelopeKey, EnvelopeKind, HostList,
+    KeyRing, Purpose, SealedId, ServiceId, Settings, Suspicion, parse_packet, steer,
+};
+use proptest::prelude::*;
+
+fn envelope() -> Envelope {
+    Envelope {
+        kind: EnvelopeKind::Inbound,
+        service: ServiceId::of("panel-front"),
+        caller: SocketAddr::from((Ipv4Addr::new(198, 51, 100, 7), 4433)),
+        balancer: Ipv4Addr::new(10, 1, 0, 1),
+        revision: 42,
+    }
+}
+
+fn sealed(packet: &[u8]) -> Vec<u8> {
+    let mut datagram = packet.to_vec();
+    EnvelopeKey::new(&cluster_key()).append(&mut datagram, &envelope());
+    datagram
+}
+
+#[test]
+fn envelopes_come_back_as_they_went() {
+    for packet in [&b""[..], b"short", &[9; 1_400]] {
+        let datagram = sealed(packet);
+        assert_eq!(datagram.len(), packet.len() + ENVELOPE_BYTES);
+        let opened = EnvelopeKey::new(&cluster_key()).open(&datagram);
+        assert_eq!(opened, Ok((envelope(), packet)));
+    }
+}
+
+#[test]
+fn envelopes_of_another_cluster_are_forged() {
+    let other = EnvelopeKey::new(&ClusterKey::new([8; 32]));
+    let error = other.open(&sealed(b"packet")).expect_err("forged");
+    assert_eq!(error.code, Code::EnvelopeForged);
+}
+
+#[test]
+fn a_token_opens_only_for_its_service_purpose_and_cluster() {
+    let ring = KeyRing::initial(&cluster_key());
+    let service = ServiceId::of("panel-front");
+    let token = SealedId {
+        host: Ipv4Addr::new(10, 0, 0, 1),
+        incarnation: 77,
+        service,
+        nonce: 5,
+    };
+    let bytes = token.seal(&ring, Purpose::Token, [1, 2, 3]);
+    assert_eq!(
+        SealedId::open(&ring, Purpose::Token, service, &bytes),
+        Some(token)
+    );
+    let other_service = ServiceId::of("study-intake");
+    assert_eq!(
+        SealedId::open(&ring, Purpose::Token, other_service, &bytes),
+        None
+    );
+    assert_eq!(
+        SealedId::open(&ring, Purpose::Ticket, service, &bytes),
+        None
+    );
+    let other_ring = KeyRing::initial(&ClusterKey::new([8; 32]));
+    assert_eq!(
+        SealedId::open(&other_ring, Purpose::Token, service, &bytes),
+        None
+    );
+    assert_eq!(
+        SealedId::open(&ring, Purpose::Token, service, &bytes[..19]),
+        None
+    );
+}
+
+#[test]
+fn rotated_keys_overlap() {
+    let key = cluster_key();
+    let ring = |text: &str| KeyRing::parse(&key, &format!("epoch,salt,state\n{text}"));
+    let before = ring("1,one,seal\n").expect("sound");
+    let during = ring("1,one,open\n2,two,seal\n").expect("sound");
+    let after = ring("2,two,seal\n").expect("sound");
+    let service = ServiceId::of("panel-front");
+    let token = SealedId {
+        host: Ipv4Addr::new(10, 0, 0, 1),
+        incarnation: 1,
+        service,
+        nonce: 1,
+    };
+    let old = token.seal(&before, Purpose::Token, [0; 3]);
+    let new = token.seal(&during, Purpose::Token, [0; 3]);
+    assert_eq!(
+        SealedId::open(&during, Purpose::Token, service, &old),
+        Some(token)
+    );
+    assert_eq!(
+        SealedId::open(&after, Purpose::Token, service, &new),
+        Some(token)
+    );
+    assert_eq!(SealedId::open(&after, Purpose::Token, service, &old), None);
+    for bad in [
+        "",
+        "1,a,seal\n2,b,seal\n",
+        "1,a,seal\n1,b,open\n",
+        "x,a,seal\n",
+        "1,a\n",
+    ] {
+        assert_eq!(
+            ring(bad).expect_err("unsound").code,
+            Code::KeysSyntax,
+            "{bad:?}"
+        );
+    }
+}
+
+#[test]
+fn settings_errors_name_the_line() {
+    let good = format!(
+        "[process]\nhost = 10.0.0.1\nzone = a\n[platform]\naddress = 10.0.0.9:80\n[keys]\ncluster = {}\n",
+        "ab".repeat(32)
+    );
+    assert!(Settings::parse(&good).is_ok());
+    let cases = [
+        (
+            good.replace("zone = a", "zone = A B"),
+            Code::SettingsValue,
+            "line 3",
+        ),
+        (
+            good.replace("zone = a", "zome = a"),
+            Code::SettingsUnknown,
+            "line 3",
+        ),
+        (
+            good.replace("host = 10.0.0.1\n", ""),
+            Code::SettingsMissing,
+            "host",
+        ),
+        (good.replace("ababab", "xyz"), Code::SettingsValue, "line 7"),
+        (
+            format!("{good}[network]\ncontrol_port = 70000\n"),
+            Code::SettingsValue,
+            "line 9",
+        ),
+        (
+            format!("{good}[agent]\ndrain_limit_s = 0\n"),
+            Code::SettingsValue,
+            "line 9",
+        ),
+        (
+            format!("{good}[log]\nlevel = loud\n"),
+            Code::SettingsValue,
+            "line 9",
+        ),
+        (
+            format!("{good}[peers]\nseeds = 10.0.0.2,b\n"),
+            Code::SettingsValue,
+            "line 9",
+        ),
+    ];
+    for (text, code, place) in cases {
+        let error = Settings::parse(&text).expect_err("unsound settings");
+        assert_eq!(error.code, code, "{error}");
+        assert!(error.message.contains(place), "{error}");
+        assert!(
+            !error.message.contains("abab"),
+            "the key is never shown: {error}"
+        );
+    }
+}
+
+proptest! {
+    #[test]
+    fn any_changed_byte_of_an_envelope_is_noticed(
+        packet in proptest::collection::vec(any::<u8>(), 0..64),
+        at: prop::sample::Index,
+        flip in 1u8..,
+    ) {
+        let mut datagram = sealed(&packet);
+        let index = at.index(datagram.len());
+        datagram[index] ^= flip;
+        prop_assert!(EnvelopeKey::new(&cluster_key()).open(&datagram).is_err());
+    }
+
+    #[test]
+    fn any_cut_of_an_envelope_is_noticed(
+        packet in proptest::collection::vec(any::<u8>(), 0..200),
+        at: prop::sample::Index,
+    ) {
+        let datagram = sealed(&packet);
+        let cut = at.index(datagram.len());
+        prop_assert!(EnvelopeKey::new(&cluster_key()).open(&datagram[..cut]).is_err());
+    }
+
+    #[test]
+    fn any_datagram_is_routed_or_dropped(datagram in proptest::collection::vec(any::<u8>(), 0..100)) {
+        let _ = parse_packet(&datagram);
+        let _ = EnvelopeKey::new(&cluster_key()).open(&datagram);
+        let text = common::table_text("panel-front", &[1, 1], 9);
+        let store = common::store(&[("table/panel-front", 1, &text)]);
+        let service = ServiceId::of("panel-front");
+        let _ = steer(&store, &Suspicion::default(), service, &datagram, 0);
+    }
+
+    #[test]
+    fn any_token_bytes_are_refused(bytes in proptest::collection::vec(any::<u8>(), 0..24)) {
+        let ring = KeyRing::initial(&cluster_key());
+        let service = ServiceId::of("panel-front");
+        prop_assert_eq!(SealedId::open(&ring, Purpose::Token, service, &bytes), None);
+    }
+
+    #[test]
+    fn any_delta_applies_right_or_is_refused(
+        old in "([a-c]\n?){0,20}",
+        kept_lines in 0u32..30,
+        removed_lines: u32,
+        text in "([a-c]\n?){0,5}",
+        digest: u64,
+    ) {
+        let delta = Delta { kept_lines, removed_lines, text, digest };
+        if let Ok(new) = delta.apply(&old) {
+            prop_assert_eq!(endivedyke::bytes_hash(new.as_bytes()), digest);
+        }
+    }
+
+    #[test]
+    fn any_published_text_is_taken_or_rejected(text in "[ -~\n]{0,200}") {
+        let _ = HostList::parse(&text);
+        let _ = HostList::parse(&format!("host,zone,role,state\n{text}"));
+        let _ = KeyRing::parse(&cluster_key(), &text);
+        let _ = Settings::parse(&text);
+    }
+}
--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,110 @@
+//! Owners follow the weights, agree on all hosts, and move as little as an edit requires.
+
+mod common;
+
+use common::table;
+use endivedyke::{Table, candidates};
+use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+fn owner(table: &Table, opener_hash: u64) -> Option<&str> {
+    candidates(table, opener_hash, |_| true).map(|chosen| chosen.first.target.as_str())
+}
+
+/// The plain version: each target as many lots as its weight, the highest lot wins.
+fn naive_owner(table: &Table, opener_hash: u64) -> Option<&str> {
+    let lots = table
+        .rows
+        .iter()
+        .flat_map(|row| (0..row.weight).map(move |lot| (lot, row)));
+    let best = lots.max_by_key(|(lot, row)| {
+        endivedyke::bytes_hash(format!("{opener_hash} {} {lot}", row.target).as_bytes())
+    });
+    best.map(|(_, row)| row.target.as_str())
+}
+
+fn shares(table: &Table, draw: impl Fn(u64) -> Option<String>, openers: u64) -> Vec<f64> {
+    let mut random = StdRng::seed_from_u64(11);
+    let mut counts = vec![0u64; table.rows.len()];
+    for _ in 0..openers {
+        let target = draw(random.random()).expect("an owner");
+        let index = table.rows.iter().position(|row| row.target == target);
+        counts[index.expect("a row")] += 1;
+    }
+    counts
+        .iter()
+        .map(|count| *count as f64 / openers as f64)
+        .collect()
+}
+
+#[test]
+fn shares_match_the_table_and_the_naive_version() {
+    let table = table(&[1, 2, 3, 10]);
+    let ours = shares(
+        &table,
+        |hash| owner(&table, hash).map(str::to_owned),
+        40_000,
+    );
+    let naive = shares(
+        &table,
+        |hash| naive_owner(&table, hash).map(str::to_owned),
+        40_000,
+    );
+    for (index, row) in table.rows.iter().enumerate() {
+        let wanted = table.share(row);
+        assert!((ours[index] - wanted).abs() < 0.01, "{ours:?}");
+        assert!((naive[index] - wanted).abs() < 0.01, "{naive:?}");
+    }
+}
+
+#[test]
+fn an_edit_of_one_weight_moves_only_what_it_must() {
+    let before = table(&[100, 100, 100, 100]);
+    let after = table(&[100, 100, 100, 140]);
+    let mut random = StdRng::seed_from_u64(5);
+    let mut moved = 0;
+    for _ in 0..20_000 {
+        let hash = random.random();
+        let (old, new) = (owner(&before, hash), owner(&after, hash));
+        if old != new {
+            moved += 1;
+            assert_eq!(
+                new,
+                Some("t0003"),
+                "a flow moves only to the target that gained"
+            );
+        }
+    }
+    let gained = 140.0 / 440.0 - 100.0 / 400.0;
+    let share = f64::from(moved) / 20_000.0;
+    assert!(
+        (share - gained).abs() < 0.01,
+        "{share} of the openers moved"
+    );
+}
+
+proptest! {
+    #[test]
+    fn the_runner_up_is_the_owner_when_the_owner_is_passed_over(
+        weights in proptest::collection::vec(0u32..50, 2..12),
+        opener_hash: u64,
+    ) {
+        prop_assume!(weights.iter().filter(|weight| **weight > 0).count() >= 2);
+        let table = table(&weights);
+        let chosen = candidates(&table, opener_hash, |_| true).expect("an owner");
+        let without = candidates(&table, opener_hash, |row| row.target != chosen.first.target);
+        prop_assert_eq!(chosen.second, without.map(|chosen| chosen.first));
+        prop_assert!(chosen.first.weight > 0);
+    }
+
+    #[test]
+    fn the_order_of_rows_does_not_matter(opener_hash: u64, weights in proptest::collection::vec(1u32..50, 1..12)) {
+        let text = common::table_text("panel-front", &weights, 9);
+        let mut lines: Vec<&str> = text.lines().collect();
+        lines[1..].reverse();
+        let reversed = Table::parse(&lines.join("\n")).expect("sound table");
+        let table = table(&weights);
+        prop_assert_eq!(owner(&table, opener_hash), owner(&reversed, opener_hash));
+    }
+}
--- /dev/null
+++ b/tests/slots.rs
@@ -0,0 +1,101 @@
+//! Slots are never exceeded, refusals are final and at once, and nobody waits past a deadline.
+
+use endivedyke::{Arrival, Code, RequestId, Slots};
+use proptest::prelude::*;
+
+#[test]
+fn refusals_come_at_once_and_say_when_to_come_back() {
+    let mut slots = Slots::new(1);
+    assert_eq!(slots.arrive(RequestId(1), 1_000, 0), Arrival::Run);
+    assert_eq!(slots.arrive(RequestId(2), 1_000, 0), Arrival::Queued);
+    assert_eq!(slots.arrive(RequestId(3), 1_000, 0), Arrival::Queued);
+    let Arrival::Refused(refusal) = slots.arrive(RequestId(4), 1_000, 0) else {
+        panic!("the queue is bounded");
+    };
+    assert_eq!(refusal.code, Code::Overloaded);
+    assert!(refusal.retry_after_ms >= 50);
+}
+
+#[test]
+fn a_request_that_cannot_make_its_deadline_is_refused_on_arrival() {
+    let mut slots = Slots::new(1);
+    assert_eq!(slots.arrive(RequestId(1), 1_000, 0), Arrival::Run);
+    // 20 ms of waiting and 20 ms of service are assumed before anything is known.
+    for (deadline_ms, code) in [(0, Code::Deadline), (39, Code::Deadline)] {
+        let Arrival::Refused(refusal) = slots.arrive(RequestId(2), deadline_ms, 0) else {
+            panic!("deadline {deadline_ms}");
+        };
+        assert_eq!(refusal.code, code);
+    }
+    assert_eq!(slots.arrive(RequestId(3), 40, 0), Arrival::Queued);
+}
+
+#[test]
+fn a_thawed_process_runs_nothing_late() {
+    let mut slots = Slots::new(1);
+    slots.arrive(RequestId(1), 1_000, 0);
+    slots.arrive(RequestId(2), 500, 0);
+    slots.arrive(RequestId(3), 9_000, 0);
+    slots.finished(20);
+    let next = slots.next(5_000);
+    assert_eq!(next.expired, [RequestId(2)]);
+    assert_eq!(next.run, Some(RequestId(3)));
+}
+
+#[test]
+fn a_lower_limit_lets_running_requests_end() {
+    let mut slots = Slots::new(3);
+    for id in 1..=3 {
+        assert_eq!(slots.arrive(RequestId(id), 1_000, 0), Arrival::Run);
+    }
+    assert_eq!(slots.arrive(RequestId(4), 1_000, 0), Arrival::Queued);
+    slots.set_limit(1);
+    slots.finished(10);
+    assert_eq!(slots.next(0).run, None, "two still run");
+    slots.finished(10);
+    slots.finished(10);
+    assert_eq!(slots.next(0).run, Some(RequestId(4)));
+}
+
+proptest! {
+    #[test]
+    fn limits_hold_in_any_order(
+        limit in 1u32..6,
+        events in proptest::collection::vec((0u8..4, 1u64..400), 1..200),
+    ) {
+        let mut slots = Slots::new(limit);
+        let mut now_ms = 0;
+        let mut next_id = 0;
+        let mut running = 0u32;
+        let mut waiting: Vec<(RequestId, u64)> = Vec::new();
+        for (event, amount) in events {
+            match event {
+                0 | 1 => {
+                    next_id += 1;
+                    let (id, deadline_ms) = (RequestId(next_id), now_ms + amount);
+                    match slots.arrive(id, deadline_ms, now_ms) {
+                        Arrival::Run => running += 1,
+                        Arrival::Queued => waiting.push((id, deadline_ms)),
+                        Arrival::Refused(refusal) => prop_assert!(refusal.retry_after_ms > 0),
+                    }
+                }
+                2 if running > 0 => {
+                    slots.finished(amount);
+                    running -= 1;
+                    let next = slots.next(now_ms);
+                    waiting.retain(|(id, _)| !next.expired.contains(id));
+                    if let Some(id) = next.run {
+                        let index = waiting.iter().position(|(known, _)| *known == id);
+                        let (_, deadline_ms) = waiting.remove(index.expect("it waited"));
+                        prop_assert!(deadline_ms > now_ms, "run past its deadline");
+                        running += 1;
+                    }
+                }
+                _ => now_ms += amount,
+            }
+            prop_assert!(running <= limit);
+            prop_assert_eq!(running, slots.busy());
+            prop_assert!(slots.queued() <= 2 * limit as usize);
+        }
+    }
+}
