Measure imbalance with the decision core under fixed seeds

Cause: it was not known what deflection gains over plain hash owners, nor whether two choices by hash would do.

Ruled out: judging it by the processes alone, where noise of the machine hides a per cent. The experiment drives the real admission and load board with seeded arrivals, lifetimes and exchanges of reports.

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -11,7 +11,7 @@
 use crate::backend_server::{self, BackendOptions};
 use crate::callers::{self, CallersPlan};
 use crate::quickstart::run_quickstart;
-use crate::{config_service, fabric};
+use crate::{config_service, fabric, imbalance};
 
 #[derive(Debug, Options)]
 struct LabOptions {
@@ -27,6 +27,8 @@
 enum Command {
     #[options(help = "run a small site end to end")]
     Quickstart(NoOptions),
+    #[options(help = "experiment imbalance: the decision core under changes, by policy")]
+    Experiment(ExperimentOptions),
     #[options(help = "stand in for the fabric")]
     Fabric(FabricOptions),
     #[options(help = "stand in for the platform's configuration service")]
@@ -43,6 +45,16 @@
     help: bool,
 }
 
+#[derive(Debug, Options)]
+struct ExperimentOptions {
+    #[options(help = "print this help and exit")]
+    help: bool,
+    #[options(no_short, help = "the seed of the random source", default = "1")]
+    seed: u64,
+    #[options(free)]
+    name: Vec<String>,
+}
+
 #[derive(Debug, Options)]
 struct AddressOptions {
     #[options(help = "print this help and exit")]
@@ -112,6 +124,7 @@
     }
     let result = match options.command {
         Some(Command::Quickstart(_)) => quickstart(),
+        Some(Command::Experiment(options)) => experiment(&options),
         Some(Command::Fabric(options)) => run_fabric(&options),
         Some(Command::ConfigService(options)) => {
             given(options.address).and_then(|address| block_on(config_service::run(address)))
@@ -163,6 +176,36 @@
     Err(Error::new(Code::OutcomeUnknown, message))
 }
 
+fn experiment(options: &ExperimentOptions) -> Result<()> {
+    let names: Vec<&str> = options.name.iter().map(String::as_str).collect();
+    match names.as_slice() {
+        ["imbalance"] => print_imbalance(options.seed),
+        _ => return Err(Error::new(Code::Usage, "experiment imbalance")),
+    }
+    Ok(())
+}
+
+fn print_imbalance(seed: u64) {
+    println!("| targets | lifetime | case | policy | mean | worst | end | bound at the end |");
+    println!("|---|---|---|---|---|---|---|---|");
+    for (targets, lifetime_s) in [(7, 60), (3, 60), (7, 600), (3, 600)] {
+        for row in imbalance::run(targets, lifetime_s, seed) {
+            let percent = |part: f64| format!("{:.2} %", part * 100.0);
+            println!(
+                "| {} | {} s | {} | {:?} | {} | {} | {} | {} |",
+                row.targets,
+                row.lifetime_s,
+                row.case,
+                row.policy,
+                percent(row.mean),
+                percent(row.worst),
+                percent(row.end),
+                percent(row.bound),
+            );
+        }
+    }
+}
+
 fn run_fabric(options: &FabricOptions) -> Result<()> {
     let services: Vec<SocketAddr> = list(&options.services)?;
     let balancers: Vec<IpAddr> = list(&options.balancers)?;
--- /dev/null
+++ b/lab/tests/imbalance_bounds.rs
@@ -0,0 +1,36 @@
+//! Imbalance under fixed seeds stays below the bounds in `bounds.txt`, and below the naive version.
+
+use endivedyke_lab::{ImbalanceRow, Policy, run_imbalance};
+
+const BOUNDS: &str = include_str!("../../bounds.txt");
+
+fn bound(name: &str) -> f64 {
+    let line = BOUNDS
+        .lines()
+        .find(|line| line.split_whitespace().next() == Some(name));
+    let bound = line.and_then(|line| line.split_whitespace().nth(2)?.parse().ok());
+    bound.unwrap_or_else(|| panic!("{name} is not in bounds.txt"))
+}
+
+fn row(rows: &[ImbalanceRow], case: &str, policy: Policy) -> ImbalanceRow {
+    let found = rows
+        .iter()
+        .find(|row| row.case.starts_with(case) && row.policy == policy);
+    found.expect("a row").clone()
+}
+
+#[test]
+fn imbalance_stays_below_its_bounds() {
+    for (targets, lifetime_s) in [(7, 60), (3, 60), (7, 600)] {
+        let rows = run_imbalance(targets, lifetime_s, 1);
+        let ours = row(&rows, "steady", Policy::Deflect);
+        let name = format!("imbalance_steady_{targets}_targets_{lifetime_s}_s");
+        assert!(ours.worst * 100.0 <= bound(&name), "{name}: {ours:?}");
+        let naive = row(&rows, "steady", Policy::Hash);
+        assert!(ours.worst < naive.worst / 2.0, "{ours:?} against {naive:?}");
+    }
+    let rows = run_imbalance(7, 60, 1);
+    let ours = row(&rows, "weight", Policy::Deflect);
+    let name = "imbalance_after_edit_7_targets_60_s";
+    assert!(ours.end * 100.0 <= bound(name), "{name}: {ours:?}");
+}
--- /dev/null
+++ b/tests/admission.rs
@@ -0,0 +1,191 @@
+//! Agents correct imbalance with new flows, keep hard limits and hand an opener on at most once.
+
+mod common;
+
+use common::{host, report, table, table_text};
+use endivedyke::{Admission, Code, Decision, Health, LoadBoard, Opener, Table};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+fn opener(hash: u64) -> Opener {
+    Opener {
+        hash,
+        deflected: false,
+        health_permille: 1_000,
+    }
+}
+
+fn admission_with(flows: u32) -> Admission {
+    let mut admission = Admission::warm(host(0));
+    (0..flows).for_each(|_| admission.flow_opened());
+    admission
+}
+
+fn board(open_flows: &[u32]) -> LoadBoard {
+    let mut board = LoadBoard::default();
+    for (index, flows) in open_flows.iter().enumerate() {
+        board.merge(report(index + 1, 1, *flows), NOW_MS);
+    }
+    board
+}
+
+const NOW_MS: u64 = 100_000;
+
+fn decide(flows: u32, table: &Table, peers: &[u32], opener: &Opener) -> Decision {
+    let mut random = StdRng::seed_from_u64(1);
+    admission_with(flows).decide(opener, table, &mut board(peers), NOW_MS, &mut random)
+}
+
+#[test]
+fn openers_go_where_the_level_is_lower() {
+    let cases: &[(u32, &[u32], Decision)] = &[
+        (100, &[100, 100], Decision::Accept),
+        (90, &[100, 100], Decision::Accept),
+        (200, &[100, 200], Decision::Deflect(host(1))),
+        (200, &[200, 50], Decision::Deflect(host(2))),
+        (50, &[], Decision::Accept),
+    ];
+    for (flows, peers, expected) in cases {
+        let table = table(&[100, 100, 100]);
+        assert_eq!(
+            decide(*flows, &table, peers, &opener(1)),
+            *expected,
+            "{flows} {peers:?}"
+        );
+    }
+}
+
+#[test]
+fn full_draining_and_failing_targets_take_nothing() {
+    let full = Table::parse(&table_text("s", &[100, 100], 10)).expect("sound");
+    assert_eq!(
+        decide(10, &full, &[5], &opener(1)),
+        Decision::Deflect(host(1))
+    );
+    assert_eq!(
+        decide(10, &full, &[10], &opener(1)),
+        Decision::Refuse(Code::NoTarget)
+    );
+    let handed_on = Opener {
+        deflected: true,
+        ..opener(1)
+    };
+    assert_eq!(
+        decide(10, &full, &[0], &handed_on),
+        Decision::Refuse(Code::NoTarget)
+    );
+    assert_eq!(
+        decide(9, &full, &[0], &handed_on),
+        Decision::Accept,
+        "handed on only once"
+    );
+    let failing = Opener {
+        health_permille: 0,
+        ..opener(1)
+    };
+    assert_eq!(
+        decide(0, &table(&[100, 100]), &[9], &failing),
+        Decision::Deflect(host(1))
+    );
+    assert_eq!(
+        decide(0, &table(&[0, 100]), &[9], &opener(1)),
+        Decision::Deflect(host(1))
+    );
+
+    let mut random = StdRng::seed_from_u64(1);
+    let mut draining = admission_with(0);
+    draining.set_draining(true);
+    let table = table(&[100, 100]);
+    let decision = draining.decide(&opener(1), &table, &mut board(&[50]), NOW_MS, &mut random);
+    assert_eq!(decision, Decision::Deflect(host(1)));
+}
+
+#[test]
+fn an_opener_in_several_datagrams_gets_one_decision() {
+    let mut random = StdRng::seed_from_u64(1);
+    let table = table(&[100, 100, 100]);
+    let mut admission = admission_with(200);
+    let mut board = board(&[100, 100]);
+    let first = admission.decide(&opener(7), &table, &mut board, NOW_MS, &mut random);
+    for _ in 0..20 {
+        admission.flow_closed();
+        let again = admission.decide(&opener(7), &table, &mut board, NOW_MS, &mut random);
+        assert_eq!(first, again);
+    }
+    assert_eq!(admission.recall(7, NOW_MS), Some(first));
+    assert_eq!(admission.recall(7, NOW_MS + 10_000), None);
+}
+
+#[test]
+fn a_cold_target_takes_its_share_by_and_by() {
+    let admission = Admission::new(host(0), 1_000);
+    let shares: Vec<u16> = [1_000, 6_000, 11_000, 90_000]
+        .iter()
+        .map(|now_ms| admission.share_permille(1_000, *now_ms))
+        .collect();
+    assert_eq!(shares, [100, 550, 1_000, 1_000]);
+    assert_eq!(admission.share_permille(0, 90_000), 0);
+}
+
+#[test]
+fn a_fast_failing_server_loses_its_share_and_earns_it_back() {
+    let mut health = Health::default();
+    assert_eq!(health.share_permille(), 1_000);
+    (0..20).for_each(|_| health.outcome(false));
+    assert!(health.is_failing());
+    assert!(health.take_probe(5_000));
+    assert!(!health.take_probe(5_500), "one probe a second");
+    (0..30).for_each(|_| health.outcome(true));
+    assert_eq!(health.share_permille(), 1_000);
+}
+
+#[test]
+fn late_reports_never_replace_newer_ones_nor_come_back() {
+    let mut board = LoadBoard::default();
+    assert!(board.merge(report(1, 5, 50), 0));
+    assert!(!board.merge(report(1, 4, 40), 1), "crossed on the way");
+    assert!(
+        !board.merge(report(1, 5, 50), 20_000),
+        "passed on by a peer after it expired"
+    );
+    assert_eq!(board.fresh(host(1), 20_000), None);
+    let mut restarted = report(1, 1, 3);
+    restarted.incarnation = 2;
+    assert!(board.merge(restarted, 20_001));
+    board.sent_flow(host(1));
+    assert_eq!(
+        board.fresh(host(1), 20_001).map(|report| report.open_flows),
+        Some(4)
+    );
+}
+
+proptest! {
+    /// Whatever agents believe of each other, no target goes beyond its connections.
+    #[test]
+    fn limits_are_hard_whatever_is_believed(
+        connections in 1u32..20,
+        beliefs in proptest::collection::vec(0u32..40, 3),
+        openers in proptest::collection::vec((any::<u64>(), any::<bool>()), 1..80),
+    ) {
+        let text = table_text("s", &[100, 100, 100, 100], connections);
+        let table = Table::parse(&text).expect("sound");
+        let mut board = board(&beliefs);
+        let mut admission = admission_with(0);
+        let mut random = StdRng::seed_from_u64(3);
+        let mut accepted: Vec<u64> = Vec::new();
+        let mut seen: Vec<u64> = Vec::new();
+        for (hash, deflected) in openers {
+            let opener = Opener { hash, deflected, health_permille: 1_000 };
+            let decision = admission.decide(&opener, &table, &mut board, NOW_MS, &mut random);
+            if decision == Decision::Accept && !accepted.contains(&hash) {
+                accepted.push(hash);
+                admission.flow_opened();
+            }
+            let new = !seen.contains(&hash);
+            seen.push(hash);
+            prop_assert!(!(new && deflected && matches!(decision, Decision::Deflect(_))));
+            prop_assert!(admission.open_flows() <= connections);
+        }
+    }
+}
