Hand openers to unheard peers instead of refusing them

Cause: a leaving agent that had not yet heard a peer's load refused every opener, though its peers had room; seen as a feed refused in a_host_that_leaves_by_the_list_gets_no_new_flow (9 flows of 10 opened). Ruled out: the balancers (they steer by the table alone, on purpose) and the host list (in force before the callers came).

Change: where no heard peer has room, the opener goes to a peer of which nothing is known, drawn by the same hash; it decides itself, and an opener is still handed on only once.

Conclusion: refusing needs knowledge that peers are full.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -10,6 +10,7 @@
 
 use crate::code::Code;
 use crate::load_board::{FULL_SHARE_PERMILLE, LoadBoard, LoadReport};
+use crate::placement;
 use crate::table::{Row, Table};
 
 /// How long a decision about an opener is remembered, in milliseconds: longer than a handshake.
@@ -187,13 +188,29 @@
                 Some(host) => Decision::Deflect(host),
                 None => Decision::Accept,
             },
-            None => match peers.lowest() {
+            None => match peers
+                .lowest()
+                .or_else(|| self.unknown_peer(opener, table, board, now_ms))
+            {
                 Some(host) => Decision::Deflect(host),
                 None => accept_or(fits, Code::NoTarget),
             },
         }
     }
 
+    /// Draws a peer of which nothing is known, as after a start: it decides itself.
+    fn unknown_peer(
+        &self,
+        opener: &Opener,
+        table: &Table,
+        board: &LoadBoard,
+        now_ms: u64,
+    ) -> Option<Ipv4Addr> {
+        let unknown = |row: &Row| row.host != self.host && board.fresh(row.host, now_ms).is_none();
+        let chosen = placement::candidates(table, opener.hash, unknown)?;
+        Some(chosen.first.host)
+    }
+
     fn has_room(&self, row: &Row) -> bool {
         !self.draining && self.open_flows < row.connections
     }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -93,6 +93,13 @@
         Decision::Deflect(host(1))
     );
 
+    let unheard = decide(10, &full, &[], &opener(1));
+    assert_eq!(
+        unheard,
+        Decision::Deflect(host(1)),
+        "an unheard peer decides itself"
+    );
+
     let mut random = StdRng::seed_from_u64(1);
     let mut draining = admission_with(0);
     draining.set_draining(true);
