Return an opener to its owner when a peer can't take it

Cause: an owner that hands an opener to a peer by an old report, for example to one that has begun to leave, got it refused by the peer, although the owner had room itself. Ruled out: the drain itself (no flow was accepted there).

Change: a peer that can't take a deflected opener returns it; the owner settles it for good by accepting or refusing, and sends that peer no more until it reports anew. A drain or a changed limit is told to all peers of the service at once.

Conclusion: refusals come from the owner alone, which knows best.

--- a/lab/src/service_model.rs
+++ b/lab/src/service_model.rs
@@ -8,7 +8,8 @@
 use std::net::Ipv4Addr;
 
 use endivedyke::{
-    Admission, Decision, LoadBoard, LoadReport, Opener, Row, TABLE_HEADER, Table, candidates,
+    Admission, Decision, Handed, LoadBoard, LoadReport, Opener, Row, TABLE_HEADER, Table,
+    candidates,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -277,23 +278,32 @@
     }
 
     fn decide(&mut self, first: usize, opener_hash: u64) -> Option<usize> {
-        match self.decide_at(first, opener_hash, false) {
+        match self.decide_at(first, opener_hash, Handed::ByBalancer) {
             Decision::Accept => Some(first),
-            Decision::Refuse(_) => None,
-            Decision::Deflect(peer) => {
-                self.deflected += 1;
-                let peer = self.agents.iter().position(|agent| agent.host == peer)?;
-                let taken = self.agents[peer].alive
-                    && self.decide_at(peer, opener_hash, true) == Decision::Accept;
-                taken.then_some(peer)
-            }
+            Decision::Deflect(peer) => self.hand_on(first, peer, opener_hash),
+            Decision::Refuse(_) | Decision::Return => None,
+        }
+    }
+
+    fn hand_on(&mut self, first: usize, peer: Ipv4Addr, opener_hash: u64) -> Option<usize> {
+        self.deflected += 1;
+        let peer = self.agents.iter().position(|agent| agent.host == peer)?;
+        if !self.agents[peer].alive {
+            return None;
+        }
+        if self.decide_at(peer, opener_hash, Handed::ByOwner) == Decision::Accept {
+            return Some(peer);
         }
+        let host = self.agents[peer].host;
+        self.agents[first].board.returned_flow(host);
+        let returned = self.decide_at(first, opener_hash, Handed::Returned);
+        (returned == Decision::Accept).then_some(first)
     }
 
-    fn decide_at(&mut self, index: usize, opener_hash: u64, deflected: bool) -> Decision {
+    fn decide_at(&mut self, index: usize, opener_hash: u64, handed: Handed) -> Decision {
         let opener = Opener {
             hash: opener_hash,
-            deflected,
+            handed,
             health_permille: 1_000,
         };
         let agent = &mut self.agents[index];
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -29,6 +29,8 @@
     Accept,
     /// The agent on this host is handed the opener.
     Deflect(Ipv4Addr),
+    /// The owner gets the opener back, since this agent can't take it.
+    Return,
     /// Nobody can take it.
     Refuse(Code),
 }
@@ -109,8 +111,8 @@
 
     /// Decides about an opener; the same opener gets the same answer while it is remembered.
     ///
-    /// `deflected` says that a peer handed it over: then it is accepted or refused, so that an
-    /// opener is handed on at most once.
+    /// An opener that its owner has handed over is accepted or returned, and one that was returned
+    /// is accepted or refused, so that it makes at most two hops more.
     pub fn decide(
         &mut self,
         opener: &Opener,
@@ -119,7 +121,8 @@
         now_ms: u64,
         random: &mut impl Rng,
     ) -> Decision {
-        if let Some(decision) = self.recall(opener.hash, now_ms) {
+        let recalled = self.recall(opener.hash, now_ms);
+        if let Some(decision) = recalled.filter(|_| opener.handed != Handed::Returned) {
             return decision;
         }
         let decision = self.choose(opener, table, board, now_ms, random);
@@ -174,8 +177,16 @@
     ) -> Decision {
         let row = table.row_on(self.host);
         let fits = row.is_some_and(|row| self.has_room(row));
-        if opener.deflected {
-            return accept_or(fits, Code::NoTarget);
+        match opener.handed {
+            Handed::ByBalancer => {}
+            Handed::ByOwner => {
+                return if fits {
+                    Decision::Accept
+                } else {
+                    Decision::Return
+                };
+            }
+            Handed::Returned => return accept_or(fits, Code::NoTarget),
         }
         let peers = Peers::of(table, self.host, board, now_ms);
         let own = row.filter(|_| fits).map(|row| {
@@ -216,13 +227,24 @@
     }
 }
 
+/// Who handed an opener to this agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Handed {
+    /// A balancer: this agent is its owner.
+    ByBalancer,
+    /// The owner, which hands it to a peer.
+    ByOwner,
+    /// The peer to which this agent, the owner, had handed it.
+    Returned,
+}
+
 /// An opener as admission sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Opener {
     /// The hash of the connection id that the caller chose.
     pub hash: u64,
-    /// Whether a peer handed it over.
-    pub deflected: bool,
+    /// Who handed it over.
+    pub handed: Handed,
     /// What the outcomes of the target's requests allow it to take, in thousandths.
     pub health_permille: u16,
 }
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -1,7 +1,7 @@
 //! The agent: the final arbiter of flows and requests for the targets on its host.
 
 use std::cell::RefCell;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use compio::quic::ServerConfig;
 use serde_json::{Value, json};
 
-use crate::admission::{Decision, Opener};
+use crate::admission::{Decision, Handed, Opener};
 use crate::balancer::packet_counts;
 use crate::code::Code;
 use crate::config_store::{HOSTS_NAME, KEYS_NAME, TABLE_PREFIX};
@@ -41,6 +41,24 @@
 /// How many sockets an agent keeps beyond the connections that its rows allow.
 const SPARE_FLOW_SOCKETS: usize = 1_024;
 
+/// An opener that has arrived in an envelope.
+struct ArrivedOpener<'a> {
+    envelope: &'a Envelope,
+    hash: u64,
+    packet: &'a [u8],
+    sender: SocketAddr,
+}
+
+impl ArrivedOpener<'_> {
+    fn handed(&self) -> Handed {
+        match self.envelope.kind {
+            EnvelopeKind::Deflected => Handed::ByOwner,
+            EnvelopeKind::Returned => Handed::Returned,
+            _ => Handed::ByBalancer,
+        }
+    }
+}
+
 /// An agent with its targets.
 pub(crate) struct Agent {
     pub(crate) control: Rc<Control>,
@@ -80,7 +98,6 @@
         self.subscribe();
         self.apply_keys();
         self.sync_targets().await;
-        load_exchange::introduce(self);
         let receiver = self.clone();
         let envelopes = compio::runtime::spawn(async move { receiver.take_envelopes().await });
         stop.await;
@@ -162,6 +179,8 @@
             let table = store.table(target.service);
             target.apply(table.and_then(|table| table.row_on(target.host)), leaves);
         });
+        // Peers learn of a drain or a new limit now, not when chance picks them.
+        load_exchange::introduce(self);
     }
 
     fn own_rows(&self) -> Vec<(Table, Row)> {
@@ -211,17 +230,17 @@
             buffer.clear();
             let BufResult(result, received) = self.socket.recv_from(buffer).await;
             buffer = received;
-            if result.is_err() {
+            let Ok((_, sender)) = result else {
                 continue;
-            }
+            };
             self.control.metrics.packets_in.inc();
-            if let Err(error) = self.take_envelope(&buffer).await {
+            if let Err(error) = self.take_envelope(&buffer, sender).await {
                 self.control.metrics.packets_dropped.inc(error.code);
             }
         }
     }
 
-    async fn take_envelope(self: &Rc<Self>, datagram: &[u8]) -> Result<()> {
+    async fn take_envelope(self: &Rc<Self>, datagram: &[u8], sender: SocketAddr) -> Result<()> {
         let (envelope, packet) = self.key.open(datagram)?;
         let now_ms = self.control.now_ms();
         match envelope.kind {
@@ -235,7 +254,7 @@
                     "an answer sent to an agent",
                 ));
             }
-            EnvelopeKind::Inbound | EnvelopeKind::Deflected => {}
+            EnvelopeKind::Inbound | EnvelopeKind::Deflected | EnvelopeKind::Returned => {}
         }
         self.return_path
             .borrow_mut()
@@ -248,7 +267,15 @@
         match self.token(&view, envelope.service) {
             Some(token) if self.is_own(&token) => self.deliver(&target, &envelope, packet).await,
             Some(_) => self.reset(&envelope, &view, packet.len()).await,
-            None if view.may_open => self.take_opener(&target, &envelope, &view, packet).await,
+            None if view.may_open => {
+                let arrived = ArrivedOpener {
+                    envelope: &envelope,
+                    hash: view.opener_hash(),
+                    packet,
+                    sender,
+                };
+                self.take_opener(&target, &arrived).await
+            }
             None => Err(Error::new(Code::PacketUnroutable, "no token")),
         }
     }
@@ -272,24 +299,33 @@
     async fn take_opener(
         self: &Rc<Self>,
         target: &Rc<Target>,
-        envelope: &Envelope,
-        view: &PacketView<'_>,
-        packet: &[u8],
+        arrived: &ArrivedOpener<'_>,
     ) -> Result<()> {
         self.control.metrics.openers.inc();
         let opener = Opener {
-            hash: view.opener_hash(),
-            deflected: envelope.kind == EnvelopeKind::Deflected,
+            hash: arrived.hash,
+            handed: arrived.handed(),
             health_permille: target.health.borrow().share_permille(),
         };
+        if let (Handed::Returned, IpAddr::V4(peer)) = (opener.handed, arrived.sender.ip()) {
+            target.board.borrow_mut().returned_flow(peer);
+        }
         match self.decide(target, &opener) {
             Decision::Deflect(host) => {
                 self.control.metrics.flows_deflected.inc();
-                self.hand_on(envelope, packet, host).await;
+                self.hand_on(arrived, EnvelopeKind::Deflected, host).await;
+                Ok(())
+            }
+            Decision::Return => {
+                if let IpAddr::V4(owner) = arrived.sender.ip() {
+                    self.hand_on(arrived, EnvelopeKind::Returned, owner).await;
+                }
                 Ok(())
             }
             // The endpoint answers a refused opener too, with a refusal that QUIC defines.
-            Decision::Accept | Decision::Refuse(_) => self.deliver(target, envelope, packet).await,
+            Decision::Accept | Decision::Refuse(_) => {
+                self.deliver(target, arrived.envelope, arrived.packet).await
+            }
         }
     }
 
@@ -304,12 +340,12 @@
         admission.decide(opener, table, &mut board, now_ms, &mut rand::rng())
     }
 
-    async fn hand_on(&self, envelope: &Envelope, packet: &[u8], host: Ipv4Addr) {
-        let deflected = Envelope {
-            kind: EnvelopeKind::Deflected,
-            ..*envelope
+    async fn hand_on(&self, arrived: &ArrivedOpener<'_>, kind: EnvelopeKind, host: Ipv4Addr) {
+        let envelope = Envelope {
+            kind,
+            ..*arrived.envelope
         };
-        self.send(packet.to_vec(), &deflected, host).await;
+        self.send(arrived.packet.to_vec(), &envelope, host).await;
     }
 
     async fn deliver(
@@ -440,8 +476,9 @@
         self.flows.borrow_mut().retain(|flow| !idle(flow));
     }
 
-    async fn drain(&self) {
+    async fn drain(self: &Rc<Self>) {
         self.for_each_target(|target| target.set_draining(true));
+        load_exchange::introduce(self);
         let limit_ms = self.control.now_ms() + self.control.settings.drain_limit_s * 1_000;
         while self.open_flows() > 0 && self.control.now_ms() < limit_ms {
             compio::time::sleep(DRAIN_POLL).await;
--- a/src/envelope.rs
+++ b/src/envelope.rs
@@ -29,10 +29,12 @@
     Inbound = 1,
     /// From an agent to a caller.
     Outbound = 2,
-    /// An opener that its owner has handed to another agent, which may not hand it on again.
+    /// An opener that its owner has handed to another agent, which may only take or return it.
     Deflected = 3,
     /// The sending balancer stops soon: no more answers through it.
     Leaving = 4,
+    /// A deflected opener that goes back to its owner.
+    Returned = 5,
 }
 
 /// What travels with a datagram between a balancer and an agent.
@@ -122,6 +124,7 @@
         2 => EnvelopeKind::Outbound,
         3 => EnvelopeKind::Deflected,
         4 => EnvelopeKind::Leaving,
+        5 => EnvelopeKind::Returned,
         _ => return None,
     };
     if fields[35] != VERSION {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -86,7 +86,7 @@
 mod token_source;
 mod udp;
 
-pub use crate::admission::{Admission, Decision, Opener, RAMP_MS};
+pub use crate::admission::{Admission, Decision, Handed, Opener, RAMP_MS};
 pub use crate::code::Code;
 pub use crate::config_store::{
     Acceptance, ConfigStore, Digest, HOSTS_NAME, KEYS_NAME, TABLE_PREFIX, ValueUpdate,
--- a/src/load_board.rs
+++ b/src/load_board.rs
@@ -74,6 +74,13 @@
         }
     }
 
+    /// Notes that a peer returned an opener: it takes none until it reports anew.
+    pub fn returned_flow(&mut self, host: Ipv4Addr) {
+        if let Ok(index) = self.position(host) {
+            self.entries[index].report.share_permille = 0;
+        }
+    }
+
     /// Returns the peer's report with the flows sent since, if it is fresh.
     pub fn fresh(&self, host: Ipv4Addr, now_ms: u64) -> Option<LoadReport> {
         let index = self.position(host).ok()?;
