Let a starting process ask the peers that link to it

Cause: a balancer killed and started again while the configuration service was silent never served: it had no host list and so no peer to ask, though its peers held the newest configuration. Ruled out: seeds in the settings (they name hosts, and all hosts are replaced in time).

Change: control links come from the process's own host address; a process whose host list is empty asks the hosts that have linked to it and proved the cluster key. An inbound link also ends a suspicion. A starting process tries again at least each half second.

Conclusion: peers are the source while the platform is silent, also for a process that keeps nothing. A site that starts as a whole while the platform is silent still waits for it.

--- /dev/null
+++ b/lab/tests/platform_failures.rs
@@ -0,0 +1,93 @@
+//! The configuration service is silent, stale or rolled back, and operators race.
+
+mod common;
+
+use common::{assert_unnoticed, load, run, site, sleep_ms};
+use endivedyke_lab::{CallerProcess, Site};
+
+async fn revisions(site: &Site) -> Vec<u64> {
+    let mut held = Vec::new();
+    for host in site.daemon_hosts() {
+        held.push(
+            site.metric(host, "config_revision")
+                .await
+                .expect("a metric") as u64,
+        );
+    }
+    held
+}
+
+#[test]
+fn nothing_goes_back_and_restarts_find_the_newest_while_the_platform_fails() {
+    run(async {
+        let mut site = site(2).await;
+        let newest = site.set_weights(0, &[300, 100]).await.expect("published");
+        site.wait_revision(&site.daemon_hosts(), newest)
+            .await
+            .expect("in force");
+        for mode in ["silent", "rolled-back", "silent"] {
+            site.platform_order("POST", &format!("mode/{mode}"), "")
+                .await
+                .expect("obeys");
+            let callers = CallerProcess::start(&site, 0, &load(5, 5, 4)).expect("callers");
+            site.balancer(0).expect("runs").kill().expect("dies");
+            site.start_balancer(0).expect("starts");
+            let all = site.daemon_hosts();
+            site.wait_revision(&all, newest)
+                .await
+                .expect("the newest, from its peers");
+            let tally = callers.finish(&site).await.expect("ends");
+            assert_unnoticed(&tally);
+            assert_eq!(revisions(&site).await, vec![newest; 5], "while {mode}");
+        }
+        site.platform_order("POST", "mode/normal", "")
+            .await
+            .expect("obeys");
+        let next = site.set_weights(0, &[100, 100]).await.expect("published");
+        site.wait_revision(&site.daemon_hosts(), next)
+            .await
+            .expect("edits come through again");
+    });
+}
+
+#[test]
+fn racing_edits_end_the_same_everywhere_and_a_bad_one_changes_nothing() {
+    run(async {
+        let site = site(2).await;
+        let bad = site
+            .table_text(0, &[100, 100])
+            .replace(",7,2000", ",0,2000");
+        site.set_weights(0, &[200, 100]).await.expect("published");
+        site.publish("table/queue-desk", &bad)
+            .await
+            .expect("published");
+        let last = site.set_weights(0, &[100, 400]).await.expect("published");
+        site.wait_revision(&site.daemon_hosts(), last)
+            .await
+            .expect("in force");
+        site.publish("table/queue-desk", &bad)
+            .await
+            .expect("published");
+        let rejected = async |site: &Site| {
+            let mut rejected = 0.0;
+            for host in site.daemon_hosts() {
+                rejected += site
+                    .metric(host, "values_rejected_total")
+                    .await
+                    .unwrap_or(0.0);
+            }
+            rejected > 0.0
+        };
+        site.until("the rejection", rejected)
+            .await
+            .expect("counted");
+        sleep_ms(1_500).await;
+        assert_eq!(
+            revisions(&site).await,
+            vec![last; 5],
+            "the one in force stays"
+        );
+        let callers = CallerProcess::start(&site, 0, &load(5, 5, 1)).expect("callers");
+        assert_unnoticed(&callers.finish(&site).await.expect("ends"));
+    });
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -15,6 +15,9 @@
 use crate::suspicion::Suspicion;
 use crate::timers::Timers;
 
+/// How many hosts that made links to this process are remembered.
+const MAX_LINKING_HOSTS: usize = 64;
+
 type ChangeAction = Rc<dyn Fn(&str)>;
 
 /// The parts of a process on which its controllers and filters build.
@@ -28,6 +31,7 @@
     pub(crate) store: RefCell<ConfigStore>,
     pub(crate) suspicion: RefCell<Suspicion>,
     pub(crate) platform_answers: Cell<bool>,
+    linking: RefCell<Vec<Ipv4Addr>>,
     on_change: RefCell<Vec<ChangeAction>>,
 }
 
@@ -39,10 +43,16 @@
             clock,
             incarnation: clock::incarnation(),
             timers: Timers::new(clock),
-            peers: Peers::new(&settings.cluster_key, settings.control_port, &metrics),
+            peers: Peers::new(
+                settings.host,
+                &settings.cluster_key,
+                settings.control_port,
+                &metrics,
+            ),
             store: RefCell::new(ConfigStore::new(&settings.cluster_key)),
             suspicion: RefCell::default(),
             platform_answers: Cell::new(false),
+            linking: RefCell::default(),
             on_change: RefCell::default(),
             metrics,
             settings,
@@ -72,6 +82,25 @@
         result
     }
 
+    /// Notes that the process on `host` made a control link to this one and proved itself.
+    ///
+    /// A process that starts while the platform is silent has no host list; those that link to it
+    /// are then the peers that it can ask.
+    pub(crate) fn linked_by(&self, host: Ipv4Addr) {
+        self.suspicion.borrow_mut().answered(host);
+        let mut linking = self.linking.borrow_mut();
+        if linking.len() < MAX_LINKING_HOSTS
+            && let Err(index) = linking.binary_search(&host)
+        {
+            linking.insert(index, host);
+        }
+    }
+
+    /// Returns the hosts that made control links to this process.
+    pub(crate) fn linking_hosts(&self) -> Vec<Ipv4Addr> {
+        self.linking.borrow().clone()
+    }
+
     fn note(&self, name: &str, revision: u64, result: &Result<Acceptance>) {
         match result {
             Ok(Acceptance::Old) => {}
--- a/src/link.rs
+++ b/src/link.rs
@@ -7,7 +7,7 @@
 use capnp::message::ReaderOptions;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
-use compio::net::TcpStream;
+use compio::net::{TcpSocket, TcpStream};
 use compio::runtime::JoinHandle;
 use futures_util::AsyncReadExt;
 
@@ -31,14 +31,15 @@
 }
 
 impl Link {
-    /// Connects to the peer at `address`.
+    /// Connects from the process's own host, by which the peer knows it, to the peer at `address`.
     pub(crate) async fn connect(
+        own: Ipv4Addr,
         address: SocketAddr,
         cluster: &ClusterKey,
         metrics: &Rc<Metrics>,
     ) -> Result<Link> {
         let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
-        let connected = compio::time::timeout(timeout, TcpStream::connect(address)).await;
+        let connected = compio::time::timeout(timeout, connect_from(own, address)).await;
         let closed = |what: String| Error::new(Code::LinkClosed, format!("{address}: {what}"));
         let stream = connected.map_err(|_| closed("timed out".to_owned()))?;
         let mut stream = stream.map_err(|error| closed(error.to_string()))?;
@@ -58,20 +59,20 @@
     }
 }
 
-/// Serves one accepted connection until it closes.
-pub(crate) async fn serve(
-    mut stream: TcpStream,
-    cluster: &ClusterKey,
-    metrics: &Rc<Metrics>,
-    client: node::Client,
-) -> Result<()> {
-    stream.set_nodelay(true)?;
-    link_auth::authenticate(&mut stream, cluster, LinkSide::Server).await?;
-    let network = network(stream, Side::Server, metrics);
-    let system = RpcSystem::new(Box::new(network), Some(client.client));
-    system
-        .await
-        .map_err(|error| Error::new(Code::LinkClosed, error.to_string()))
+async fn connect_from(own: Ipv4Addr, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4().await?;
+    socket.bind(SocketAddr::from((own, 0))).await?;
+    socket.connect(address).await
+}
+
+/// Serves one connection whose peer has proved itself, until it closes.
+pub(crate) async fn serve(stream: TcpStream, metrics: &Rc<Metrics>, client: node::Client) {
+    let system = RpcSystem::new(
+        Box::new(network(stream, Side::Server, metrics)),
+        Some(client.client),
+    );
+    // A link that breaks is its peer's to make again.
+    let _ = system.await;
 }
 
 fn network(
--- a/src/node_server.rs
+++ b/src/node_server.rs
@@ -1,9 +1,9 @@
 //! The server side of the control protocol.
 
-use std::net::Ipv4Addr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 
-use compio::net::TcpListener;
+use compio::net::{TcpListener, TcpStream};
 use futures_util::future::LocalBoxFuture;
 use serde_json::Value;
 
@@ -12,6 +12,7 @@
 use crate::control::Control;
 use crate::error::Result;
 use crate::link;
+use crate::link_auth::{self, LinkSide};
 use crate::load_board::LoadReport;
 use crate::node_capnp::node;
 use crate::node_codec::{self, to_capnp};
@@ -62,19 +63,34 @@
         let control = control.clone();
         let open = open.clone();
         compio::runtime::spawn(async move {
-            let client: node::Client = capnp_rpc::new_client(server);
-            let cluster = &control.settings.cluster_key;
-            let result = link::serve(stream, cluster, &control.metrics, client).await;
-            if let Err(error) = result {
-                refused(&control, peer, &error);
-            }
+            serve_link(stream, peer, &control, server).await;
             drop(open);
         })
         .detach();
     }
 }
 
-fn refused(control: &Control, peer: std::net::SocketAddr, error: &crate::error::Error) {
+async fn serve_link(
+    mut stream: TcpStream,
+    peer: SocketAddr,
+    control: &Rc<Control>,
+    server: NodeServer,
+) {
+    // Without it calls would only be slower.
+    let _ = stream.set_nodelay(true);
+    let cluster = &control.settings.cluster_key;
+    if let Err(error) = link_auth::authenticate(&mut stream, cluster, LinkSide::Server).await {
+        refused(control, peer, &error);
+        return;
+    }
+    if let IpAddr::V4(host) = peer.ip() {
+        control.linked_by(host);
+    }
+    let client: node::Client = capnp_rpc::new_client(server);
+    link::serve(stream, &control.metrics, client).await;
+}
+
+fn refused(control: &Control, peer: SocketAddr, error: &crate::error::Error) {
     control.metrics.links_refused.inc(error.code);
     if error.code == Code::LinkRefused {
         log::warn!("event=link_refused peer={peer} error={error}");
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -209,7 +209,12 @@
 
 fn peers_of(settings: &Settings) -> Peers {
     let metrics = Rc::new(Metrics::default());
-    Peers::new(&settings.cluster_key, settings.control_port, &metrics)
+    Peers::new(
+        Ipv4Addr::UNSPECIFIED,
+        &settings.cluster_key,
+        settings.control_port,
+        &metrics,
+    )
 }
 
 fn state_command(options: &StateOptions) -> Result<String> {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -36,6 +36,7 @@
 
 /// The links of a process, made when first used and dropped when a call fails.
 pub(crate) struct Peers {
+    own: Ipv4Addr,
     cluster: ClusterKey,
     control_port: u16,
     metrics: Rc<Metrics>,
@@ -43,8 +44,15 @@
 }
 
 impl Peers {
-    pub(crate) fn new(cluster: &ClusterKey, control_port: u16, metrics: &Rc<Metrics>) -> Self {
+    /// Makes the links of the process on host `own`; an operator's client names no host.
+    pub(crate) fn new(
+        own: Ipv4Addr,
+        cluster: &ClusterKey,
+        control_port: u16,
+        metrics: &Rc<Metrics>,
+    ) -> Self {
         Self {
+            own,
             cluster: cluster.clone(),
             control_port,
             metrics: metrics.clone(),
@@ -233,7 +241,7 @@
             return Ok(link);
         }
         let address = link::control_address(host, self.control_port);
-        let link = Link::connect(address, &self.cluster, &self.metrics).await;
+        let link = Link::connect(self.own, address, &self.cluster, &self.metrics).await;
         let link = Rc::new(link.inspect_err(|error| self.metrics.links_refused.inc(error.code))?);
         if let Some(link) = self.cached(host) {
             return Ok(link);
--- a/src/platform_reader.rs
+++ b/src/platform_reader.rs
@@ -19,6 +19,8 @@
 /// The shortest wait after a failed call, in milliseconds; it doubles up to [`MAX_BACKOFF_MS`].
 const MIN_BACKOFF_MS: u64 = 250;
 const MAX_BACKOFF_MS: u64 = 4_000;
+/// The longest wait of a starting process, which peers may reach in the meantime.
+const MAX_START_BACKOFF_MS: u64 = 500;
 /// How long without any peer before a process reads for itself, in milliseconds.
 const ALONE_MS: u64 = 5_000;
 
@@ -73,7 +75,7 @@
         }
         log::warn!("event=waiting_for_configuration retry_ms={backoff_ms}");
         compio::time::sleep(Duration::from_millis(backoff_ms)).await;
-        backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
+        backoff_ms = (backoff_ms * 2).min(MAX_START_BACKOFF_MS);
     }
 }
 
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -31,8 +31,10 @@
     if !links.is_empty() {
         return links;
     }
-    let seeds = control.settings.seeds.iter();
-    seeds.copied().filter(|seed| *seed != me).collect()
+    let mut known = control.settings.seeds.clone();
+    known.extend(control.linking_hosts());
+    known.retain(|host| *host != me && trusted(*host));
+    known
 }
 
 /// Tells the value in force to all peers, each as a change against the revision it had.
