Add the load tool with its report and plots

It runs a deployment at today's size with real processes, samples each second processor time, memory, control traffic, open flows and busy time, and writes figures, plots and rows.

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -9,7 +9,10 @@
 use gumdrop::Options;
 
 use crate::backend_server::{self, BackendOptions};
+use crate::caller_process::CallerLoad;
 use crate::callers::{self, CallersPlan};
+use crate::load::{self, LoadPlan};
+use crate::load_report;
 use crate::quickstart::run_quickstart;
 use crate::{config_service, fabric, imbalance};
 
@@ -29,6 +32,8 @@
     Quickstart(NoOptions),
     #[options(help = "experiment imbalance: the decision core under changes, by policy")]
     Experiment(ExperimentOptions),
+    #[options(help = "load a site of today's size and report what it does and costs")]
+    Load(LoadOptions),
     #[options(help = "stand in for the fabric")]
     Fabric(FabricOptions),
     #[options(help = "stand in for the platform's configuration service")]
@@ -55,6 +60,40 @@
     name: Vec<String>,
 }
 
+#[derive(Debug, Options)]
+struct LoadOptions {
+    #[options(help = "print this help and exit")]
+    help: bool,
+    #[options(no_short, help = "panelwerk or jadepeak", default = "panelwerk")]
+    deployment: String,
+    #[options(
+        no_short,
+        help = "feeds held by each process of callers",
+        default = "100"
+    )]
+    feeds: u64,
+    #[options(no_short, help = "clients of each process of callers", default = "50")]
+    clients: u64,
+    #[options(
+        no_short,
+        help = "the mean pause of a client, in milliseconds",
+        default = "100"
+    )]
+    think_ms: u64,
+    #[options(no_short, help = "for how long", default = "20")]
+    seconds: u64,
+    #[options(no_short, help = "processes of callers", default = "1")]
+    processes: usize,
+    #[options(
+        no_short,
+        help = "what happens at half time: none, restart-balancer, kill-balancer, drain-agent, kill-agent, edit-weights or silence-platform",
+        default = "none"
+    )]
+    event: String,
+    #[options(no_short, help = "the folder for the report", default = "out/load")]
+    out: PathBuf,
+}
+
 #[derive(Debug, Options)]
 struct AddressOptions {
     #[options(help = "print this help and exit")]
@@ -125,6 +164,7 @@
     let result = match options.command {
         Some(Command::Quickstart(_)) => quickstart(),
         Some(Command::Experiment(options)) => experiment(&options),
+        Some(Command::Load(options)) => run_load(&options),
         Some(Command::Fabric(options)) => run_fabric(&options),
         Some(Command::ConfigService(options)) => {
             given(options.address).and_then(|address| block_on(config_service::run(address)))
@@ -206,6 +246,24 @@
     }
 }
 
+fn run_load(options: &LoadOptions) -> Result<()> {
+    let plan = LoadPlan {
+        deployment: options.deployment.parse()?,
+        load: CallerLoad {
+            feeds: options.feeds,
+            clients: options.clients,
+            seconds: options.seconds,
+            think_ms: options.think_ms,
+        },
+        caller_processes: options.processes,
+        event: options.event.parse()?,
+    };
+    let report = block_on(load::run(&plan))?;
+    println!("{}", load_report::write(&report, &options.out)?);
+    println!("written to {}", options.out.display());
+    Ok(())
+}
+
 fn run_fabric(options: &FabricOptions) -> Result<()> {
     let services: Vec<SocketAddr> = list(&options.services)?;
     let balancers: Vec<IpAddr> = list(&options.balancers)?;
--- /dev/null
+++ b/lab/src/load.rs
@@ -0,0 +1,284 @@
+//! Load on a whole site of real processes, sampled each second.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use endivedyke::{Code, Error, Result};
+use serde::Serialize;
+
+use crate::caller_process::{CallerLoad, CallerProcess};
+use crate::proc_stat;
+use crate::site::{Site, SiteBuilder};
+use crate::tally::Tally;
+
+const SAMPLE_PERIOD: Duration = Duration::from_secs(1);
+
+/// What to run.
+#[derive(Debug, Clone)]
+pub(crate) struct LoadPlan {
+    pub(crate) deployment: Deployment,
+    pub(crate) load: CallerLoad,
+    pub(crate) caller_processes: usize,
+    pub(crate) event: LoadEvent,
+}
+
+/// One of the users' deployments at today's sizes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Deployment {
+    Panelwerk,
+    Jadepeak,
+}
+
+/// What happens in the middle of the run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LoadEvent {
+    None,
+    RestartBalancer,
+    KillBalancer,
+    DrainAgent,
+    KillAgent,
+    EditWeights,
+    SilencePlatform,
+}
+
+impl std::str::FromStr for Deployment {
+    type Err = Error;
+
+    fn from_str(name: &str) -> Result<Self> {
+        match name {
+            "panelwerk" => Ok(Deployment::Panelwerk),
+            "jadepeak" => Ok(Deployment::Jadepeak),
+            _ => Err(Error::new(Code::Usage, "panelwerk or jadepeak")),
+        }
+    }
+}
+
+impl std::str::FromStr for LoadEvent {
+    type Err = Error;
+
+    fn from_str(name: &str) -> Result<Self> {
+        match name {
+            "none" => Ok(LoadEvent::None),
+            "restart-balancer" => Ok(LoadEvent::RestartBalancer),
+            "kill-balancer" => Ok(LoadEvent::KillBalancer),
+            "drain-agent" => Ok(LoadEvent::DrainAgent),
+            "kill-agent" => Ok(LoadEvent::KillAgent),
+            "edit-weights" => Ok(LoadEvent::EditWeights),
+            "silence-platform" => Ok(LoadEvent::SilencePlatform),
+            _ => Err(Error::new(
+                Code::Usage,
+                "none, restart-balancer, kill-balancer, drain-agent, kill-agent, edit-weights or \
+                 silence-platform",
+            )),
+        }
+    }
+}
+
+impl Deployment {
+    fn builder(self) -> SiteBuilder {
+        match self {
+            Deployment::Panelwerk => SiteBuilder::new(3)
+                .service("panel-front", 7, 4, 10)
+                .service("study-intake", 3, 4, 10),
+            Deployment::Jadepeak => SiteBuilder::new(3).service("queue-desk", 7, 7, 10).service(
+                "scene-intake",
+                3,
+                7,
+                10,
+            ),
+        }
+    }
+}
+
+/// What one process used in one second.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct ProcessSample {
+    pub(crate) second: u64,
+    pub(crate) process: String,
+    pub(crate) cpu_ms: u64,
+    pub(crate) memory_bytes: u64,
+    pub(crate) control_bytes: u64,
+    pub(crate) control_calls: u64,
+}
+
+/// What one target had at one second.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct TargetSample {
+    pub(crate) second: u64,
+    pub(crate) target: usize,
+    pub(crate) open_flows: u64,
+    pub(crate) busy_ms: u64,
+}
+
+/// All that a run showed.
+#[derive(Debug, Default, Serialize)]
+pub(crate) struct LoadReport {
+    pub(crate) seconds: u64,
+    pub(crate) tally: Tally,
+    pub(crate) processes: Vec<ProcessSample>,
+    pub(crate) targets: Vec<TargetSample>,
+    pub(crate) platform_calls: u64,
+}
+
+/// Runs the plan on the first service of the deployment.
+pub(crate) async fn run(plan: &LoadPlan) -> Result<LoadReport> {
+    let mut site = plan.deployment.builder().start().await?;
+    compio::time::sleep(Duration::from_millis(1_500)).await;
+    let calls_before = platform_calls(&site).await?;
+    let start = |_| CallerProcess::start(&site, 0, &plan.load);
+    let callers = (0..plan.caller_processes)
+        .map(start)
+        .collect::<Result<Vec<_>>>()?;
+    let mut report = LoadReport {
+        seconds: plan.load.seconds,
+        ..LoadReport::default()
+    };
+    let mut before = snapshot(&site).await;
+    for second in 0..plan.load.seconds {
+        if second == plan.load.seconds / 2 {
+            cause(&mut site, plan.event).await?;
+        }
+        compio::time::sleep(SAMPLE_PERIOD).await;
+        let now = snapshot(&site).await;
+        add_samples(&mut report, second, &before, &now);
+        before = now;
+    }
+    let mut tallies = Vec::new();
+    for callers in callers {
+        tallies.push(callers.finish(&site).await?);
+    }
+    add_tallies(&mut report, &tallies);
+    site.platform_order("POST", "mode/normal", "").await?;
+    report.platform_calls = platform_calls(&site).await? - calls_before;
+    Ok(report)
+}
+
+/// Adds the counts up; each process has compared its claims with the whole journal, so a doubled
+/// claim shows in all of them.
+fn add_tallies(report: &mut LoadReport, tallies: &[Tally]) {
+    let doubled = tallies.iter().map(|tally| tally.doubled).max().unwrap_or(0);
+    for tally in tallies {
+        report.tally.add(tally);
+    }
+    report.tally.doubled = doubled;
+}
+
+async fn platform_calls(site: &Site) -> Result<u64> {
+    let calls = site.platform_order("GET", "calls", "").await?;
+    Ok(calls.trim().parse().unwrap_or(0))
+}
+
+async fn cause(site: &mut Site, event: LoadEvent) -> Result<()> {
+    match event {
+        LoadEvent::None => {}
+        LoadEvent::RestartBalancer => {
+            if let Some(balancer) = site.balancer(0) {
+                balancer.terminate()?;
+                balancer.wait(Duration::from_secs(10)).await?;
+            }
+            site.start_balancer(0)?;
+        }
+        LoadEvent::KillBalancer => {
+            if let Some(balancer) = site.balancer(0) {
+                balancer.kill()?;
+            }
+        }
+        LoadEvent::DrainAgent => {
+            if let Some(agent) = site.agent(0) {
+                agent.terminate()?;
+            }
+        }
+        LoadEvent::KillAgent => {
+            if let Some(agent) = site.agent(0) {
+                agent.kill()?;
+            }
+        }
+        LoadEvent::EditWeights => {
+            let mut weights = vec![100; site.agent_count()];
+            weights[0] = 150;
+            site.set_weights(0, &weights).await?;
+        }
+        LoadEvent::SilencePlatform => {
+            site.platform_order("POST", "mode/silent", "").await?;
+        }
+    }
+    Ok(())
+}
+
+struct ProcessState {
+    name: String,
+    cpu_ms: u64,
+    memory_bytes: u64,
+    control_bytes: u64,
+    control_calls: u64,
+}
+
+struct Snapshot {
+    processes: Vec<ProcessState>,
+    targets: Vec<(u64, u64)>,
+}
+
+/// Reads all processes; one that is gone counts as zero.
+async fn snapshot(site: &Site) -> Snapshot {
+    let mut processes = Vec::new();
+    for (name, id, host) in site.processes() {
+        let usage = proc_stat::usage(id).unwrap_or_default();
+        let (control_bytes, control_calls) = control(site, host).await;
+        processes.push(ProcessState {
+            name,
+            cpu_ms: usage.cpu_ms,
+            memory_bytes: usage.memory_bytes,
+            control_bytes,
+            control_calls,
+        });
+    }
+    let mut targets = Vec::new();
+    for index in 0..site.agent_count() {
+        let flows = site
+            .metric(site.agent_host(index), "flows_open")
+            .await
+            .unwrap_or(0.0);
+        targets.push((flows as u64, busy_ms(site, index).await));
+    }
+    Snapshot { processes, targets }
+}
+
+async fn control(site: &Site, host: Option<Ipv4Addr>) -> (u64, u64) {
+    let Some(host) = host else {
+        return (0, 0);
+    };
+    let metric = async |name: &str| site.metric(host, name).await.unwrap_or(0.0) as u64;
+    let sent = metric("control_bytes_sent_total").await;
+    let received = metric("control_bytes_received_total").await;
+    (sent + received, metric("control_calls_total").await)
+}
+
+async fn busy_ms(site: &Site, host: usize) -> u64 {
+    let counts = site
+        .backend_order(0, host, "counts")
+        .await
+        .unwrap_or_default();
+    let counts: serde_json::Value = serde_json::from_str(&counts).unwrap_or_default();
+    counts["busy_ms"].as_u64().unwrap_or(0)
+}
+
+fn add_samples(report: &mut LoadReport, second: u64, before: &Snapshot, now: &Snapshot) {
+    for (old, new) in before.processes.iter().zip(&now.processes) {
+        report.processes.push(ProcessSample {
+            second,
+            process: new.name.clone(),
+            cpu_ms: new.cpu_ms.saturating_sub(old.cpu_ms),
+            memory_bytes: new.memory_bytes,
+            control_bytes: new.control_bytes.saturating_sub(old.control_bytes),
+            control_calls: new.control_calls.saturating_sub(old.control_calls),
+        });
+    }
+    for (target, (old, new)) in before.targets.iter().zip(&now.targets).enumerate() {
+        report.targets.push(TargetSample {
+            second,
+            target,
+            open_flows: new.0,
+            busy_ms: new.1.saturating_sub(old.1),
+        });
+    }
+}
--- a/lab/src/site.rs
+++ b/lab/src/site.rs
@@ -323,6 +323,29 @@
         self.agents[index].as_mut()
     }
 
+    /// Returns each process's name, id and, for a daemon, its host.
+    pub fn processes(&self) -> Vec<(String, u32, Option<Ipv4Addr>)> {
+        let mut all = Vec::new();
+        for (index, process) in self.balancers.iter().enumerate() {
+            let id = process.as_ref().map_or(0, Process::id);
+            all.push((
+                format!("balancer-{index}"),
+                id,
+                Some(self.balancer_host(index)),
+            ));
+        }
+        for (index, process) in self.agents.iter().enumerate() {
+            let id = process.as_ref().map_or(0, Process::id);
+            all.push((format!("agent-{index}"), id, Some(self.agent_host(index))));
+        }
+        let stand_ins = [("fabric", &self.fabric), ("config-service", &self.platform)];
+        for (name, process) in stand_ins {
+            let id = process.as_ref().map_or(0, Process::id);
+            all.push((name.to_owned(), id, None));
+        }
+        all
+    }
+
     /// Returns the host list as the platform publishes it.
     pub fn hosts_text(&self, leaving: &[Ipv4Addr]) -> String {
         let zone = |index: usize| &self.spec.zones[index % self.spec.zones.len()];
