Damp corrections by the age of reports, one exchange a second

Cause: an agent exchanged load once a second for each of its targets; with the dozen targets of the target size that alone would be about 12 KB/s, four times the budget. Exchanging less often made agents correct the same excess several times over. Ruled out: sending fewer reports in an exchange (the calls cost as much as the reports), and letting reports expire sooner (peers are then unknown).

Change: the targets take turns, one exchange a second in all. Openers expected until reports are new (own rate times mean age of reports) share one correction. Reports count for 60 s instead of 10 s. An opener still repeated 600 ms after its deflection comes back to its owner, so that an old report about a dead peer costs one repeat.

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -56,6 +56,12 @@
     help: bool,
     #[options(no_short, help = "the seed of the random source", default = "1")]
     seed: u64,
+    #[options(no_short, help = "how often agents exchange load", default = "1000")]
+    exchange_ms: u64,
+    #[options(no_short, help = "a number of targets, in place of today's sizes")]
+    targets: Option<usize>,
+    #[options(no_short, help = "the mean time a flow stays open", default = "600")]
+    lifetime_s: u64,
     #[options(free)]
     name: Vec<String>,
 }
@@ -219,17 +225,21 @@
 fn experiment(options: &ExperimentOptions) -> Result<()> {
     let names: Vec<&str> = options.name.iter().map(String::as_str).collect();
     match names.as_slice() {
-        ["imbalance"] => print_imbalance(options.seed),
+        ["imbalance"] => print_imbalance(options),
         _ => return Err(Error::new(Code::Usage, "experiment imbalance")),
     }
     Ok(())
 }
 
-fn print_imbalance(seed: u64) {
+fn print_imbalance(options: &ExperimentOptions) {
+    let sizes = match options.targets {
+        Some(targets) => vec![(targets, options.lifetime_s)],
+        None => vec![(7, 60), (3, 60), (7, 600), (3, 600)],
+    };
     println!("| targets | lifetime | case | policy | mean | worst | end | bound at the end |");
     println!("|---|---|---|---|---|---|---|---|");
-    for (targets, lifetime_s) in [(7, 60), (3, 60), (7, 600), (3, 600)] {
-        for row in imbalance::run(targets, lifetime_s, seed) {
+    for (targets, lifetime_s) in sizes {
+        for row in imbalance::run(targets, lifetime_s, options.exchange_ms, options.seed) {
             let percent = |part: f64| format!("{:.2} %", part * 100.0);
             println!(
                 "| {} | {} s | {} | {:?} | {} | {} | {} | {} |",
--- a/lab/src/imbalance.rs
+++ b/lab/src/imbalance.rs
@@ -55,7 +55,7 @@
 ];
 
 /// Runs every case for a service with this many targets.
-pub fn run(targets: usize, lifetime_s: u64, seed: u64) -> Vec<ImbalanceRow> {
+pub fn run(targets: usize, lifetime_s: u64, exchange_ms: u64, seed: u64) -> Vec<ImbalanceRow> {
     let policies = [Policy::Hash, Policy::TwoChoices, Policy::Deflect];
     let cases = CASES
         .iter()
@@ -65,6 +65,7 @@
             let load = ModelLoad {
                 flows_per_target: FLOWS_PER_TARGET,
                 lifetime_ms: lifetime_s as f64 * 1_000.0,
+                exchange_ms,
             };
             let mut model = ServiceModel::new(policy, &vec![100; targets], load, seed);
             model.fill(FLOWS_PER_TARGET as u64 * targets as u64);
--- a/lab/src/service_model.rs
+++ b/lab/src/service_model.rs
@@ -16,8 +16,6 @@
 
 /// The length of a step, in milliseconds.
 const STEP_MS: u64 = 50;
-/// How often an agent exchanges reports with one random peer, in milliseconds.
-const EXCHANGE_MS: u64 = 1_000;
 
 /// How an opener finds its target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,6 +35,8 @@
     pub flows_per_target: f64,
     /// The mean time that a flow stays open, in milliseconds.
     pub lifetime_ms: f64,
+    /// How often an agent exchanges reports with one random peer, in milliseconds.
+    pub exchange_ms: u64,
 }
 
 struct ModelAgent {
@@ -84,7 +84,7 @@
             admission: Admission::warm(host(index)),
             board: LoadBoard::default(),
             sequence: 0,
-            next_exchange_ms: random.random_range(0..EXCHANGE_MS),
+            next_exchange_ms: random.random_range(0..load.exchange_ms),
             alive: true,
         };
         Self {
@@ -217,7 +217,7 @@
         }
         for index in 0..self.agents.len() {
             if self.agents[index].alive && self.agents[index].next_exchange_ms <= self.now_ms {
-                self.agents[index].next_exchange_ms = self.now_ms + EXCHANGE_MS;
+                self.agents[index].next_exchange_ms = self.now_ms + self.load.exchange_ms;
                 self.exchange(index);
             }
         }
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -11,10 +11,14 @@
 use crate::code::Code;
 use crate::load_board::{FULL_SHARE_PERMILLE, LoadBoard, LoadReport};
 use crate::placement;
+use crate::rate_meter::RateMeter;
 use crate::table::{Row, Table};
 
 /// How long a decision about an opener is remembered, in milliseconds: longer than a handshake.
 pub(crate) const DECISION_MS: u64 = 10_000;
+/// How long a peer may take to answer a deflected opener, in milliseconds: a caller that hears
+/// nothing repeats it after about a second (RFC 9002 section 6.2).
+const DEFLECTION_ANSWER_MS: u64 = 600;
 /// The greatest number of remembered decisions of a target.
 pub(crate) const MAX_DECISIONS: usize = 65_536;
 /// How long a target takes to reach its full share after a start, in milliseconds.
@@ -50,6 +54,7 @@
     draining: bool,
     started_ms: u64,
     remembered: Vec<Remembered>,
+    owned: RateMeter,
 }
 
 impl Admission {
@@ -61,6 +66,7 @@
             draining: false,
             started_ms: now_ms,
             remembered: Vec::new(),
+            owned: RateMeter::default(),
         }
     }
 
@@ -121,10 +127,19 @@
         now_ms: u64,
         random: &mut impl Rng,
     ) -> Decision {
+        let mut opener = *opener;
+        if let Some(host) = self.unanswered_deflection(&opener, now_ms) {
+            board.returned_flow(host);
+            opener.handed = Handed::Returned;
+        }
+        let opener = &opener;
         let recalled = self.recall(opener.hash, now_ms);
         if let Some(decision) = recalled.filter(|_| opener.handed != Handed::Returned) {
             return decision;
         }
+        if opener.handed == Handed::ByBalancer {
+            self.owned.count(now_ms);
+        }
         let decision = self.choose(opener, table, board, now_ms, random);
         if let Decision::Deflect(host) = decision {
             board.sent_flow(host);
@@ -140,6 +155,17 @@
         (remembered.expires_ms > now_ms).then_some(remembered.decision)
     }
 
+    /// Returns the peer to which this opener was handed so long ago that a caller which still
+    /// repeats it can't have had an answer from there.
+    fn unanswered_deflection(&self, opener: &Opener, now_ms: u64) -> Option<Ipv4Addr> {
+        let remembered = &self.remembered[self.position(opener.hash).ok()?];
+        let decided_ms = remembered.expires_ms.saturating_sub(DECISION_MS);
+        match remembered.decision {
+            Decision::Deflect(host) if now_ms > decided_ms + DEFLECTION_ANSWER_MS => Some(host),
+            _ => None,
+        }
+    }
+
     /// Drops decisions that are no longer needed.
     pub fn prune(&mut self, now_ms: u64) {
         self.remembered
@@ -194,7 +220,9 @@
             Standing::new(self.host, row, self.open_flows, share_permille)
         });
         match own.filter(|own| own.weight > 0.0) {
-            Some(own) if !peers.is_above_level(&own) => Decision::Accept,
+            Some(own) if !self.corrects(peers.excess(&own), board, now_ms, random) => {
+                Decision::Accept
+            }
             Some(own) => match peers.draw_below_level(&own, random) {
                 Some(host) => Decision::Deflect(host),
                 None => Decision::Accept,
@@ -209,6 +237,15 @@
         }
     }
 
+    /// Decides whether this opener should correct an excess of flows.
+    ///
+    /// While reports are old, every opener that arrives would see the same excess and correct it
+    /// again. So the openers expected until the next reports share the correction among them.
+    fn corrects(&self, excess: f64, board: &LoadBoard, now_ms: u64, random: &mut impl Rng) -> bool {
+        let expected = self.owned.per_ms() * board.refresh_ms(now_ms);
+        excess > 0.0 && random.random_range(0.0..1.0) * expected < excess
+    }
+
     /// Draws a peer of which nothing is known, as after a start: it decides itself.
     fn unknown_peer(
         &self,
@@ -300,8 +337,9 @@
         (flows + 1.0) / weight
     }
 
-    fn is_above_level(&self, own: &Standing) -> bool {
-        own.open_flows + 1.0 > self.level_with(own) * own.weight + 0.5
+    /// Returns by how many flows the target would stand above the level with one flow more.
+    fn excess(&self, own: &Standing) -> f64 {
+        own.open_flows + 1.0 - self.level_with(own) * own.weight - 0.5
     }
 
     /// Draws a peer below the level, each in proportion to the flows it lacks, so that agents which
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -1,6 +1,6 @@
 //! The agent: the final arbiter of flows and requests for the targets on its host.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::{Arc, RwLock};
@@ -64,6 +64,7 @@
     pub(crate) control: Rc<Control>,
     pub(crate) targets: RefCell<Vec<Rc<Target>>>,
     pub(crate) ring: SharedRing,
+    pub(crate) exchange_turn: Cell<usize>,
     key: EnvelopeKey,
     reset_key: ring::hmac::Key,
     server: ServerConfig,
@@ -82,6 +83,7 @@
         Ok(Rc::new(Self {
             targets: RefCell::default(),
             ring: Arc::new(RwLock::new(ring)),
+            exchange_turn: Cell::new(0),
             key: EnvelopeKey::new(&settings.cluster_key),
             reset_key: settings.cluster_key.reset_key(),
             server: quic_endpoint::server_config(settings)?,
@@ -122,7 +124,7 @@
         });
         let agent = self.clone();
         timers.every(load_exchange::PERIOD_MS, move || {
-            load_exchange::start(&agent)
+            load_exchange::start_next(&agent)
         });
         let agent = self.clone();
         timers.on_resume(move || {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -62,6 +62,7 @@
 mod platform;
 mod platform_reader;
 mod quic_endpoint;
+mod rate_meter;
 mod relay;
 mod repeatable;
 mod request;
--- a/src/load_board.rs
+++ b/src/load_board.rs
@@ -7,10 +7,10 @@
 /// The full share of a target, in thousandths.
 pub const FULL_SHARE_PERMILLE: u16 = 1_000;
 /// The age at which a report no longer counts, in milliseconds.
-pub const REPORT_MAX_AGE_MS: u64 = 10_000;
+pub const REPORT_MAX_AGE_MS: u64 = 60_000;
 /// How long a report that no longer counts is remembered, so that peers which pass it on late can't
 /// revive it, in milliseconds.
-pub(crate) const REPORT_FORGET_MS: u64 = 60_000;
+pub(crate) const REPORT_FORGET_MS: u64 = 300_000;
 
 /// What one agent counts itself for one target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -93,6 +93,17 @@
         Some(report)
     }
 
+    /// Returns about how long it takes until reports are new, in milliseconds: the mean
+    /// age of those that count now.
+    pub fn refresh_ms(&self, now_ms: u64) -> f64 {
+        let ages = self
+            .entries
+            .iter()
+            .map(|entry| now_ms.saturating_sub(entry.received_ms));
+        let fresh: Vec<u64> = ages.filter(|age_ms| *age_ms <= REPORT_MAX_AGE_MS).collect();
+        fresh.iter().sum::<u64>() as f64 / fresh.len().max(1) as f64
+    }
+
     /// Returns all fresh reports as received, to pass on.
     pub fn reports(&self, now_ms: u64) -> Vec<LoadReport> {
         let fresh = |entry: &&Entry| now_ms.saturating_sub(entry.received_ms) <= REPORT_MAX_AGE_MS;
--- a/src/load_exchange.rs
+++ b/src/load_exchange.rs
@@ -10,15 +10,21 @@
 use crate::service_id::ServiceId;
 use crate::target::Target;
 
-/// How often an agent exchanges load with one random peer of each service, in milliseconds.
+/// How often an agent exchanges load with one random peer of one target, in milliseconds.
 ///
-/// With a dozen agents a report reaches all of them in four or five rounds.
+/// The targets take turns, so that an agent's control traffic does not grow with their number;
+/// admission damps its corrections by the age of what it knows. See docs/CAPACITY.md.
 pub(crate) const PERIOD_MS: u64 = 1_000;
 
-/// Starts one exchange for each target.
-pub(crate) fn start(agent: &Rc<Agent>) {
-    let targets = agent.targets.borrow().clone();
-    for target in targets {
+/// Starts the exchange of the target whose turn it is.
+pub(crate) fn start_next(agent: &Rc<Agent>) {
+    let target = {
+        let targets = agent.targets.borrow();
+        let turn = agent.exchange_turn.get();
+        agent.exchange_turn.set(turn.wrapping_add(1));
+        targets.get(turn % targets.len().max(1)).cloned()
+    };
+    if let Some(target) = target {
         let agent = agent.clone();
         compio::runtime::spawn(async move { exchange_with_random(&agent, &target).await }).detach();
     }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::{host, report, table, table_text};
-use endivedyke::{Admission, Code, Decision, Handed, Health, LoadBoard, Opener, Table};
+use endivedyke::{
+    Admission, Code, Decision, Handed, Health, LoadBoard, Opener, REPORT_MAX_AGE_MS, Table,
+};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -31,6 +33,7 @@
 }
 
 const NOW_MS: u64 = 100_000;
+const LATE_MS: u64 = REPORT_MAX_AGE_MS + 1;
 
 fn decide(flows: u32, table: &Table, peers: &[u32], opener: &Opener) -> Decision {
     let mut random = StdRng::seed_from_u64(1);
@@ -159,6 +162,27 @@
     );
 }
 
+#[test]
+fn an_opener_that_its_peer_never_answers_comes_back_to_its_owner() {
+    let mut random = StdRng::seed_from_u64(1);
+    let table = table(&[100, 100]);
+    let mut admission = admission_with(200);
+    let mut board = board(&[100]);
+    let mut decide = |now_ms| admission.decide(&opener(7), &table, &mut board, now_ms, &mut random);
+    assert_eq!(decide(NOW_MS), Decision::Deflect(host(1)));
+    assert_eq!(
+        decide(NOW_MS + 100),
+        Decision::Deflect(host(1)),
+        "its second datagram"
+    );
+    assert_eq!(
+        decide(NOW_MS + 1_000),
+        Decision::Accept,
+        "repeated: the peer is dead"
+    );
+    assert_eq!(decide(NOW_MS + 1_100), Decision::Accept);
+}
+
 #[test]
 fn a_cold_target_takes_its_share_by_and_by() {
     let admission = Admission::new(host(0), 1_000);
@@ -188,16 +212,18 @@
     assert!(board.merge(report(1, 5, 50), 0));
     assert!(!board.merge(report(1, 4, 40), 1), "crossed on the way");
     assert!(
-        !board.merge(report(1, 5, 50), 20_000),
+        !board.merge(report(1, 5, 50), LATE_MS),
         "passed on by a peer after it expired"
     );
-    assert_eq!(board.fresh(host(1), 20_000), None);
+    assert_eq!(board.fresh(host(1), LATE_MS), None);
     let mut restarted = report(1, 1, 3);
     restarted.incarnation = 2;
-    assert!(board.merge(restarted, 20_001));
+    assert!(board.merge(restarted, LATE_MS + 1));
     board.sent_flow(host(1));
     assert_eq!(
-        board.fresh(host(1), 20_001).map(|report| report.open_flows),
+        board
+            .fresh(host(1), LATE_MS + 1)
+            .map(|report| report.open_flows),
         Some(4)
     );
 }
