Keep answers in memory of their own, within a bound

Cause: an agent grew by 1 MB/s under load (10 MB to 46 MB in 36 s). A kept answer was a slice of the 8 KB read buffer of its connection and held all of it. Ruled out: open connections (file numbers steady at 47 to 51) and tasks; a heap profile named the read buffers of HTTP/1.1.

Change: the ledger copies what it keeps, counts its bytes and drops the oldest answers above 16 MiB, but not their tickets.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -15,6 +15,9 @@
 /// The largest answer that is kept to be given again, in bytes.
 pub const MAX_KEPT_ANSWER_BYTES: usize = 4_096;
 
+/// The most bytes of answers that a ledger keeps; the oldest go first, their tickets stay known.
+pub const MAX_KEPT_BYTES: usize = 16 << 20;
+
 /// An answer kept for a caller that asks again with the same ticket.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KeptAnswer {
@@ -60,6 +63,8 @@
     floor: u32,
     capacity: usize,
     entries: VecDeque<Entry>,
+    kept_bytes: usize,
+    stripped_below: u32,
 }
 
 impl Ledger {
@@ -70,6 +75,8 @@
             floor: 0,
             capacity,
             entries: VecDeque::new(),
+            kept_bytes: 0,
+            stripped_below: 0,
         }
     }
 
@@ -85,6 +92,11 @@
         self.entries.len()
     }
 
+    /// Returns how many bytes of answers are kept.
+    pub fn kept_bytes(&self) -> usize {
+        self.kept_bytes
+    }
+
     /// Tells whether no ticket has begun.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
@@ -122,8 +134,15 @@
     /// Records the answer of a request that ran.
     pub fn finish(&mut self, counter: u32, answer: Option<KeptAnswer>) {
         let kept = answer.filter(|answer| answer.body.len() <= MAX_KEPT_ANSWER_BYTES);
-        let state = kept.map_or(State::AnsweredLarge, State::Answered);
+        let state = match kept {
+            Some(answer) if self.position(counter).is_ok() => {
+                self.kept_bytes += answer.body.len();
+                State::Answered(own_memory(answer))
+            }
+            _ => State::AnsweredLarge,
+        };
         self.set(counter, state);
+        self.strip();
     }
 
     fn position(&self, counter: u32) -> Result<usize, usize> {
@@ -138,6 +157,23 @@
         }
     }
 
+    /// Drops the oldest answers, but not their tickets, until the rest fits.
+    fn strip(&mut self) {
+        while self.kept_bytes > MAX_KEPT_BYTES {
+            let from = self.stripped_below;
+            let index = self.entries.partition_point(|entry| entry.counter < from);
+            let Some(entry) = self.entries.get_mut(index) else {
+                self.stripped_below = 0;
+                continue;
+            };
+            self.stripped_below = entry.counter + 1;
+            self.kept_bytes -= entry.kept_bytes();
+            if matches!(entry.state, State::Answered(_)) {
+                entry.state = State::AnsweredLarge;
+            }
+        }
+    }
+
     /// Forgets the oldest entries that have ended and raises the floor over them.
     ///
     /// A running entry below the floor stays, and is still found, until it has ended.
@@ -149,11 +185,29 @@
             };
             if let Some(entry) = self.entries.remove(oldest) {
                 self.floor = self.floor.max(entry.counter + 1);
+                self.kept_bytes -= entry.kept_bytes();
             }
         }
     }
 }
 
+impl Entry {
+    fn kept_bytes(&self) -> usize {
+        match &self.state {
+            State::Answered(answer) => answer.body.len(),
+            _ => 0,
+        }
+    }
+}
+
+/// Copies the body, which may be a small slice of a connection's whole buffer.
+fn own_memory(answer: KeptAnswer) -> KeptAnswer {
+    KeptAnswer {
+        body: Bytes::copy_from_slice(&answer.body),
+        ..answer
+    }
+}
+
 fn begin_again(entry: &Entry, digest: u64) -> Begin {
     if entry.digest != digest {
         return Begin::Stop(Code::TicketMismatch);
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -1,7 +1,7 @@
 //! A request that may not be repeated runs at most once, against a plain version that never forgets.
 
 use bytes::Bytes;
-use endivedyke::{Begin, Code, KeptAnswer, Ledger, MAX_KEPT_ANSWER_BYTES};
+use endivedyke::{Begin, Code, KeptAnswer, Ledger, MAX_KEPT_ANSWER_BYTES, MAX_KEPT_BYTES};
 use proptest::prelude::*;
 
 fn answer(bytes: usize) -> KeptAnswer {
@@ -73,6 +73,33 @@
     );
 }
 
+#[test]
+fn kept_answers_hold_no_memory_of_others_and_are_bounded() {
+    let buffer = Bytes::from(vec![1; 8_192]);
+    let mut ledger = Ledger::new(100_000);
+    for _ in 0..5_000 {
+        let ticket = ledger.issue().expect("a ticket");
+        assert_eq!(ledger.begin(ticket, 1), Begin::Run);
+        let kept = KeptAnswer {
+            body: buffer.slice(..MAX_KEPT_ANSWER_BYTES),
+            ..answer(0)
+        };
+        ledger.finish(ticket, Some(kept));
+    }
+    assert!(
+        buffer.is_unique(),
+        "a kept answer copies its bytes out of the connection's buffer"
+    );
+    assert!(ledger.kept_bytes() <= MAX_KEPT_BYTES);
+    assert_eq!(
+        ledger.len(),
+        5_000,
+        "the tickets stay known when their answers go"
+    );
+    assert_eq!(ledger.begin(0, 1), Begin::Stop(Code::AnswerNotKept));
+    assert!(matches!(ledger.begin(4_999, 1), Begin::Answered(_)));
+}
+
 proptest! {
     /// Any order of first tries, repeats, endings and forgetting: no ticket runs twice.
     #[test]
