Move requests until busy slots follow the table

Cause: flows are level by admission, but callers don't ask equally often: busy slots of seven targets at half load were 9.07 % apart from their share. Ruled out: moving flows (feeds would break) and waiting for full slots (at half load they rarely fill).

Change: agents report their mean busy slots; once a second each adjusts the part of its requests that it offers to peers, which it draws in proportion to what they lack. The error is added up, since what moves is already missing where it is measured. Only requests with a small whole body move; feeds never do.

--- a/lab/src/service_model.rs
+++ b/lab/src/service_model.rs
@@ -351,6 +351,7 @@
             open_flows: agent.admission.open_flows(),
             busy_slots: 0,
             queued: 0,
+            busy_centislots: 0,
             share_permille: agent.admission.share_permille(1_000, now_ms),
         });
         reports
--- a/schema/node.capnp
+++ b/schema/node.capnp
@@ -30,6 +30,7 @@
   busySlots @4 :UInt16;
   queued @5 :UInt16;
   sharePermille @6 :UInt16;
+  busyCentislots @7 :UInt16;
 }
 
 struct Header {
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -34,6 +34,8 @@
 
 /// How often an agent tidies what it remembers, in milliseconds.
 const PRUNE_PERIOD_MS: u64 = 1_000;
+/// How often the part of the requests that moves is adjusted, in milliseconds.
+const BALANCE_PERIOD_MS: u64 = 1_000;
 /// How often requests that wait are checked against their deadlines, in milliseconds.
 const EXPIRE_PERIOD_MS: u64 = 20;
 /// How often a leaving agent looks whether its last flow has ended.
@@ -127,6 +129,8 @@
             load_exchange::start_next(&agent)
         });
         let agent = self.clone();
+        timers.every(BALANCE_PERIOD_MS, move || agent.balance());
+        let agent = self.clone();
         timers.on_resume(move || {
             agent.for_each_target(|target| {
                 target.slots.expire();
@@ -135,6 +139,15 @@
         });
     }
 
+    fn balance(&self) {
+        let store = self.control.store.borrow();
+        self.for_each_target(|target| {
+            if let Some(table) = store.table(target.service) {
+                target.balance(table, BALANCE_PERIOD_MS);
+            }
+        });
+    }
+
     fn value_changed(self: Rc<Self>, name: &str) {
         if name == KEYS_NAME {
             self.apply_keys();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 mod membership;
 mod metrics;
 mod move_request;
+mod move_share;
 #[allow(
     clippy::all,
     clippy::ignored_unit_patterns,
@@ -102,10 +103,11 @@
 pub use crate::http_client::{call, connect, get};
 pub use crate::http_server::serve;
 pub use crate::keys::{CLUSTER_KEY_BYTES, ClusterKey, KEYS_HEADER, KeyRing};
-pub use crate::ledger::{Begin, KeptAnswer, Ledger, MAX_KEPT_ANSWER_BYTES};
+pub use crate::ledger::{Begin, KeptAnswer, Ledger, MAX_KEPT_ANSWER_BYTES, MAX_KEPT_BYTES};
 pub use crate::link_auth::{LinkSide, authenticate};
 pub use crate::load_board::{FULL_SHARE_PERMILLE, LoadBoard, LoadReport, REPORT_MAX_AGE_MS};
 pub use crate::membership::{PEER_LINKS, READERS_PER_ZONE, links, readers};
+pub use crate::move_share::{BusyStanding, MoveShare};
 pub use crate::operator::run_operator;
 pub use crate::packet::{PacketView, parse as parse_packet};
 pub use crate::placement::{Candidates, candidates};
--- a/src/load_board.rs
+++ b/src/load_board.rs
@@ -27,6 +27,8 @@
     pub busy_slots: u16,
     /// The requests that wait.
     pub queued: u16,
+    /// The mean number of busy slots of the last seconds, in hundredths of a slot.
+    pub busy_centislots: u16,
     /// How much of its weight the target takes: less while it starts cold, 0 while it drains or
     /// fails.
     pub share_permille: u16,
--- a/src/move_request.rs
+++ b/src/move_request.rs
@@ -34,7 +34,7 @@
     if body.len() > MAX_MOVED_BODY_BYTES {
         return Moved::NotRun;
     }
-    for host in least_busy(context) {
+    for host in peers_to_ask(context) {
         match offer_and_run(context, host, body).await {
             Moved::NotRun => {}
             moved => return moved,
@@ -43,6 +43,19 @@
     Moved::NotRun
 }
 
+/// Returns the peers to which the request is offered: while slots are free here, one that lacks busy
+/// slots by the table, else the least busy ones.
+fn peers_to_ask(context: &RequestContext<'_>) -> Vec<Ipv4Addr> {
+    let health = context.target.health.borrow();
+    if context.target.slots.has_free() && !health.is_failing() {
+        let store = context.agent.control.store.borrow();
+        let table = store.table(context.target.service);
+        let drawn = table.and_then(|table| context.target.draw_peer(table));
+        return drawn.into_iter().collect();
+    }
+    least_busy(context)
+}
+
 /// Returns peers that reported a free slot, the least busy first; unheard ones come last.
 fn least_busy(context: &RequestContext<'_>) -> Vec<Ipv4Addr> {
     let now_ms = context.agent.control.now_ms();
--- a/src/node_capnp.rs
+++ b/src/node_capnp.rs
@@ -943,6 +943,10 @@
         pub fn get_share_permille(self) -> u16 {
             self.reader.get_data_field::<u16>(10)
         }
+        #[inline]
+        pub fn get_busy_centislots(self) -> u16 {
+            self.reader.get_data_field::<u16>(11)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -1053,6 +1057,14 @@
         pub fn set_share_permille(&mut self, value: u16)  {
             self.builder.set_data_field::<u16>(10, value);
         }
+        #[inline]
+        pub fn get_busy_centislots(self) -> u16 {
+            self.builder.get_data_field::<u16>(11)
+        }
+        #[inline]
+        pub fn set_busy_centislots(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(11, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1064,7 +1076,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 127] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 143] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(83, 21, 119, 26, 109, 43, 184, 163),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
@@ -1074,63 +1086,70 @@
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 76, 111, 97, 100, 82),
             ::capnp::word(101, 112, 111, 114, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1192,6 +1211,15 @@
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 117, 115, 121, 67, 101, 110, 116),
+            ::capnp::word(105, 115, 108, 111, 116, 115, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1202,6 +1230,7 @@
                 4 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1215,9 +1244,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,1,3,5,2,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,4,0,1,3,5,2,6];
         pub(crate) const TYPE_ID: u64 = 0xa3b8_2b6d_1a77_1553;
     }
 }
--- a/src/node_codec.rs
+++ b/src/node_codec.rs
@@ -64,6 +64,7 @@
         entry.set_busy_slots(report.busy_slots);
         entry.set_queued(report.queued);
         entry.set_share_permille(report.share_permille);
+        entry.set_busy_centislots(report.busy_centislots);
     }
 }
 
@@ -81,6 +82,7 @@
             busy_slots: entry.get_busy_slots(),
             queued: entry.get_queued(),
             share_permille: entry.get_share_permille(),
+            busy_centislots: entry.get_busy_centislots(),
         }
     };
     (0..count).map(report).collect()
--- a/src/repeatable.rs
+++ b/src/repeatable.rs
@@ -45,7 +45,7 @@
 pub(crate) enum Place {
     /// At this host's backend server.
     Here,
-    /// At a peer, or else here: no slot is free.
+    /// At a peer, or else here: no slot is free, or peers have more free than their share.
     PeerFirst,
     /// At a peer only: the backend server fails, and this request is no probe.
     PeerOnly,
@@ -57,7 +57,8 @@
     if health.is_failing() && !health.take_probe(context.agent.control.now_ms()) {
         return Place::PeerOnly;
     }
-    if context.target.slots.has_free() {
+    let moves = context.target.move_share.borrow().moves(&mut rand::rng());
+    if context.target.slots.has_free() && !moves {
         return Place::Here;
     }
     Place::PeerFirst
--- a/src/slot_queue.rs
+++ b/src/slot_queue.rs
@@ -16,6 +16,7 @@
     slots: RefCell<Slots>,
     waiting: RefCell<Vec<(RequestId, oneshot::Sender<Grant>)>>,
     next_id: Cell<u64>,
+    busy_ms: Cell<u64>,
     clock: Clock,
 }
 
@@ -39,7 +40,9 @@
         let now_ms = self.queue.clock.now_ms();
         let mut slots = self.queue.slots.borrow_mut();
         if self.ran {
-            slots.finished(now_ms.saturating_sub(self.started_ms));
+            let took_ms = now_ms.saturating_sub(self.started_ms);
+            self.queue.busy_ms.set(self.queue.busy_ms.get() + took_ms);
+            slots.finished(took_ms);
         } else {
             slots.release();
         }
@@ -70,6 +73,7 @@
             slots: RefCell::new(Slots::new(slots)),
             waiting: RefCell::default(),
             next_id: Cell::new(0),
+            busy_ms: Cell::new(0),
             clock,
         })
     }
@@ -83,6 +87,11 @@
         self.slots.borrow().busy()
     }
 
+    /// Returns the time that ended requests have held slots since the last call, in milliseconds.
+    pub(crate) fn take_busy_ms(&self) -> u64 {
+        self.busy_ms.take()
+    }
+
     pub(crate) fn queued(&self) -> usize {
         self.slots.borrow().queued()
     }
--- a/src/target.rs
+++ b/src/target.rs
@@ -13,6 +13,7 @@
 use crate::health::Health;
 use crate::ledger::{LEDGER_ENTRIES, Ledger};
 use crate::load_board::{LoadBoard, LoadReport};
+use crate::move_share::{BusyStanding, MoveShare};
 use crate::peer_service::Reservation;
 use crate::retry_budget::RetryBudget;
 use crate::service_id::ServiceId;
@@ -32,6 +33,7 @@
     pub(crate) admission: RefCell<Admission>,
     pub(crate) board: RefCell<LoadBoard>,
     pub(crate) health: RefCell<Health>,
+    pub(crate) move_share: RefCell<MoveShare>,
     pub(crate) ledger: RefCell<Ledger>,
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) drain: DrainSignal,
@@ -61,6 +63,7 @@
             admission: RefCell::new(Admission::new(row.host, clock.now_ms())),
             board: RefCell::default(),
             health: RefCell::default(),
+            move_share: RefCell::default(),
             ledger: RefCell::new(Ledger::new(LEDGER_ENTRIES)),
             budget: RefCell::default(),
             drain: DrainSignal::new(),
@@ -119,9 +122,44 @@
             busy_slots: self.slots.busy().min(u32::from(u16::MAX)) as u16,
             queued: self.slots.queued().min(usize::from(u16::MAX)) as u16,
             share_permille: self.share_permille(),
+            busy_centislots: (self.move_share.borrow().busy_slots() * 100.0) as u16,
         }
     }
 
+    /// Takes the busy time of the last `span_ms` and adjusts which part of the requests moves.
+    pub(crate) fn balance(&self, table: &Table, span_ms: u64) {
+        let busy_slots = self.slots.take_busy_ms() as f64 / span_ms as f64;
+        let weight = table.row_on(self.host).map_or(0, |row| row.weight);
+        let peers = self.busy_peers(table);
+        let standings: Vec<BusyStanding> = peers.iter().map(|(_, standing)| *standing).collect();
+        let mut move_share = self.move_share.borrow_mut();
+        move_share.observe(busy_slots);
+        move_share.adjust(f64::from(weight), &standings);
+    }
+
+    /// Draws the peer for a request that moves to level the busy slots.
+    pub(crate) fn draw_peer(&self, table: &Table) -> Option<Ipv4Addr> {
+        let weight = table.row_on(self.host)?.weight;
+        let peers = self.busy_peers(table);
+        let standings: Vec<BusyStanding> = peers.iter().map(|(_, standing)| *standing).collect();
+        let move_share = self.move_share.borrow();
+        let drawn = move_share.draw(f64::from(weight), &standings, &mut rand::rng())?;
+        Some(peers[drawn].0)
+    }
+
+    fn busy_peers(&self, table: &Table) -> Vec<(Ipv4Addr, BusyStanding)> {
+        let board = self.board.borrow();
+        let now_ms = self.clock.now_ms();
+        let standing = |row: &Row| {
+            let report = board.fresh(row.host, now_ms)?;
+            let weight = f64::from(row.weight) * f64::from(report.share_permille) / 1_000.0;
+            let busy_slots = f64::from(report.busy_centislots) / 100.0;
+            Some((row.host, BusyStanding { busy_slots, weight }))
+        };
+        let others = table.rows.iter().filter(|row| row.host != self.host);
+        others.filter_map(standing).collect()
+    }
+
     /// Frees the slots of offers that were accepted and never used.
     pub(crate) fn expire_reservations(&self) {
         let now_ms = self.clock.now_ms();
@@ -146,6 +184,8 @@
             "queued": self.slots.queued(),
             "service_ms": self.slots.service_ms(),
             "share_permille": self.share_permille(),
+            "mean_busy_slots": self.move_share.borrow().busy_slots(),
+            "moved_fraction": self.move_share.borrow().fraction(),
             "draining": self.is_draining(),
             "ledger_entries": self.ledger.borrow().len(),
             "peers": self.board.borrow().reports(now_ms),
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -4,7 +4,8 @@
 
 use common::{host, report, table, table_text};
 use endivedyke::{
-    Admission, Code, Decision, Handed, Health, LoadBoard, Opener, REPORT_MAX_AGE_MS, Table,
+    Admission, BusyStanding, Code, Decision, Handed, Health, LoadBoard, MoveShare, Opener,
+    REPORT_MAX_AGE_MS, Table,
 };
 use proptest::prelude::*;
 use rand::SeedableRng;
@@ -258,3 +259,49 @@
         }
     }
 }
+
+#[test]
+fn requests_move_until_busy_slots_follow_the_table() {
+    let mut random = StdRng::seed_from_u64(1);
+    // What callers ask of each target, in slots; the third has twice the weight of the others.
+    let asked = [3.0, 1.0, 2.0];
+    let weights = [100.0, 100.0, 200.0];
+    let mut shares: Vec<MoveShare> = (0..3).map(|_| MoveShare::default()).collect();
+    let mut busy = asked;
+    for _ in 0..60 {
+        for (share, busy) in shares.iter_mut().zip(busy) {
+            share.observe(busy);
+        }
+        let standing: Vec<BusyStanding> = (0..3)
+            .map(|index| BusyStanding {
+                busy_slots: shares[index].busy_slots(),
+                weight: weights[index],
+            })
+            .collect();
+        let peers = |index: usize| {
+            let others = (0..3).filter(|other| *other != index);
+            others
+                .map(|other| (other, standing[other]))
+                .collect::<Vec<_>>()
+        };
+        busy = asked;
+        for index in 0..3 {
+            let (at, peers): (Vec<usize>, Vec<BusyStanding>) = peers(index).into_iter().unzip();
+            shares[index].adjust(weights[index], &peers);
+            for _ in 0..200 {
+                let part = asked[index] / 200.0;
+                if shares[index].moves(&mut random)
+                    && let Some(drawn) = shares[index].draw(weights[index], &peers, &mut random)
+                {
+                    busy[index] -= part;
+                    busy[at[drawn]] += part;
+                }
+            }
+        }
+    }
+    // Without moves the first target stands at twice its share.
+    for (index, share) in [1.5, 1.5, 3.0].iter().enumerate() {
+        let excess = shares[index].busy_slots() / share - 1.0;
+        assert!(excess < 0.15, "target {index}: {excess}");
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -50,6 +50,7 @@
         open_flows,
         busy_slots: 0,
         queued: 0,
+        busy_centislots: 0,
         share_permille: 1_000,
     }
 }
