--- /dev/null
+++ b/lab/tests/operator_client.rs
@@ -0,0 +1,134 @@
+//! The operators' client: its words, its exit codes, and what it shows of a running site.
+
+mod common;
+
+use std::path::Path;
+use std::process::{Command, Output};
+
+use common::{run, site};
+use endivedyke::TABLE_HEADER;
+use endivedyke_lab::binary;
+
+fn client(arguments: &[&str]) -> Output {
+    let program = binary("endivedyke").expect("built");
+    Command::new(program)
+        .args(arguments)
+        .output()
+        .expect("runs")
+}
+
+fn text(output: &Output) -> (String, String) {
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    (text(&output.stdout), text(&output.stderr))
+}
+
+fn file(folder: &Path, name: &str, text: &str) -> String {
+    let path = folder.join(name);
+    std::fs::write(&path, text).expect("written");
+    path.display().to_string()
+}
+
+#[test]
+fn tables_and_settings_are_checked_before_they_are_published() {
+    let folder = tempfile::tempdir().expect("folder");
+    let row = "front,192.0.2.1:443,a,10.0.0.1,10.0.0.1:80,100,4,2000\n";
+    let good = file(folder.path(), "good.csv", &format!("{TABLE_HEADER}\n{row}"));
+    let bad = row.replace(",4,", ",x,");
+    let bad = file(folder.path(), "bad.csv", &format!("{TABLE_HEADER}\n{bad}"));
+    let more = row.replace(",a,10.0.0.1,", ",b,10.0.0.2,");
+    let more = file(
+        folder.path(),
+        "more.csv",
+        &format!("{TABLE_HEADER}\n{row}{more}"),
+    );
+    let settings = file(folder.path(), "bad.ini", "[process]\nhots = 10.0.0.1\n");
+    let cases: &[(&[&str], i32, &str)] = &[
+        (&["table", "check", &good], 0, "100.00%"),
+        (&["table", "check", &bad], 1, "E2003"),
+        (&["table", "check", &bad], 1, "line 2, column slots"),
+        (&["table", "check", "no-such-file"], 1, "E5001"),
+        (&["table", "diff", &good, &more], 0, "starts cold"),
+        (&["table", "diff", &good, &good], 0, "no change"),
+        (&["table", "header"], 0, TABLE_HEADER),
+        (&["table", "lint"], 2, "E5004"),
+        (&["settings", "check", &settings], 1, "E3002"),
+        (&["settings", "check", &settings], 1, "line 2"),
+        (&["state"], 2, "state ADDRESS"),
+        (&["--version"], 0, "endivedyke 0."),
+        (&["--help"], 0, "table check FILE"),
+        (&[], 2, "name a command"),
+    ];
+    for (arguments, exit_code, shown) in cases {
+        let output = client(arguments);
+        let (stdout, stderr) = text(&output);
+        assert_eq!(
+            output.status.code(),
+            Some(*exit_code),
+            "{arguments:?}: {stderr}"
+        );
+        let all = stdout + &stderr;
+        assert!(all.contains(shown), "{arguments:?} shows {all}");
+    }
+}
+
+#[test]
+fn daemons_refuse_unsound_settings() {
+    let folder = tempfile::tempdir().expect("folder");
+    let settings = file(folder.path(), "bad.ini", "[process]\nhost = here\n");
+    for program in ["endivedyke-balancer", "endivedyke-agent"] {
+        let run = |arguments: &[&str]| {
+            let program = binary(program).expect("built");
+            Command::new(program)
+                .args(arguments)
+                .output()
+                .expect("runs")
+        };
+        for arguments in [
+            &["--settings", &settings][..],
+            &["--settings", &settings, "--check"],
+        ] {
+            let output = run(arguments);
+            assert_eq!(output.status.code(), Some(2));
+            assert!(text(&output).1.contains("E3003"), "{:?}", text(&output));
+        }
+        assert_eq!(run(&[]).status.code(), Some(2));
+        assert_eq!(run(&["--version"]).status.code(), Some(0));
+    }
+}
+
+#[test]
+fn state_and_status_show_a_running_site() {
+    run(async {
+        let site = site(2).await;
+        let settings = site.settings_file().display().to_string();
+        let balancer = site.balancer_host(0).to_string();
+        let agent = site.agent_host(0).to_string();
+        let shown = text(&client(&["state", "--settings", &settings, &agent])).0;
+        for part in [
+            "role: agent",
+            "targets:",
+            "open_flows",
+            "queue-desk",
+            "revision: 2",
+        ] {
+            assert!(shown.contains(part), "{part} in {shown}");
+        }
+        let json = text(&client(&[
+            "state",
+            "--json",
+            "--settings",
+            &settings,
+            &balancer,
+        ]))
+        .0;
+        let state: serde_json::Value = serde_json::from_str(&json).expect("JSON");
+        assert_eq!(state["role"], "balancer");
+        assert_eq!(state["tables"][0]["rows"].as_array().map(Vec::len), Some(2));
+        let status = text(&client(&["status", "--settings", &settings])).0;
+        assert_eq!(status.matches("balancer").count(), 3, "{status}");
+        assert!(status.contains("50.00%"), "{status}");
+        let silent = client(&["state", "--settings", &settings, "127.0.0.77"]);
+        assert_eq!(silent.status.code(), Some(1));
+        assert!(text(&silent).1.contains("E4008"), "{:?}", text(&silent));
+    });
+}
