Keep half of a process's links in its own zone

Cause: a cut between the regions left the processes all of whose six random links went to the other region without a change for as long as the cut lasted. Ruled out: the readers (each zone has its own).

Change: three links go to the process's own availability zone, three anywhere. The new experiment spreads one change over the real graph of links in a deterministic run with losses, dead daemons and a cut.

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -14,6 +14,7 @@
 use crate::load::{self, LoadPlan};
 use crate::load_report;
 use crate::quickstart::run_quickstart;
+use crate::relay_model::{self, RelayPlan};
 use crate::{config_service, fabric, imbalance};
 
 #[derive(Debug, Options)]
@@ -30,7 +31,7 @@
 enum Command {
     #[options(help = "run a small site end to end")]
     Quickstart(NoOptions),
-    #[options(help = "experiment imbalance: the decision core under changes, by policy")]
+    #[options(help = "experiment imbalance or relay: the decision core in a deterministic run")]
     Experiment(ExperimentOptions),
     #[options(help = "load a site of today's size and report what it does and costs")]
     Load(LoadOptions),
@@ -160,6 +161,14 @@
     report: Option<PathBuf>,
 }
 
+/// Losses, dead daemons and cuts of the relay experiment.
+const RELAY_CASES: [(f64, f64, bool); 4] = [
+    (0.0, 0.0, false),
+    (0.05, 0.02, false),
+    (0.3, 0.1, false),
+    (0.02, 0.02, true),
+];
+
 /// Runs the lab with the arguments of the process.
 pub fn run() -> ExitCode {
     let options = LabOptions::parse_args_default_or_exit();
@@ -226,7 +235,8 @@
     let names: Vec<&str> = options.name.iter().map(String::as_str).collect();
     match names.as_slice() {
         ["imbalance"] => print_imbalance(options),
-        _ => return Err(Error::new(Code::Usage, "experiment imbalance")),
+        ["relay"] => print_relay(options.seed),
+        _ => return Err(Error::new(Code::Usage, "experiment imbalance or relay")),
     }
     Ok(())
 }
@@ -256,6 +266,34 @@
     }
 }
 
+fn print_relay(seed: u64) {
+    println!(
+        "| daemons | lost | dead | regions cut | half, ms | 99 %, ms | all, ms | tells each | most received | platform reads |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|");
+    for daemons in [300, 1_200, 2_900, 5_800] {
+        for (loss, dead, cut) in RELAY_CASES {
+            let plan = RelayPlan {
+                daemons,
+                loss,
+                dead,
+                cut,
+                seed,
+            };
+            let outcome = relay_model::run(&plan);
+            println!(
+                "| {daemons} | {loss} | {dead} | {cut} | {} | {} | {} | {:.2} | {} | {} |",
+                outcome.half_ms,
+                outcome.most_ms,
+                outcome.all_ms,
+                outcome.tells_each,
+                outcome.most_received,
+                outcome.platform_reads,
+            );
+        }
+    }
+}
+
 fn run_load(options: &LoadOptions) -> Result<()> {
     let plan = LoadPlan {
         deployment: options.deployment.parse()?,
--- /dev/null
+++ b/lab/tests/relay_bounds.rs
@@ -0,0 +1,59 @@
+//! A change reaches all daemons within the bounds of `bounds.txt`, with losses, deaths and a cut.
+
+use endivedyke_lab::{RelayPlan, run_relay};
+
+const BOUNDS: &str = include_str!("../../bounds.txt");
+
+fn bound(name: &str) -> f64 {
+    let line = BOUNDS
+        .lines()
+        .find(|line| line.split_whitespace().next() == Some(name));
+    let bound = line.and_then(|line| line.split_whitespace().nth(2)?.parse().ok());
+    bound.unwrap_or_else(|| panic!("{name} is not in bounds.txt"))
+}
+
+fn plan(loss: f64, dead: f64) -> RelayPlan {
+    RelayPlan {
+        daemons: 1_200,
+        loss,
+        dead,
+        cut: false,
+        seed: 1,
+    }
+}
+
+#[test]
+fn a_change_is_everywhere_in_time() {
+    for (name, loss, dead) in [
+        ("calm", 0.0, 0.0),
+        ("lossy", 0.2, 0.0),
+        ("dying", 0.05, 0.2),
+    ] {
+        let outcome = run_relay(&plan(loss, dead));
+        println!("{name}: {outcome:?}");
+        assert!(
+            outcome.all_ms as f64 <= bound(&format!("relay_all_ms_{name}")),
+            "{outcome:?}"
+        );
+        assert!(
+            outcome.tells_each <= bound("relay_tells_each"),
+            "{outcome:?}"
+        );
+        let reads = outcome.platform_reads as f64;
+        assert!(reads <= bound("relay_platform_reads"), "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_cut_costs_nobody_the_change() {
+    // Each region has its own readers, so that a cut between regions delays nobody.
+    let cut = RelayPlan {
+        cut: true,
+        ..plan(0.02, 0.02)
+    };
+    let outcome = run_relay(&cut);
+    assert!(
+        outcome.all_ms as f64 <= bound("relay_all_ms_cut"),
+        "{outcome:?}"
+    );
+}
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -12,6 +12,9 @@
 pub const READERS_PER_ZONE: usize = 3;
 /// To how many peers a process tells a change, and with how many it compares revisions.
 pub const PEER_LINKS: usize = 6;
+/// How many of them are of its own availability zone, so that a cut between zones or regions leaves
+/// no process without a peer that some reader of its zone reaches.
+const NEAR_LINKS: usize = 3;
 
 const READER_SALT: u64 = 0x7265_6164;
 
@@ -43,7 +46,12 @@
 /// The choice is stable while the list is, so that links stay open; together the links of all
 /// processes form a random graph, which stays connected when many hosts are gone.
 pub fn links(hosts: &HostList, me: Ipv4Addr, trusted: impl Fn(Ipv4Addr) -> bool) -> Vec<Ipv4Addr> {
-    let others = hosts.all().iter().filter(|host| host.address != me);
-    let eligible = others.filter(|host| trusted(host.address));
-    ranked(eligible, host_hash(me), PEER_LINKS)
+    let others = || hosts.all().iter().filter(|host| host.address != me);
+    let eligible = || others().filter(|host| trusted(host.address));
+    let zone = hosts.get(me).map(|host| host.zone.as_str());
+    let near = eligible().filter(|host| Some(host.zone.as_str()) == zone);
+    let mut links = ranked(near, host_hash(me), NEAR_LINKS);
+    let far = eligible().filter(|host| !links.contains(&host.address));
+    links.extend(ranked(far, host_hash(me), PEER_LINKS - links.len()));
+    links
 }
