Benchmark the hot paths beside naive versions

The path allocates nothing once warm (tests/allocations.rs); what the runtime allocates for each operation is not counted there.

--- /dev/null
+++ b/benches/hot_paths.rs
@@ -0,0 +1,250 @@
+//! The hot paths beside their naive versions, at several sizes; `cargo bench` prints the times.
+#![allow(missing_docs)]
+
+use std::collections::HashMap;
+use std::hint::black_box;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use endivedyke::{
+    Admission, Begin, ClusterKey, ConfigStore, Delta, Envelope, EnvelopeKey, EnvelopeKind, Handed,
+    KeyRing, Ledger, LoadBoard, LoadReport, Opener, Purpose, SealedId, ServiceId, Suspicion,
+    TABLE_HEADER, Table, TableDiff, candidates, steer,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const PACKET_BYTES: usize = 1_200;
+
+fn host(index: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, (index >> 16) as u8, (index >> 8) as u8, index as u8)
+}
+
+fn table_text(service: &str, rows: usize) -> String {
+    let mut text = format!("{TABLE_HEADER}\n");
+    for index in 0..rows {
+        let host = host(index + 1);
+        text += &format!("{service},192.0.2.1:443,t{index},{host},{host}:80,100,4,2000\n");
+    }
+    text
+}
+
+fn table(rows: usize) -> Table {
+    Table::parse(&table_text("front", rows)).expect("sound")
+}
+
+fn token(ring: &KeyRing) -> [u8; 20] {
+    let token = SealedId {
+        host: host(1),
+        incarnation: 1,
+        service: ServiceId::of("front"),
+        nonce: 7,
+    };
+    token.seal(ring, Purpose::Token, [1, 2, 3])
+}
+
+/// A balancer's datagram: read the id, open the token, append the envelope.
+fn datagram(criterion: &mut Criterion) {
+    let cluster = ClusterKey::new([7; 32]);
+    let mut store = ConfigStore::new(&cluster);
+    store
+        .accept("table/front", 1, &table_text("front", 12))
+        .expect("sound");
+    let key = EnvelopeKey::new(&cluster);
+    let suspicion = Suspicion::default();
+    let service = ServiceId::of("front");
+    let envelope = Envelope {
+        kind: EnvelopeKind::Inbound,
+        service,
+        caller: SocketAddr::from(([198, 51, 100, 1], 4_433)),
+        balancer: host(9),
+        revision: 1,
+    };
+    let mut short = vec![0x40];
+    short.extend_from_slice(&token(store.ring()));
+    short.resize(PACKET_BYTES, 0);
+    let mut opener = vec![0xc0, 0, 0, 0, 1, 8, 1, 2, 3, 4, 5, 6, 7, 8];
+    opener.resize(PACKET_BYTES, 0);
+    let mut group = criterion.benchmark_group("datagram");
+    for (name, packet) in [("with token", &short), ("opener, 12 targets", &opener)] {
+        let mut buffer = Vec::with_capacity(2_100);
+        group.bench_function(name, |bencher| {
+            bencher.iter(|| {
+                buffer.clear();
+                buffer.extend_from_slice(packet);
+                let route = steer(&store, &suspicion, service, &buffer, 0);
+                key.append(&mut buffer, &envelope);
+                black_box(route)
+            });
+        });
+    }
+    let mut buffer = Vec::with_capacity(2_100);
+    group.bench_function("naive: copy alone", |bencher| {
+        bencher.iter(|| {
+            buffer.clear();
+            buffer.extend_from_slice(&short);
+            black_box(buffer.len())
+        });
+    });
+    group.finish();
+}
+
+fn tokens(criterion: &mut Criterion) {
+    let ring = KeyRing::initial(&ClusterKey::new([7; 32]));
+    let bytes = token(&ring);
+    let service = ServiceId::of("front");
+    let mut group = criterion.benchmark_group("token");
+    group.bench_function("seal", |bencher| bencher.iter(|| token(black_box(&ring))));
+    group.bench_function("open", |bencher| {
+        bencher.iter(|| SealedId::open(&ring, Purpose::Token, service, black_box(&bytes)));
+    });
+    group.finish();
+}
+
+fn owners(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("owner");
+    for targets in [3, 12, 100, 1_000] {
+        let table = table(targets);
+        let mut hash = 0u64;
+        group.bench_with_input(
+            BenchmarkId::new("rendezvous", targets),
+            &table,
+            |b, table| {
+                b.iter(|| {
+                    hash = hash.wrapping_add(0x9e37_79b9_7f4a_7c15);
+                    candidates(table, hash, |_| true).map(|chosen| chosen.first.host)
+                });
+            },
+        );
+        group.bench_with_input(
+            BenchmarkId::new("naive: modulo", targets),
+            &table,
+            |b, table| {
+                b.iter(|| {
+                    hash = hash.wrapping_add(0x9e37_79b9_7f4a_7c15);
+                    table.rows[(hash >> 32) as usize % table.rows.len()].host
+                });
+            },
+        );
+    }
+    group.finish();
+}
+
+fn admissions(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("admission");
+    for targets in [3, 12, 100, 1_000] {
+        let table = table(targets);
+        let mut board = LoadBoard::default();
+        for index in 1..targets {
+            let report = LoadReport {
+                host: host(index + 1),
+                incarnation: 1,
+                sequence: 1,
+                open_flows: 2_000,
+                busy_slots: 1,
+                queued: 0,
+                busy_centislots: 100,
+                share_permille: 1_000,
+            };
+            board.merge(report, 20_000);
+        }
+        let mut admission = Admission::warm(host(1));
+        (0..1_999).for_each(|_| admission.flow_opened());
+        let mut random = StdRng::seed_from_u64(1);
+        group.bench_function(BenchmarkId::new("decide", targets), |bencher| {
+            bencher.iter(|| {
+                let opener = Opener {
+                    hash: random.random(),
+                    handed: Handed::ByBalancer,
+                    health_permille: 1_000,
+                };
+                let decision = admission.decide(&opener, &table, &mut board, 20_000, &mut random);
+                admission.prune(u64::MAX);
+                decision
+            });
+        });
+    }
+    group.finish();
+}
+
+fn ledgers(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("ledger");
+    for keys in [10_000u32, 100_000, 300_000, 1_000_000] {
+        let mut ledger = Ledger::new(keys as usize);
+        let mut naive: HashMap<u32, u64> = HashMap::new();
+        for _ in 0..keys {
+            let counter = ledger.issue().expect("a ticket");
+            assert_eq!(ledger.begin(counter, 1), Begin::Run);
+            naive.insert(counter, 1);
+        }
+        let mut random = StdRng::seed_from_u64(1);
+        group.bench_function(BenchmarkId::new("lookup", keys), |bencher| {
+            bencher.iter(|| ledger.begin(random.random_range(0..keys), 1));
+        });
+        group.bench_function(BenchmarkId::new("naive: hash map", keys), |bencher| {
+            bencher.iter(|| naive.get(&random.random_range(0..keys)).copied());
+        });
+    }
+    group.finish();
+}
+
+/// The whole configuration in services of twelve rows, as a starting process takes it.
+fn configurations(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("configuration");
+    group.sample_size(10);
+    for rows in [10usize, 100, 1_000, 10_000, 66_000] {
+        let services = rows.div_ceil(12);
+        let texts: Vec<(String, String)> = (0..services)
+            .map(|index| {
+                let service = format!("s{index}");
+                (
+                    format!("table/{service}"),
+                    table_text(&service, rows.min(12)),
+                )
+            })
+            .collect();
+        let cluster = ClusterKey::new([7; 32]);
+        let fill = |store: &mut ConfigStore| {
+            for (index, (name, text)) in texts.iter().enumerate() {
+                store.accept(name, index as u64 + 1, text).expect("sound");
+            }
+        };
+        group.bench_function(BenchmarkId::new("parse and accept all", rows), |bencher| {
+            bencher.iter(|| fill(&mut ConfigStore::new(&cluster)));
+        });
+        let mut store = ConfigStore::new(&cluster);
+        fill(&mut store);
+        let (name, text) = &texts[services / 2];
+        let mut revision = services as u64 + 1;
+        group.bench_function(BenchmarkId::new("apply one edit", rows), |bencher| {
+            bencher.iter(|| {
+                revision += 1;
+                let edited = text.replacen(",100,", &format!(",{},", 100 + revision % 7), 1);
+                store.accept(name, revision, &edited)
+            });
+        });
+    }
+    for rows in [10usize, 100, 1_000, 10_000] {
+        let old = table_text("front", rows);
+        let new = old.replacen(",100,", ",150,", 1);
+        let tables = (table(rows), Table::parse(&new).expect("sound"));
+        group.bench_function(BenchmarkId::new("delta of one row", rows), |bencher| {
+            bencher.iter(|| Delta::between(&old, &new));
+        });
+        group.bench_function(BenchmarkId::new("table diff", rows), |bencher| {
+            bencher.iter(|| TableDiff::between(Some(&tables.0), Some(&tables.1)));
+        });
+    }
+    group.finish();
+}
+
+criterion_group! {
+    name = benches;
+    config = Criterion::default()
+        .sample_size(20)
+        .warm_up_time(Duration::from_millis(300))
+        .measurement_time(Duration::from_millis(800));
+    targets = datagram, tokens, owners, admissions, ledgers, configurations
+}
+criterion_main!(benches);
--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -15,7 +15,7 @@
 use crate::load_report;
 use crate::quickstart::run_quickstart;
 use crate::relay_model::{self, RelayPlan};
-use crate::{config_service, fabric, imbalance};
+use crate::{config_service, datagram_rate, fabric, imbalance};
 
 #[derive(Debug, Options)]
 struct LabOptions {
@@ -31,7 +31,9 @@
 enum Command {
     #[options(help = "run a small site end to end")]
     Quickstart(NoOptions),
-    #[options(help = "experiment imbalance or relay: the decision core in a deterministic run")]
+    #[options(
+        help = "experiment imbalance, relay (deterministic runs) or datagrams (a real balancer)"
+    )]
     Experiment(ExperimentOptions),
     #[options(help = "load a site of today's size and report what it does and costs")]
     Load(LoadOptions),
@@ -236,7 +238,13 @@
     match names.as_slice() {
         ["imbalance"] => print_imbalance(options),
         ["relay"] => print_relay(options.seed),
-        _ => return Err(Error::new(Code::Usage, "experiment imbalance or relay")),
+        ["datagrams"] => print_datagrams()?,
+        _ => {
+            return Err(Error::new(
+                Code::Usage,
+                "experiment imbalance, relay or datagrams",
+            ));
+        }
     }
     Ok(())
 }
@@ -266,6 +274,26 @@
     }
 }
 
+fn print_datagrams() -> Result<()> {
+    let rates = datagram_rate::run()?;
+    println!(
+        "bare receive-and-send loop: {:.0} datagrams/s",
+        rates.bare_per_s
+    );
+    println!(
+        "balancer, with token: {:.0} datagrams/s, {:.2} of the bare loop",
+        rates.with_token_per_s,
+        rates.with_token_per_s / rates.bare_per_s,
+    );
+    println!("balancer, openers: {:.0} datagrams/s", rates.openers_per_s);
+    println!(
+        "balancer's memory before and after the datagrams of 200000 flows: {:.1} MB, {:.1} MB",
+        rates.memory_before_bytes as f64 / 1e6,
+        rates.memory_after_bytes as f64 / 1e6,
+    );
+    Ok(())
+}
+
 fn print_relay(seed: u64) {
     println!(
         "| daemons | lost | dead | regions cut | half, ms | 99 %, ms | all, ms | tells each | most received | platform reads |"
--- a/lab/src/site.rs
+++ b/lab/src/site.rs
@@ -12,7 +12,10 @@
 use crate::process::Process;
 
 const CONTROL_PORT: u16 = 4_700;
-const DATAGRAM_PORT: u16 = 4_701;
+/// The UDP port of envelopes on every host.
+pub(crate) const DATAGRAM_PORT: u16 = 4_701;
+/// The byte of which a site's cluster key is made.
+pub(crate) const SITE_KEY_BYTE: u8 = 0x5a;
 const METRICS_PORT: u16 = 4_702;
 const PLATFORM_PORT: u16 = 8_500;
 const FABRIC_ADMIN_PORT: u16 = 8_501;
@@ -146,6 +149,11 @@
         self.ip(100 + index)
     }
 
+    /// Returns a host on which the site runs nothing.
+    pub(crate) fn spare_host(&self) -> Ipv4Addr {
+        self.ip(250)
+    }
+
     /// Returns the address of a backend server.
     pub fn backend_address(&self, service: usize, host: usize) -> SocketAddr {
         SocketAddr::from((self.agent_host(host), FIRST_BACKEND_PORT + service as u16))
@@ -266,7 +274,7 @@
              [agent]\ncertificate_file = {}\nkey_file = {}\ndrain_limit_s = {}\n\n\
              [log]\nlevel = info\nfile = {}\n",
             self.platform_address(),
-            "5a".repeat(endivedyke::CLUSTER_KEY_BYTES),
+            hex::encode([SITE_KEY_BYTE; endivedyke::CLUSTER_KEY_BYTES]),
             self.file("certificate.pem").display(),
             self.file("key.pem").display(),
             self.spec.drain_limit_s,
--- /dev/null
+++ b/tests/allocations.rs
@@ -0,0 +1,51 @@
+//! A balancer's datagram path allocates nothing once its buffer is warm.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::{cluster_key, host, store, table_text};
+use endivedyke::{
+    Envelope, EnvelopeKey, EnvelopeKind, Purpose, SealedId, ServiceId, Suspicion, steer,
+};
+
+#[test]
+fn forwarding_a_datagram_allocates_nothing() {
+    let text = table_text("panel-front", &[100; 12], 2_000);
+    let store = store(&[("table/panel-front", 1, &text)]);
+    let key = EnvelopeKey::new(&cluster_key());
+    let service = ServiceId::of("panel-front");
+    let token = SealedId {
+        host: host(1),
+        incarnation: 1,
+        service,
+        nonce: 1,
+    };
+    let mut short = vec![0x40];
+    short.extend_from_slice(&token.seal(store.ring(), Purpose::Token, [0; 3]));
+    short.resize(1_200, 0);
+    let mut opener = vec![0xc0, 0, 0, 0, 1, 8, 1, 2, 3, 4, 5, 6, 7, 8];
+    opener.resize(1_200, 0);
+    let envelope = Envelope {
+        kind: EnvelopeKind::Inbound,
+        service,
+        caller: SocketAddr::from(([198, 51, 100, 1], 4_433)),
+        balancer: host(9),
+        revision: 1,
+    };
+    let suspicion = Suspicion::default();
+    let mut buffer = Vec::with_capacity(2_048);
+    for packet in [&short, &opener] {
+        let allocations = allocation_counter::measure(|| {
+            for _ in 0..100 {
+                buffer.clear();
+                buffer.extend_from_slice(packet);
+                let route = steer(&store, &suspicion, service, &buffer, 0);
+                assert!(route.is_ok());
+                key.append(&mut buffer, &envelope);
+                assert!(key.open(&buffer).is_ok());
+            }
+        });
+        assert_eq!(allocations.count_total, 0);
+    }
+}
