Compare tables in linear time, let feeds be slow

Cause: the share of each row summed all weights again, so a comparison grew with the square of the rows. Ruled out: the search for rows (binary). Change: the total is worked out once a table. The load tool can slow its feeds, so that thousands of open flows fit one machine. Conclusion: it grows with the rows now.

--- a/lab/src/caller_process.rs
+++ b/lab/src/caller_process.rs
@@ -24,6 +24,8 @@
     pub seconds: u64,
     /// The mean pause of a client between two requests, in milliseconds.
     pub think_ms: u64,
+    /// The time between two events of a feed, in milliseconds.
+    pub feed_period_ms: u64,
 }
 
 /// Callers of one service in a process of their own.
@@ -51,6 +53,7 @@
             ("--clients", load.clients.to_string()),
             ("--seconds", load.seconds.to_string()),
             ("--think-ms", load.think_ms.to_string()),
+            ("--feed-period-ms", load.feed_period_ms.to_string()),
             ("--report", report.display().to_string()),
         ];
         let pairs = arguments
--- a/lab/src/callers.rs
+++ b/lab/src/callers.rs
@@ -29,6 +29,7 @@
     pub(crate) clients: u64,
     pub(crate) seconds: u64,
     pub(crate) think_ms: u64,
+    pub(crate) feed_period_ms: u64,
 }
 
 type SharedTally = Rc<RefCell<Tally>>;
@@ -64,13 +65,13 @@
 
 /// Holds one feed for the whole run and checks each event.
 async fn hold_feed(plan: &CallersPlan, index: u64, tally: &SharedTally) -> Result<()> {
-    const PERIOD_MS: u64 = 50;
+    let period_ms = plan.feed_period_ms.max(1);
     let id = format!("{}-feed-{index}", plan.prefix);
-    let events = plan.seconds * 1_000 / PERIOD_MS;
+    let events = plan.seconds * 1_000 / period_ms;
     let mut caller = Caller::new(plan.address).await?;
     tally.borrow_mut().requests += 1;
     let mut text = Vec::new();
-    let path = format!("/feed/{id}/{events}/{PERIOD_MS}");
+    let path = format!("/feed/{id}/{events}/{period_ms}");
     let result = caller
         .feed(&path, |piece| text.extend_from_slice(piece))
         .await;
--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -89,6 +89,12 @@
         default = "100"
     )]
     think_ms: u64,
+    #[options(
+        no_short,
+        help = "the time between two events of a feed",
+        default = "50"
+    )]
+    feed_period_ms: u64,
     #[options(no_short, help = "for how long", default = "20")]
     seconds: u64,
     #[options(no_short, help = "processes of callers", default = "1")]
@@ -159,6 +165,12 @@
     seconds: u64,
     #[options(no_short, help = "the mean pause of a client", default = "20")]
     think_ms: u64,
+    #[options(
+        no_short,
+        help = "the time between two events of a feed",
+        default = "50"
+    )]
+    feed_period_ms: u64,
     #[options(no_short, required, help = "the file for the counts", meta = "FILE")]
     report: Option<PathBuf>,
 }
@@ -330,6 +342,7 @@
             clients: options.clients,
             seconds: options.seconds,
             think_ms: options.think_ms,
+            feed_period_ms: options.feed_period_ms,
         },
         caller_processes: options.processes,
         event: options.event.parse()?,
@@ -364,6 +377,7 @@
         clients: options.clients,
         seconds: options.seconds,
         think_ms: options.think_ms,
+        feed_period_ms: options.feed_period_ms,
     };
     let tally = block_on(callers::run(&plan))?;
     let text = serde_json::to_string(&tally);
--- a/lab/src/quickstart.rs
+++ b/lab/src/quickstart.rs
@@ -76,6 +76,7 @@
         clients,
         seconds: RUN_SECONDS,
         think_ms: 20,
+        feed_period_ms: 50,
     }
 }
 
--- a/lab/tests/common/mod.rs
+++ b/lab/tests/common/mod.rs
@@ -26,6 +26,7 @@
         clients,
         seconds,
         think_ms: 10,
+        feed_period_ms: 50,
     }
 }
 
--- a/src/table_diff.rs
+++ b/src/table_diff.rs
@@ -39,9 +39,11 @@
             .collect();
         names.sort_unstable();
         names.dedup();
+        let total = |table: Option<&Table>| table.map_or(1, Table::total_weight).max(1) as f64;
+        let (old_weight, new_weight) = (total(old), total(new));
         let changes = names.into_iter().filter_map(|name| {
-            let before = old.and_then(|table| Some((table, table.row(name)?)));
-            let after = new.and_then(|table| Some((table, table.row(name)?)));
+            let before = old.and_then(|table| Some((old_weight, table.row(name)?)));
+            let after = new.and_then(|table| Some((new_weight, table.row(name)?)));
             row_change(name, before, after)
         });
         TableDiff {
@@ -51,14 +53,16 @@
     }
 }
 
+/// Compares a row in both versions, each with the total weight of its table.
 fn row_change(
     name: &str,
-    before: Option<(&Table, &Row)>,
-    after: Option<(&Table, &Row)>,
+    before: Option<(f64, &Row)>,
+    after: Option<(f64, &Row)>,
 ) -> Option<RowChange> {
-    let share = |side: Option<(&Table, &Row)>| side.map_or(0.0, |(table, row)| table.share(row));
-    let slots = |side: Option<(&Table, &Row)>| side.map_or(0, |(_, row)| row.slots);
-    let connections = |side: Option<(&Table, &Row)>| side.map_or(0, |(_, row)| row.connections);
+    let share =
+        |side: Option<(f64, &Row)>| side.map_or(0.0, |(total, row)| f64::from(row.weight) / total);
+    let slots = |side: Option<(f64, &Row)>| side.map_or(0, |(_, row)| row.slots);
+    let connections = |side: Option<(f64, &Row)>| side.map_or(0, |(_, row)| row.connections);
     let change = RowChange {
         target: name.to_owned(),
         share: (share(before), share(after)),
