Judge old reports by an agent's own growth since

Cause: when all flows of a site open anew within seconds, reports are old before they arrive; every agent believed that the others stood far below it and handed them its openers, all to the same ones. Long flows then kept that imbalance for the night. Found by opening 700 to 7,000 feeds at once at real processes.

Change: a report carries its age when it is passed on. An agent adds to a peer's report what the hash alone has brought it since, by its own count of openers owned and flows ended, where that exceeds chance by four deviations. The rate for the damping comes from the same history. The number of waiting requests left the report to make room for the age.

--- a/benches/hot_paths.rs
+++ b/benches/hot_paths.rs
@@ -143,7 +143,7 @@
                 sequence: 1,
                 open_flows: 2_000,
                 busy_slots: 1,
-                queued: 0,
+                age_cs: 0,
                 busy_centislots: 100,
                 share_permille: 1_000,
             };
--- a/lab/src/imbalance.rs
+++ b/lab/src/imbalance.rs
@@ -5,6 +5,7 @@
 const FLOWS_PER_TARGET: f64 = 2_000.0;
 const SETTLE_MS: u64 = 30_000;
 const WINDOW_MS: u64 = 60_000;
+const REOPEN_MS: u64 = 2_000;
 
 /// One line of the experiment.
 #[derive(Debug, Clone)]
@@ -47,11 +48,16 @@
     model.edit(&vec![100; targets - 1]);
 }
 
+fn reopen_all(model: &mut ServiceModel, _targets: usize) {
+    model.reopen_all(REOPEN_MS);
+}
+
 const CASES: &[(&str, Change)] = &[
     ("steady", nothing),
     ("weight of one target from 100 to 150", raise_first),
     ("one target more, cold", add_target),
     ("one target killed", kill_last),
+    ("all flows lost and opened again in 2 s", reopen_all),
 ];
 
 /// Runs every case for a service with this many targets.
--- a/lab/src/service_model.rs
+++ b/lab/src/service_model.rs
@@ -139,6 +139,20 @@
         }
     }
 
+    /// Closes all flows and opens as many again within `span_ms`, as after a loss of the site.
+    pub fn reopen_all(&mut self, span_ms: u64) {
+        let flows = self.ends.len() as u64;
+        for Reverse((_, target)) in std::mem::take(&mut self.ends) {
+            self.agents[target].admission.flow_closed();
+        }
+        let steps = (span_ms / STEP_MS).max(1);
+        for step in 0..steps {
+            let from = flows * step / steps;
+            self.fill(flows * (step + 1) / steps - from);
+            self.step();
+        }
+    }
+
     /// Returns the number of open flows of each target.
     pub fn open_flows(&self) -> Vec<u32> {
         self.agents
@@ -263,11 +277,11 @@
         let Some(second) = second else {
             return first;
         };
-        let Some(report) = agent.board.fresh(self.agents[second].host, self.now_ms) else {
+        let Some(known) = agent.board.fresh(self.agents[second].host, self.now_ms) else {
             return first;
         };
         let own = u64::from(agent.admission.open_flows()) * u64::from(self.weight(second));
-        let other = u64::from(report.open_flows) * u64::from(self.weight(first));
+        let other = u64::from(known.report.open_flows) * u64::from(self.weight(first));
         if other < own { second } else { first }
     }
 
@@ -350,7 +364,7 @@
             sequence: agent.sequence,
             open_flows: agent.admission.open_flows(),
             busy_slots: 0,
-            queued: 0,
+            age_cs: 0,
             busy_centislots: 0,
             share_permille: agent.admission.share_permille(1_000, now_ms),
         });
--- a/lab/tests/imbalance_bounds.rs
+++ b/lab/tests/imbalance_bounds.rs
@@ -34,3 +34,11 @@
     let name = "imbalance_after_edit_7_targets_60_s";
     assert!(ours.end * 100.0 <= bound(name), "{name}: {ours:?}");
 }
+
+#[test]
+fn a_rush_of_openers_is_spread_though_reports_are_old() {
+    let rows = run_imbalance(7, 600, 1_000, 1);
+    let ours = row(&rows, "all flows lost", Policy::Deflect);
+    let name = "imbalance_reopen_7_targets_600_s";
+    assert!(ours.worst * 100.0 <= bound(name), "{name}: {ours:?}");
+}
--- a/schema/node.capnp
+++ b/schema/node.capnp
@@ -28,7 +28,7 @@
   sequence @2 :UInt32;
   openFlows @3 :UInt32;
   busySlots @4 :UInt16;
-  queued @5 :UInt16;
+  ageCs @5 :UInt16;
   sharePermille @6 :UInt16;
   busyCentislots @7 :UInt16;
 }
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -9,9 +9,9 @@
 use rand::Rng;
 
 use crate::code::Code;
-use crate::load_board::{FULL_SHARE_PERMILLE, LoadBoard, LoadReport};
+use crate::flow_history::FlowHistory;
+use crate::load_board::{FULL_SHARE_PERMILLE, KnownLoad, LoadBoard};
 use crate::placement;
-use crate::rate_meter::RateMeter;
 use crate::table::{Row, Table};
 
 /// How long a decision about an opener is remembered, in milliseconds: longer than a handshake.
@@ -54,7 +54,7 @@
     draining: bool,
     started_ms: u64,
     remembered: Vec<Remembered>,
-    owned: RateMeter,
+    history: FlowHistory,
 }
 
 impl Admission {
@@ -66,7 +66,7 @@
             draining: false,
             started_ms: now_ms,
             remembered: Vec::new(),
-            owned: RateMeter::default(),
+            history: FlowHistory::default(),
         }
     }
 
@@ -90,6 +90,7 @@
     /// Counts a flow that has ended.
     pub fn flow_closed(&mut self) {
         self.open_flows = self.open_flows.saturating_sub(1);
+        self.history.closed();
     }
 
     /// Starts or ends the refusal of all openers.
@@ -138,7 +139,7 @@
             return decision;
         }
         if opener.handed == Handed::ByBalancer {
-            self.owned.count(now_ms);
+            self.history.owned(now_ms);
         }
         let decision = self.choose(opener, table, board, now_ms, random);
         if let Decision::Deflect(host) = decision {
@@ -214,7 +215,7 @@
             }
             Handed::Returned => return accept_or(fits, Code::NoTarget),
         }
-        let peers = Peers::of(table, self.host, board, now_ms);
+        let peers = self.peers(table, board, now_ms);
         let own = row.filter(|_| fits).map(|row| {
             let share_permille = self.share_permille(opener.health_permille, now_ms);
             Standing::new(self.host, row, self.open_flows, share_permille)
@@ -237,12 +238,44 @@
         }
     }
 
+    /// Returns the peers that take flows now, as they probably stand by now.
+    fn peers(&self, table: &Table, board: &LoadBoard, now_ms: u64) -> Peers {
+        let own_weight = table.row_on(self.host).map_or(0, |row| row.weight);
+        let others = table.rows.iter().filter(|row| row.host != self.host);
+        let standing = |row: &Row| {
+            let known = board.fresh(row.host, now_ms)?;
+            self.peer_standing(row, &known, own_weight)
+        };
+        Peers(others.filter_map(standing).collect())
+    }
+
+    /// Adds to a peer's report what the hash alone has brought since, by this agent's own count.
+    ///
+    /// When all flows of a site open anew within seconds, reports are old before they arrive, and
+    /// every peer would seem to stand below. But owners are drawn evenly, so that a peer has grown
+    /// as this agent would have; see docs/DESIGN.md, "Deflection".
+    fn peer_standing(&self, row: &Row, known: &KnownLoad, own_weight: u32) -> Option<Standing> {
+        let mut standing = Standing::new(
+            row.host,
+            row,
+            known.report.open_flows,
+            known.report.share_permille,
+        );
+        if own_weight > 0 {
+            let ratio = f64::from(row.weight) / f64::from(own_weight);
+            let grown = self.history.growth_since(known.counted_ms) * ratio;
+            standing.open_flows = (standing.open_flows + grown).max(0.0);
+        }
+        let room = standing.open_flows < f64::from(row.connections);
+        (standing.weight > 0.0 && room).then_some(standing)
+    }
+
     /// Decides whether this opener should correct an excess of flows.
     ///
     /// While reports are old, every opener that arrives would see the same excess and correct it
     /// again. So the openers expected until the next reports share the correction among them.
     fn corrects(&self, excess: f64, board: &LoadBoard, now_ms: u64, random: &mut impl Rng) -> bool {
-        let expected = self.owned.per_ms() * board.refresh_ms(now_ms);
+        let expected = self.history.owned_per_ms(now_ms) * board.refresh_ms(now_ms);
         excess > 0.0 && random.random_range(0.0..1.0) * expected < excess
     }
 
@@ -311,24 +344,12 @@
             weight: f64::from(row.weight) * share,
         }
     }
-
-    fn of_peer(row: &Row, report: &LoadReport) -> Option<Self> {
-        let standing = Self::new(row.host, row, report.open_flows, report.share_permille);
-        let takes = standing.weight > 0.0 && report.open_flows < row.connections;
-        takes.then_some(standing)
-    }
 }
 
 /// The peers that take flows now.
 struct Peers(Vec<Standing>);
 
 impl Peers {
-    fn of(table: &Table, host: Ipv4Addr, board: &LoadBoard, now_ms: u64) -> Self {
-        let others = table.rows.iter().filter(|row| row.host != host);
-        let standing = |row: &Row| Standing::of_peer(row, &board.fresh(row.host, now_ms)?);
-        Self(others.filter_map(standing).collect())
-    }
-
     /// Returns the flows per weight that all would have if they were level with one flow more.
     fn level_with(&self, own: &Standing) -> f64 {
         let all = || self.0.iter().chain(std::iter::once(own));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 mod envelope;
 mod error;
 mod flow;
+mod flow_history;
 mod flow_socket;
 mod hash;
 mod health;
@@ -63,7 +64,6 @@
 mod platform;
 mod platform_reader;
 mod quic_endpoint;
-mod rate_meter;
 mod relay;
 mod repeatable;
 mod request;
@@ -105,7 +105,9 @@
 pub use crate::keys::{CLUSTER_KEY_BYTES, ClusterKey, KEYS_HEADER, KeyRing};
 pub use crate::ledger::{Begin, KeptAnswer, Ledger, MAX_KEPT_ANSWER_BYTES, MAX_KEPT_BYTES};
 pub use crate::link_auth::{LinkSide, authenticate};
-pub use crate::load_board::{FULL_SHARE_PERMILLE, LoadBoard, LoadReport, REPORT_MAX_AGE_MS};
+pub use crate::load_board::{
+    FULL_SHARE_PERMILLE, KnownLoad, LoadBoard, LoadReport, REPORT_MAX_AGE_MS,
+};
 pub use crate::membership::{PEER_LINKS, READERS_PER_ZONE, links, readers};
 pub use crate::move_share::{BusyStanding, MoveShare};
 pub use crate::operator::run_operator;
--- a/src/load_board.rs
+++ b/src/load_board.rs
@@ -12,6 +12,9 @@
 /// revive it, in milliseconds.
 pub(crate) const REPORT_FORGET_MS: u64 = 300_000;
 
+/// A hundredth of a second, in milliseconds.
+const CS_MS: u64 = 10;
+
 /// What one agent counts itself for one target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct LoadReport {
@@ -25,8 +28,8 @@
     pub open_flows: u32,
     /// The requests that run.
     pub busy_slots: u16,
-    /// The requests that wait.
-    pub queued: u16,
+    /// How old the report is where it is passed on, in hundredths of a second.
+    pub age_cs: u16,
     /// The mean number of busy slots of the last seconds, in hundredths of a slot.
     pub busy_centislots: u16,
     /// How much of its weight the target takes: less while it starts cold, 0 while it drains or
@@ -34,10 +37,19 @@
     pub share_permille: u16,
 }
 
+/// A report with the time at which its agent counted.
+#[derive(Debug, Clone, Copy)]
+pub struct KnownLoad {
+    /// The report, with the flows sent to the agent since.
+    pub report: LoadReport,
+    /// When the agent counted, by this process's clock, in milliseconds.
+    pub counted_ms: u64,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Entry {
     report: LoadReport,
-    received_ms: u64,
+    counted_ms: u64,
     sent_flows: u32,
 }
 
@@ -52,7 +64,7 @@
     pub fn merge(&mut self, report: LoadReport, now_ms: u64) -> bool {
         let entry = Entry {
             report,
-            received_ms: now_ms,
+            counted_ms: now_ms.saturating_sub(u64::from(report.age_cs) * CS_MS),
             sent_flows: 0,
         };
         match self.position(report.host) {
@@ -83,16 +95,19 @@
         }
     }
 
-    /// Returns the peer's report with the flows sent since, if it is fresh.
-    pub fn fresh(&self, host: Ipv4Addr, now_ms: u64) -> Option<LoadReport> {
+    /// Returns what is known of a peer's load, if it is fresh.
+    pub fn fresh(&self, host: Ipv4Addr, now_ms: u64) -> Option<KnownLoad> {
         let index = self.position(host).ok()?;
         let entry = &self.entries[index];
-        if now_ms.saturating_sub(entry.received_ms) > REPORT_MAX_AGE_MS {
+        if now_ms.saturating_sub(entry.counted_ms) > REPORT_MAX_AGE_MS {
             return None;
         }
         let mut report = entry.report;
         report.open_flows += entry.sent_flows;
-        Some(report)
+        Some(KnownLoad {
+            report,
+            counted_ms: entry.counted_ms,
+        })
     }
 
     /// Returns about how long it takes until reports are new, in milliseconds: the mean
@@ -101,19 +116,23 @@
         let ages = self
             .entries
             .iter()
-            .map(|entry| now_ms.saturating_sub(entry.received_ms));
+            .map(|entry| now_ms.saturating_sub(entry.counted_ms));
         let fresh: Vec<u64> = ages.filter(|age_ms| *age_ms <= REPORT_MAX_AGE_MS).collect();
         fresh.iter().sum::<u64>() as f64 / fresh.len().max(1) as f64
     }
 
-    /// Returns all fresh reports as received, to pass on.
+    /// Returns all fresh reports with their age, to pass on.
     pub fn reports(&self, now_ms: u64) -> Vec<LoadReport> {
-        let fresh = |entry: &&Entry| now_ms.saturating_sub(entry.received_ms) <= REPORT_MAX_AGE_MS;
-        self.entries
+        let age_ms = |entry: &Entry| now_ms.saturating_sub(entry.counted_ms);
+        let fresh = self
+            .entries
             .iter()
-            .filter(fresh)
-            .map(|entry| entry.report)
-            .collect()
+            .filter(|entry| age_ms(entry) <= REPORT_MAX_AGE_MS);
+        let aged = fresh.map(|entry| LoadReport {
+            age_cs: (age_ms(entry) / CS_MS) as u16,
+            ..entry.report
+        });
+        aged.collect()
     }
 
     /// Forgets a peer, as after a refused connection.
@@ -126,7 +145,7 @@
     /// Drops reports so old that no peer passes them on any more.
     pub fn prune(&mut self, now_ms: u64) {
         self.entries
-            .retain(|entry| now_ms.saturating_sub(entry.received_ms) <= REPORT_FORGET_MS);
+            .retain(|entry| now_ms.saturating_sub(entry.counted_ms) <= REPORT_FORGET_MS);
     }
 
     /// Forgets everything, as after a pause.
--- a/src/move_request.rs
+++ b/src/move_request.rs
@@ -73,9 +73,9 @@
     let mut peers: Vec<(f64, Ipv4Addr)> = trusted
         .filter(|row| row.weight > 0)
         .filter_map(|row| match board.fresh(row.host, now_ms) {
-            Some(report) if !has_free_slot(&report, row.slots) => None,
-            Some(report) => Some((
-                f64::from(report.busy_slots) / f64::from(row.slots),
+            Some(known) if !has_free_slot(&known.report, row.slots) => None,
+            Some(known) => Some((
+                f64::from(known.report.busy_slots) / f64::from(row.slots),
                 row.host,
             )),
             None => Some((UNHEARD_BUSY, row.host)),
@@ -87,7 +87,7 @@
 }
 
 fn has_free_slot(report: &LoadReport, slots: u32) -> bool {
-    report.share_permille > 0 && u32::from(report.busy_slots) < slots && report.queued == 0
+    report.share_permille > 0 && u32::from(report.busy_slots) < slots
 }
 
 async fn offer_and_run(context: &RequestContext<'_>, host: Ipv4Addr, body: &Bytes) -> Moved {
--- a/src/node_capnp.rs
+++ b/src/node_capnp.rs
@@ -936,7 +936,7 @@
             self.reader.get_data_field::<u16>(8)
         }
         #[inline]
-        pub fn get_queued(self) -> u16 {
+        pub fn get_age_cs(self) -> u16 {
             self.reader.get_data_field::<u16>(9)
         }
         #[inline]
@@ -1042,11 +1042,11 @@
             self.builder.set_data_field::<u16>(8, value);
         }
         #[inline]
-        pub fn get_queued(self) -> u16 {
+        pub fn get_age_cs(self) -> u16 {
             self.builder.get_data_field::<u16>(9)
         }
         #[inline]
-        pub fn set_queued(&mut self, value: u16)  {
+        pub fn set_age_cs(&mut self, value: u16)  {
             self.builder.set_data_field::<u16>(9, value);
         }
         #[inline]
@@ -1132,7 +1132,7 @@
             ::capnp::word(5, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
@@ -1194,7 +1194,7 @@
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 117, 101, 117, 101, 100, 0, 0),
+            ::capnp::word(97, 103, 101, 67, 115, 0, 0, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1246,7 +1246,7 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,4,0,1,3,5,2,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,7,4,0,1,3,2,6];
         pub(crate) const TYPE_ID: u64 = 0xa3b8_2b6d_1a77_1553;
     }
 }
--- a/src/node_codec.rs
+++ b/src/node_codec.rs
@@ -62,7 +62,7 @@
         entry.set_sequence(report.sequence);
         entry.set_open_flows(report.open_flows);
         entry.set_busy_slots(report.busy_slots);
-        entry.set_queued(report.queued);
+        entry.set_age_cs(report.age_cs);
         entry.set_share_permille(report.share_permille);
         entry.set_busy_centislots(report.busy_centislots);
     }
@@ -80,7 +80,7 @@
             sequence: entry.get_sequence(),
             open_flows: entry.get_open_flows(),
             busy_slots: entry.get_busy_slots(),
-            queued: entry.get_queued(),
+            age_cs: entry.get_age_cs(),
             share_permille: entry.get_share_permille(),
             busy_centislots: entry.get_busy_centislots(),
         }
--- a/src/target.rs
+++ b/src/target.rs
@@ -120,7 +120,7 @@
             sequence: self.sequence.get(),
             open_flows: self.admission.borrow().open_flows(),
             busy_slots: self.slots.busy().min(u32::from(u16::MAX)) as u16,
-            queued: self.slots.queued().min(usize::from(u16::MAX)) as u16,
+            age_cs: 0,
             share_permille: self.share_permille(),
             busy_centislots: (self.move_share.borrow().busy_slots() * 100.0) as u16,
         }
@@ -151,7 +151,7 @@
         let board = self.board.borrow();
         let now_ms = self.clock.now_ms();
         let standing = |row: &Row| {
-            let report = board.fresh(row.host, now_ms)?;
+            let report = board.fresh(row.host, now_ms)?.report;
             let weight = f64::from(row.weight) * f64::from(report.share_permille) / 1_000.0;
             let busy_slots = f64::from(report.busy_centislots) / 100.0;
             Some((row.host, BusyStanding { busy_slots, weight }))
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -216,7 +216,7 @@
         !board.merge(report(1, 5, 50), LATE_MS),
         "passed on by a peer after it expired"
     );
-    assert_eq!(board.fresh(host(1), LATE_MS), None);
+    assert!(board.fresh(host(1), LATE_MS).is_none());
     let mut restarted = report(1, 1, 3);
     restarted.incarnation = 2;
     assert!(board.merge(restarted, LATE_MS + 1));
@@ -224,7 +224,7 @@
     assert_eq!(
         board
             .fresh(host(1), LATE_MS + 1)
-            .map(|report| report.open_flows),
+            .map(|known| known.report.open_flows),
         Some(4)
     );
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -49,7 +49,7 @@
         sequence,
         open_flows,
         busy_slots: 0,
-        queued: 0,
+        age_cs: 0,
         busy_centislots: 0,
         share_permille: 1_000,
     }
