Introduce targets to their peers on a drain, not on each edit

Cause: an agent exchanged load with all peers of all its targets on each change of any table or of the host list: 50 KB of control traffic for five edits a second and daemon, 10 KB an edit. Change: it does so when a target is new or its drain begins or ends. The experiment also measures the memory of the configuration.

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -15,7 +15,7 @@
 use crate::load_report;
 use crate::quickstart::run_quickstart;
 use crate::relay_model::{self, RelayPlan};
-use crate::{config_service, datagram_rate, fabric, imbalance};
+use crate::{config_service, control_cost, datagram_rate, fabric, imbalance};
 
 #[derive(Debug, Options)]
 struct LabOptions {
@@ -32,7 +32,7 @@
     #[options(help = "run a small site end to end")]
     Quickstart(NoOptions),
     #[options(
-        help = "experiment imbalance, relay (deterministic runs) or datagrams (a real balancer)"
+        help = "experiment imbalance, relay (deterministic runs), datagrams or control (processes)"
     )]
     Experiment(ExperimentOptions),
     #[options(help = "load a site of today's size and report what it does and costs")]
@@ -251,10 +251,11 @@
         ["imbalance"] => print_imbalance(options),
         ["relay"] => print_relay(options.seed),
         ["datagrams"] => print_datagrams()?,
+        ["control"] => print_control()?,
         _ => {
             return Err(Error::new(
                 Code::Usage,
-                "experiment imbalance, relay or datagrams",
+                "experiment imbalance, relay, datagrams or control",
             ));
         }
     }
@@ -266,13 +267,15 @@
         Some(targets) => vec![(targets, options.lifetime_s)],
         None => vec![(7, 60), (3, 60), (7, 600), (3, 600)],
     };
-    println!("| targets | lifetime | case | policy | mean | worst | end | bound at the end |");
-    println!("|---|---|---|---|---|---|---|---|");
+    println!(
+        "| targets | lifetime | case | policy | mean | worst | end | bound at the end | flows that plain hash would break |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|");
     for (targets, lifetime_s) in sizes {
         for row in imbalance::run(targets, lifetime_s, options.exchange_ms, options.seed) {
             let percent = |part: f64| format!("{:.2} %", part * 100.0);
             println!(
-                "| {} | {} s | {} | {:?} | {} | {} | {} | {} |",
+                "| {} | {} s | {} | {:?} | {} | {} | {} | {} | {} |",
                 row.targets,
                 row.lifetime_s,
                 row.case,
@@ -281,11 +284,43 @@
                 percent(row.worst),
                 percent(row.end),
                 percent(row.bound),
+                percent(row.moved_by_hash),
             );
         }
     }
 }
 
+fn print_control() -> Result<()> {
+    println!("| rows | hosts | published text, MB | memory, MB |\n|---|---|---|---|");
+    for (rows, hosts) in [
+        (1_000, 100),
+        (10_000, 1_000),
+        (33_000, 2_900),
+        (66_000, 5_800),
+    ] {
+        let (text, memory) = control_cost::configuration_memory(rows, hosts)?;
+        let megabytes = |bytes: u64| bytes as f64 / 1e6;
+        println!(
+            "| {rows} | {hosts} | {:.2} | {:.2} |",
+            megabytes(text),
+            megabytes(memory)
+        );
+    }
+    let (rest, edited, edits) = block_on(control_cost::run())?;
+    println!("\n| span of 10 s | bytes/s a daemon | calls/s a daemon | cpu, ms/s a daemon |");
+    println!("|---|---|---|---|");
+    let spans = [
+        ("at rest".to_owned(), rest),
+        (format!("{edits} edits"), edited),
+    ];
+    for (name, cost) in spans {
+        let each = |value: f64| value / cost.daemons / 10.0;
+        let (bytes, calls, cpu_ms) = (each(cost.bytes), each(cost.calls), each(cost.cpu_ms));
+        println!("| {name} | {bytes:.0} | {calls:.2} | {cpu_ms:.2} |");
+    }
+    Ok(())
+}
+
 fn print_datagrams() -> Result<()> {
     let rates = datagram_rate::run()?;
     println!(
--- a/lab/src/imbalance.rs
+++ b/lab/src/imbalance.rs
@@ -1,10 +1,13 @@
 //! The experiment on imbalance: both deployments, steady and through each change, each policy.
 
+use endivedyke::{Table, candidates, name_hash};
+
 use crate::service_model::{ModelLoad, Policy, ServiceModel};
 
 const FLOWS_PER_TARGET: f64 = 2_000.0;
 const SETTLE_MS: u64 = 30_000;
 const WINDOW_MS: u64 = 60_000;
+const SAMPLED_OPENERS: u64 = 20_000;
 const REOPEN_MS: u64 = 2_000;
 
 /// One line of the experiment.
@@ -24,6 +27,8 @@
     pub worst: f64,
     /// The imbalance at its end.
     pub end: f64,
+    /// Which part of the open flows an owner by plain hash, without a token, would lose.
+    pub moved_by_hash: f64,
     /// The least imbalance that new flows alone could have reached at its end.
     pub bound: f64,
 }
@@ -60,6 +65,16 @@
     ("all flows lost and opened again in 2 s", reopen_all),
 ];
 
+/// Returns the part of openers whose owner differs between two tables.
+fn moved(before: &Table, after: &Table) -> f64 {
+    let owner = |table, hash| candidates(table, hash, |_| true).map(|c| c.first.target.clone());
+    let sample = (0..SAMPLED_OPENERS).map(|index| name_hash(&index.to_string()));
+    let moved = sample
+        .filter(|hash| owner(before, *hash) != owner(after, *hash))
+        .count();
+    moved as f64 / SAMPLED_OPENERS as f64
+}
+
 /// Runs every case for a service with this many targets.
 pub fn run(targets: usize, lifetime_s: u64, exchange_ms: u64, seed: u64) -> Vec<ImbalanceRow> {
     let policies = [Policy::Hash, Policy::TwoChoices, Policy::Deflect];
@@ -76,7 +91,9 @@
             let mut model = ServiceModel::new(policy, &vec![100; targets], load, seed);
             model.fill(FLOWS_PER_TARGET as u64 * targets as u64);
             model.run(SETTLE_MS + lifetime_s * 2_000);
+            let before = model.table().clone();
             change(&mut model, targets);
+            let moved_by_hash = moved(&before, model.table());
             let bound = model.bound(WINDOW_MS);
             let seen = model.run(WINDOW_MS);
             ImbalanceRow {
@@ -87,6 +104,7 @@
                 mean: seen.iter().sum::<f64>() / seen.len() as f64,
                 worst: seen.iter().copied().fold(0.0, f64::max),
                 end: model.imbalance(),
+                moved_by_hash,
                 bound,
             }
         })
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -9,6 +9,7 @@
 mod callers;
 mod cli;
 mod config_service;
+mod control_cost;
 mod datagram_rate;
 mod fabric;
 mod http_text;
--- a/lab/src/service_model.rs
+++ b/lab/src/service_model.rs
@@ -161,6 +161,11 @@
             .collect()
     }
 
+    /// Returns the table in force.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
     /// Returns how many openers were refused, and how many were handed to a peer.
     pub fn refused_and_deflected(&self) -> (u64, u64) {
         (self.refused, self.deflected)
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -189,13 +189,18 @@
             }
         }
         let leaves = self.host_leaves();
-        self.for_each_target(|target| {
-            let store = self.control.store.borrow();
-            let table = store.table(target.service);
-            target.apply(table.and_then(|table| table.row_on(target.host)), leaves);
-        });
-        // Peers learn of a drain or a new limit now, not when chance picks them.
-        load_exchange::introduce(self);
+        let targets = self.targets.borrow().clone();
+        for target in &targets {
+            let changed = {
+                let store = self.control.store.borrow();
+                let table = store.table(target.service);
+                target.apply(table.and_then(|table| table.row_on(target.host)), leaves)
+            };
+            if changed {
+                // Peers learn of a drain now, not when chance picks them.
+                load_exchange::introduce(self, target);
+            }
+        }
     }
 
     fn own_rows(&self) -> Vec<(Table, Row)> {
@@ -235,6 +240,7 @@
             table.service,
             row.target
         );
+        load_exchange::introduce(self, &target);
         compio::runtime::spawn(flow::accept_flows(self.clone(), target)).detach();
         Ok(())
     }
@@ -492,8 +498,11 @@
     }
 
     async fn drain(self: &Rc<Self>) {
-        self.for_each_target(|target| target.set_draining(true));
-        load_exchange::introduce(self);
+        self.for_each_target(|target| {
+            if target.set_draining(true) {
+                load_exchange::introduce(self, target);
+            }
+        });
         let limit_ms = self.control.now_ms() + self.control.settings.drain_limit_s * 1_000;
         while self.open_flows() > 0 && self.control.now_ms() < limit_ms {
             compio::time::sleep(DRAIN_POLL).await;
--- a/src/load_exchange.rs
+++ b/src/load_exchange.rs
@@ -30,16 +30,13 @@
     }
 }
 
-/// Exchanges load with every peer of every target, once, so that a fresh agent does not decide
-/// blindly for its first seconds.
-pub(crate) fn introduce(agent: &Rc<Agent>) {
-    let targets = agent.targets.borrow().clone();
-    for target in targets {
-        for peer in peers(agent, &target) {
-            let agent = agent.clone();
-            let target = target.clone();
-            compio::runtime::spawn(async move { exchange(&agent, &target, peer).await }).detach();
-        }
+/// Exchanges load with every peer of a target, once: a fresh one does not decide blindly for its first
+/// seconds, and a leaving one is not sent openers by peers that have not heard of it.
+pub(crate) fn introduce(agent: &Rc<Agent>, target: &Rc<Target>) {
+    for peer in peers(agent, target) {
+        let agent = agent.clone();
+        let target = target.clone();
+        compio::runtime::spawn(async move { exchange(&agent, &target, peer).await }).detach();
     }
 }
 
--- a/src/target.rs
+++ b/src/target.rs
@@ -74,20 +74,22 @@
         }))
     }
 
-    /// Takes the limits of a changed row, or drains where the row is gone.
-    pub(crate) fn apply(&self, row: Option<&Row>, host_leaves: bool) {
+    /// Takes the limits of a changed row, or drains where the row is gone; says whether a drain
+    /// began or ended.
+    pub(crate) fn apply(&self, row: Option<&Row>, host_leaves: bool) -> bool {
         if let Some(row) = row {
             self.backend.set(row.backend);
             self.slots.set_limit(row.slots);
         }
-        self.set_draining(row.is_none() || host_leaves);
+        self.set_draining(row.is_none() || host_leaves)
     }
 
-    /// Starts or ends the drain; flows that run are told to move, and none is cut.
-    pub(crate) fn set_draining(&self, draining: bool) {
+    /// Starts or ends the drain and says whether that was news; flows that run are told to move, and
+    /// none is cut.
+    pub(crate) fn set_draining(&self, draining: bool) -> bool {
         let mut admission = self.admission.borrow_mut();
         if admission.is_draining() == draining {
-            return;
+            return false;
         }
         admission.set_draining(draining);
         log::info!("event=drain service={} on={draining}", self.service_name);
@@ -96,6 +98,7 @@
         } else {
             self.drain.rearm();
         }
+        true
     }
 
     pub(crate) fn is_draining(&self) -> bool {
