--- a/lab/src/relay_model.rs
+++ b/lab/src/relay_model.rs
@@ -8,7 +8,7 @@
 use std::collections::BinaryHeap;
 use std::net::Ipv4Addr;
 
-use endivedyke::{HOSTS_HEADER, HostList, links, readers, told};
+use endivedyke::{HOSTS_HEADER, HostList, links, readers};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -56,7 +56,6 @@
 struct Run<'a> {
     plan: &'a RelayPlan,
     peers: Vec<Vec<usize>>,
-    told: Vec<Vec<usize>>,
     alive: Vec<bool>,
     has: Vec<Option<u64>>,
     received: Vec<u64>,
@@ -96,13 +95,13 @@
     let alive: Vec<bool> = (0..plan.daemons)
         .map(|_| !random.random_bool(plan.dead))
         .collect();
-    let links = (0..plan.daemons).map(|index| links(&hosts, address(index), |_| true));
-    let links: Vec<Vec<Ipv4Addr>> = links.collect();
-    let indices = |hosts: &[Ipv4Addr]| hosts.iter().copied().map(index_of).collect();
+    let peers = (0..plan.daemons).map(|index| {
+        let links = links(&hosts, address(index), |_| true);
+        links.into_iter().map(index_of).collect()
+    });
     let mut run = Run {
         plan,
-        peers: links.iter().map(|links| indices(links)).collect(),
-        told: links.iter().map(|links| indices(&told(links))).collect(),
+        peers: peers.collect(),
         has: vec![None; plan.daemons],
         received: vec![0; plan.daemons],
         tells: 0,
@@ -148,7 +147,7 @@
             return false;
         }
         self.has[index] = Some(now_ms);
-        for peer in self.told[index].clone() {
+        for peer in self.peers[index].clone() {
             self.tells += 1;
             if self.passes(index, peer, now_ms) {
                 let arrival_ms = now_ms + self.delay_ms(index, peer);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -108,7 +108,7 @@
 pub use crate::load_board::{
     FULL_SHARE_PERMILLE, KnownLoad, LoadBoard, LoadReport, REPORT_MAX_AGE_MS,
 };
-pub use crate::membership::{PEER_LINKS, READERS_PER_ZONE, links, readers, told};
+pub use crate::membership::{PEER_LINKS, READERS_PER_ZONE, links, readers};
 pub use crate::move_share::{BusyStanding, MoveShare};
 pub use crate::operator::run_operator;
 pub use crate::packet::{PacketView, parse as parse_packet};
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -10,30 +10,14 @@
 
 /// How many processes of an availability zone watch the platform.
 pub const READERS_PER_ZONE: usize = 3;
-/// With how many peers a process compares revisions.
+/// To how many peers a process tells a change, and with how many it compares revisions.
 pub const PEER_LINKS: usize = 6;
 /// How many of them are of its own availability zone, so that a cut between zones or regions leaves
 /// no process without a peer that some reader of its zone reaches.
 const NEAR_LINKS: usize = 3;
 
-/// To how many peers a process tells a change.
-const TELLS: usize = 4;
-
 const READER_SALT: u64 = 0x7265_6164;
 
-/// Returns the links along which a change is told: two near ones and two far ones.
-///
-/// Fewer tells than links keep an edit cheap; the comparisons go over all links and find what the
-/// tells have missed.
-pub fn told(links: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
-    let (near, far) = links.split_at(links.len().min(NEAR_LINKS));
-    let tells = near
-        .iter()
-        .take(TELLS / 2)
-        .chain(far.iter().take(TELLS / 2));
-    tells.copied().collect()
-}
-
 fn host_hash(host: Ipv4Addr) -> u64 {
     hash::bytes_hash(&host.octets())
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -42,7 +42,7 @@
     let Some(value) = control.store.borrow().get(name).cloned() else {
         return;
     };
-    for host in membership::told(&links(control)) {
+    for host in links(control) {
         let control = control.clone();
         let name = name.to_owned();
         let base = value.previous_revision;
