Split what had grown large, and say things once

Behaviour stays as it is. The agent's datagrams stand apart from its targets and its life, a site's files from its processes, experiments from the command line; the request for the local backend server and the bounds of tests are read in one place each.

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -11,11 +11,11 @@
 use crate::backend_server::{self, BackendOptions};
 use crate::caller_process::CallerLoad;
 use crate::callers::{self, CallersPlan};
+use crate::experiments::{self, ExperimentOptions};
 use crate::load::{self, LoadPlan};
 use crate::load_report;
 use crate::quickstart::run_quickstart;
-use crate::relay_model::{self, RelayPlan};
-use crate::{config_service, control_cost, datagram_rate, fabric, imbalance};
+use crate::{config_service, fabric};
 
 #[derive(Debug, Options)]
 struct LabOptions {
@@ -53,22 +53,6 @@
     help: bool,
 }
 
-#[derive(Debug, Options)]
-struct ExperimentOptions {
-    #[options(help = "print this help and exit")]
-    help: bool,
-    #[options(no_short, help = "the seed of the random source", default = "1")]
-    seed: u64,
-    #[options(no_short, help = "how often agents exchange load", default = "1000")]
-    exchange_ms: u64,
-    #[options(no_short, help = "a number of targets, in place of today's sizes")]
-    targets: Option<usize>,
-    #[options(no_short, help = "the mean time a flow stays open", default = "600")]
-    lifetime_s: u64,
-    #[options(free)]
-    name: Vec<String>,
-}
-
 #[derive(Debug, Options)]
 struct LoadOptions {
     #[options(help = "print this help and exit")]
@@ -175,14 +159,6 @@
     report: Option<PathBuf>,
 }
 
-/// Losses, dead daemons and cuts of the relay experiment.
-const RELAY_CASES: [(f64, f64, bool); 4] = [
-    (0.0, 0.0, false),
-    (0.05, 0.02, false),
-    (0.3, 0.1, false),
-    (0.02, 0.02, true),
-];
-
 /// Runs the lab with the arguments of the process.
 pub fn run() -> ExitCode {
     let options = LabOptions::parse_args_default_or_exit();
@@ -192,7 +168,7 @@
     }
     let result = match options.command {
         Some(Command::Quickstart(_)) => quickstart(),
-        Some(Command::Experiment(options)) => experiment(&options),
+        Some(Command::Experiment(options)) => experiments::run(&options),
         Some(Command::Load(options)) => run_load(&options),
         Some(Command::Fabric(options)) => run_fabric(&options),
         Some(Command::ConfigService(options)) => {
@@ -215,7 +191,7 @@
     }
 }
 
-fn block_on<T>(future: impl Future<Output = Result<T>>) -> Result<T> {
+pub(crate) fn block_on<T>(future: impl Future<Output = Result<T>>) -> Result<T> {
     compio::runtime::Runtime::new()?.block_on(future)
 }
 
@@ -245,130 +221,6 @@
     Err(Error::new(Code::OutcomeUnknown, message))
 }
 
-fn experiment(options: &ExperimentOptions) -> Result<()> {
-    let names: Vec<&str> = options.name.iter().map(String::as_str).collect();
-    match names.as_slice() {
-        ["imbalance"] => print_imbalance(options),
-        ["relay"] => print_relay(options.seed),
-        ["datagrams"] => print_datagrams()?,
-        ["control"] => print_control()?,
-        _ => {
-            return Err(Error::new(
-                Code::Usage,
-                "experiment imbalance, relay, datagrams or control",
-            ));
-        }
-    }
-    Ok(())
-}
-
-fn print_imbalance(options: &ExperimentOptions) {
-    let sizes = match options.targets {
-        Some(targets) => vec![(targets, options.lifetime_s)],
-        None => vec![(7, 60), (3, 60), (7, 600), (3, 600)],
-    };
-    println!(
-        "| targets | lifetime | case | policy | mean | worst | end | bound at the end | flows that plain hash would break |"
-    );
-    println!("|---|---|---|---|---|---|---|---|---|");
-    for (targets, lifetime_s) in sizes {
-        for row in imbalance::run(targets, lifetime_s, options.exchange_ms, options.seed) {
-            let percent = |part: f64| format!("{:.2} %", part * 100.0);
-            println!(
-                "| {} | {} s | {} | {:?} | {} | {} | {} | {} | {} |",
-                row.targets,
-                row.lifetime_s,
-                row.case,
-                row.policy,
-                percent(row.mean),
-                percent(row.worst),
-                percent(row.end),
-                percent(row.bound),
-                percent(row.moved_by_hash),
-            );
-        }
-    }
-}
-
-fn print_control() -> Result<()> {
-    println!("| rows | hosts | published text, MB | memory, MB |\n|---|---|---|---|");
-    for (rows, hosts) in [
-        (1_000, 100),
-        (10_000, 1_000),
-        (33_000, 2_900),
-        (66_000, 5_800),
-    ] {
-        let (text, memory) = control_cost::configuration_memory(rows, hosts)?;
-        let megabytes = |bytes: u64| bytes as f64 / 1e6;
-        println!(
-            "| {rows} | {hosts} | {:.2} | {:.2} |",
-            megabytes(text),
-            megabytes(memory)
-        );
-    }
-    let (rest, edited, edits) = block_on(control_cost::run())?;
-    println!("\n| span of 10 s | bytes/s a daemon | calls/s a daemon | cpu, ms/s a daemon |");
-    println!("|---|---|---|---|");
-    let spans = [
-        ("at rest".to_owned(), rest),
-        (format!("{edits} edits"), edited),
-    ];
-    for (name, cost) in spans {
-        let each = |value: f64| value / cost.daemons / 10.0;
-        let (bytes, calls, cpu_ms) = (each(cost.bytes), each(cost.calls), each(cost.cpu_ms));
-        println!("| {name} | {bytes:.0} | {calls:.2} | {cpu_ms:.2} |");
-    }
-    Ok(())
-}
-
-fn print_datagrams() -> Result<()> {
-    let rates = datagram_rate::run()?;
-    println!(
-        "bare receive-and-send loop: {:.0} datagrams/s",
-        rates.bare_per_s
-    );
-    println!(
-        "balancer, with token: {:.0} datagrams/s, {:.2} of the bare loop",
-        rates.with_token_per_s,
-        rates.with_token_per_s / rates.bare_per_s,
-    );
-    println!("balancer, openers: {:.0} datagrams/s", rates.openers_per_s);
-    println!(
-        "balancer's memory before and after the datagrams of 200000 flows: {:.1} MB, {:.1} MB",
-        rates.memory_before_bytes as f64 / 1e6,
-        rates.memory_after_bytes as f64 / 1e6,
-    );
-    Ok(())
-}
-
-fn print_relay(seed: u64) {
-    println!(
-        "| daemons | lost | dead | regions cut | half, ms | 99 %, ms | all, ms | tells each | most received | platform reads |"
-    );
-    println!("|---|---|---|---|---|---|---|---|---|---|");
-    for daemons in [300, 1_200, 2_900, 5_800] {
-        for (loss, dead, cut) in RELAY_CASES {
-            let plan = RelayPlan {
-                daemons,
-                loss,
-                dead,
-                cut,
-                seed,
-            };
-            let outcome = relay_model::run(&plan);
-            println!(
-                "| {daemons} | {loss} | {dead} | {cut} | {} | {} | {} | {:.2} | {} | {} |",
-                outcome.half_ms,
-                outcome.most_ms,
-                outcome.all_ms,
-                outcome.tells_each,
-                outcome.most_received,
-                outcome.platform_reads,
-            );
-        }
-    }
-}
-
 fn run_load(options: &LoadOptions) -> Result<()> {
     let plan = LoadPlan {
         deployment: options.deployment.parse()?,
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -11,6 +11,7 @@
 mod config_service;
 mod control_cost;
 mod datagram_rate;
+mod experiments;
 mod fabric;
 mod http_text;
 mod imbalance;
@@ -23,6 +24,7 @@
 mod relay_model;
 mod service_model;
 mod site;
+mod site_files;
 mod tally;
 
 pub use crate::caller::{Caller, Reply};
--- a/lab/src/site.rs
+++ b/lab/src/site.rs
@@ -5,18 +5,20 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use endivedyke::{Code, Error, HOSTS_HEADER, HOSTS_NAME, Result, TABLE_HEADER, TABLE_PREFIX};
+use endivedyke::{Code, Error, HOSTS_NAME, Result, TABLE_PREFIX};
 use tempfile::TempDir;
 
 use crate::http_text;
 use crate::process::Process;
 
-const CONTROL_PORT: u16 = 4_700;
+/// The TCP port of control links on every host.
+pub(crate) const CONTROL_PORT: u16 = 4_700;
 /// The UDP port of envelopes on every host.
 pub(crate) const DATAGRAM_PORT: u16 = 4_701;
 /// The byte of which a site's cluster key is made.
 pub(crate) const SITE_KEY_BYTE: u8 = 0x5a;
-const METRICS_PORT: u16 = 4_702;
+/// The TCP port of `/metrics` on every host.
+pub(crate) const METRICS_PORT: u16 = 4_702;
 const PLATFORM_PORT: u16 = 8_500;
 const FABRIC_ADMIN_PORT: u16 = 8_501;
 const FIRST_SERVICE_PORT: u16 = 7_000;
@@ -26,21 +28,21 @@
 
 /// A service of the site.
 #[derive(Debug, Clone)]
-struct ServiceSpec {
-    name: String,
+pub(crate) struct ServiceSpec {
+    pub(crate) name: String,
     targets: usize,
-    slots: u32,
-    connections: u32,
+    pub(crate) slots: u32,
+    pub(crate) connections: u32,
     service_ms: u64,
 }
 
 /// Describes a site before it is started.
 #[derive(Debug, Clone)]
 pub struct SiteBuilder {
-    balancers: usize,
-    services: Vec<ServiceSpec>,
-    zones: Vec<String>,
-    drain_limit_s: u64,
+    pub(crate) balancers: usize,
+    pub(crate) services: Vec<ServiceSpec>,
+    pub(crate) zones: Vec<String>,
+    pub(crate) drain_limit_s: u64,
 }
 
 impl SiteBuilder {
@@ -100,7 +102,7 @@
 pub struct Site {
     net: (u8, u8),
     folder: TempDir,
-    spec: SiteBuilder,
+    pub(crate) spec: SiteBuilder,
     platform: Option<Process>,
     fabric: Option<Process>,
     balancers: Vec<Option<Process>>,
@@ -205,14 +207,6 @@
         self.wait_ready().await
     }
 
-    fn write_certificate(&self) -> Result<()> {
-        let made = rcgen::generate_simple_self_signed(vec!["localhost".to_owned()]);
-        let made = made.map_err(|error| Error::new(Code::Io, error.to_string()))?;
-        fs::write(self.file("certificate.pem"), made.cert.pem())?;
-        fs::write(self.file("key.pem"), made.signing_key.serialize_pem())?;
-        Ok(())
-    }
-
     /// Starts the configuration service, empty as after a loss of all it had.
     ///
     /// # Errors
@@ -262,28 +256,6 @@
         Ok(())
     }
 
-    fn write_settings(&self, name: &str, host: Ipv4Addr, zone: &str) -> Result<PathBuf> {
-        let path = self.file(name);
-        let text = format!(
-            "[process]\nhost = {host}\nzone = {zone}\n\n\
-             [network]\ncontrol_port = {CONTROL_PORT}\ndatagram_port = {DATAGRAM_PORT}\n\
-             metrics_port = {METRICS_PORT}\n\n\
-             [balancer]\nbind_ip = {host}\n\n\
-             [platform]\naddress = {}\n\n\
-             [keys]\ncluster = {}\n\n\
-             [agent]\ncertificate_file = {}\nkey_file = {}\ndrain_limit_s = {}\n\n\
-             [log]\nlevel = info\nfile = {}\n",
-            self.platform_address(),
-            hex::encode([SITE_KEY_BYTE; endivedyke::CLUSTER_KEY_BYTES]),
-            self.file("certificate.pem").display(),
-            self.file("key.pem").display(),
-            self.spec.drain_limit_s,
-            self.file(&format!("{name}.log")).display(),
-        );
-        fs::write(&path, text)?;
-        Ok(path)
-    }
-
     fn start_daemon(
         &self,
         program: &str,
@@ -354,40 +326,6 @@
         all
     }
 
-    /// Returns the host list as the platform publishes it.
-    pub fn hosts_text(&self, leaving: &[Ipv4Addr]) -> String {
-        let zone = |index: usize| &self.spec.zones[index % self.spec.zones.len()];
-        let state = |host| {
-            if leaving.contains(&host) {
-                "leaving"
-            } else {
-                "live"
-            }
-        };
-        let line = |host, index, role| format!("{host},{},{role},{}\n", zone(index), state(host));
-        let entries = (0..self.spec.balancers).map(|i| line(self.balancer_host(i), i, "entry"));
-        let backends = (0..self.agent_count()).map(|i| line(self.agent_host(i), i, "backend"));
-        format!("{HOSTS_HEADER}\n") + &entries.chain(backends).collect::<String>()
-    }
-
-    /// Returns a service's table with these weights, one a target; targets beyond them get none.
-    pub fn table_text(&self, service: usize, weights: &[u32]) -> String {
-        let spec = &self.spec.services[service];
-        let mut text = format!("{TABLE_HEADER}\n");
-        for (host, weight) in weights.iter().enumerate() {
-            text += &format!(
-                "{},{},t{host},{},{},{weight},{},{}\n",
-                spec.name,
-                self.service_address(service),
-                self.agent_host(host),
-                self.backend_address(service, host),
-                spec.slots,
-                spec.connections,
-            );
-        }
-        text
-    }
-
     async fn publish_all(&self) -> Result<()> {
         self.publish(HOSTS_NAME, &self.hosts_text(&[])).await?;
         for (service, spec) in self.spec.services.iter().enumerate() {
--- /dev/null
+++ b/lab/src/site_files.rs
@@ -0,0 +1,77 @@
+//! What a site writes for its processes: settings, certificate, host list and tables.
+
+use std::fs;
+use std::net::Ipv4Addr;
+use std::path::PathBuf;
+
+use endivedyke::{Code, Error, HOSTS_HEADER, Result, TABLE_HEADER};
+
+use crate::site::{CONTROL_PORT, DATAGRAM_PORT, METRICS_PORT, SITE_KEY_BYTE, Site};
+
+impl Site {
+    /// Writes the certificate that agents show to callers.
+    pub(crate) fn write_certificate(&self) -> Result<()> {
+        let made = rcgen::generate_simple_self_signed(vec!["localhost".to_owned()]);
+        let made = made.map_err(|error| Error::new(Code::Io, error.to_string()))?;
+        fs::write(self.file("certificate.pem"), made.cert.pem())?;
+        fs::write(self.file("key.pem"), made.signing_key.serialize_pem())?;
+        Ok(())
+    }
+
+    /// Writes the settings of a daemon.
+    pub(crate) fn write_settings(&self, name: &str, host: Ipv4Addr, zone: &str) -> Result<PathBuf> {
+        let path = self.file(name);
+        let text = format!(
+            "[process]\nhost = {host}\nzone = {zone}\n\n\
+             [network]\ncontrol_port = {CONTROL_PORT}\ndatagram_port = {DATAGRAM_PORT}\n\
+             metrics_port = {METRICS_PORT}\n\n\
+             [balancer]\nbind_ip = {host}\n\n\
+             [platform]\naddress = {}\n\n\
+             [keys]\ncluster = {}\n\n\
+             [agent]\ncertificate_file = {}\nkey_file = {}\ndrain_limit_s = {}\n\n\
+             [log]\nlevel = info\nfile = {}\n",
+            self.platform_address(),
+            hex::encode([SITE_KEY_BYTE; endivedyke::CLUSTER_KEY_BYTES]),
+            self.file("certificate.pem").display(),
+            self.file("key.pem").display(),
+            self.spec.drain_limit_s,
+            self.file(&format!("{name}.log")).display(),
+        );
+        fs::write(&path, text)?;
+        Ok(path)
+    }
+
+    /// Returns the host list as the platform publishes it.
+    pub fn hosts_text(&self, leaving: &[Ipv4Addr]) -> String {
+        let zone = |index: usize| &self.spec.zones[index % self.spec.zones.len()];
+        let state = |host| {
+            if leaving.contains(&host) {
+                "leaving"
+            } else {
+                "live"
+            }
+        };
+        let line = |host, index, role| format!("{host},{},{role},{}\n", zone(index), state(host));
+        let entries = (0..self.spec.balancers).map(|i| line(self.balancer_host(i), i, "entry"));
+        let backends = (0..self.agent_count()).map(|i| line(self.agent_host(i), i, "backend"));
+        format!("{HOSTS_HEADER}\n") + &entries.chain(backends).collect::<String>()
+    }
+
+    /// Returns a service's table with these weights, one a target; targets beyond them get none.
+    pub fn table_text(&self, service: usize, weights: &[u32]) -> String {
+        let spec = &self.spec.services[service];
+        let mut text = format!("{TABLE_HEADER}\n");
+        for (host, weight) in weights.iter().enumerate() {
+            text += &format!(
+                "{},{},t{host},{},{},{weight},{},{}\n",
+                spec.name,
+                self.service_address(service),
+                self.agent_host(host),
+                self.backend_address(service, host),
+                spec.slots,
+                spec.connections,
+            );
+        }
+        text
+    }
+}
--- a/lab/tests/common/mod.rs
+++ b/lab/tests/common/mod.rs
@@ -6,6 +6,8 @@
 
 use endivedyke_lab::{CallerLoad, Site, SiteBuilder, Tally};
 
+const BOUNDS: &str = include_str!("../../../bounds.txt");
+
 /// Runs a test's future on a runtime of its own.
 pub fn run<F: Future>(test: F) -> F::Output {
     compio::runtime::Runtime::new()
@@ -58,3 +60,12 @@
         ..tally.clone()
     }
 }
+
+/// Returns the bound with this name from `bounds.txt`.
+pub fn bound(name: &str) -> f64 {
+    let line = BOUNDS
+        .lines()
+        .find(|line| line.split_whitespace().next() == Some(name));
+    let bound = line.and_then(|line| line.split_whitespace().nth(2)?.parse().ok());
+    bound.unwrap_or_else(|| panic!("{name} is not in bounds.txt"))
+}
--- a/lab/tests/imbalance_bounds.rs
+++ b/lab/tests/imbalance_bounds.rs
@@ -1,16 +1,9 @@
 //! Imbalance under fixed seeds stays below the bounds in `bounds.txt`, and below the naive version.
 
-use endivedyke_lab::{ImbalanceRow, Policy, run_imbalance};
-
-const BOUNDS: &str = include_str!("../../bounds.txt");
+mod common;
 
-fn bound(name: &str) -> f64 {
-    let line = BOUNDS
-        .lines()
-        .find(|line| line.split_whitespace().next() == Some(name));
-    let bound = line.and_then(|line| line.split_whitespace().nth(2)?.parse().ok());
-    bound.unwrap_or_else(|| panic!("{name} is not in bounds.txt"))
-}
+use common::bound;
+use endivedyke_lab::{ImbalanceRow, Policy, run_imbalance};
 
 fn row(rows: &[ImbalanceRow], case: &str, policy: Policy) -> ImbalanceRow {
     let found = rows
--- a/lab/tests/relay_bounds.rs
+++ b/lab/tests/relay_bounds.rs
@@ -1,16 +1,9 @@
 //! A change reaches all daemons within the bounds of `bounds.txt`, with losses, deaths and a cut.
 
-use endivedyke_lab::{RelayPlan, run_relay};
-
-const BOUNDS: &str = include_str!("../../bounds.txt");
+mod common;
 
-fn bound(name: &str) -> f64 {
-    let line = BOUNDS
-        .lines()
-        .find(|line| line.split_whitespace().next() == Some(name));
-    let bound = line.and_then(|line| line.split_whitespace().nth(2)?.parse().ok());
-    bound.unwrap_or_else(|| panic!("{name} is not in bounds.txt"))
-}
+use common::bound;
+use endivedyke_lab::{RelayPlan, run_relay};
 
 fn plan(loss: f64, dead: f64) -> RelayPlan {
     RelayPlan {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admission;
 mod agent;
+mod agent_datagrams;
 mod answer;
 mod backend;
 mod balancer;
--- a/src/repeatable.rs
+++ b/src/repeatable.rs
@@ -11,7 +11,7 @@
 use crate::caller_body::{CallerBody, whole_body};
 use crate::code::Code;
 use crate::health::PROBE_MS;
-use crate::local_run::{self, LocalRequest, Outcome};
+use crate::local_run::{self, Outcome};
 use crate::move_request::{self, Moved};
 use crate::request::RequestContext;
 use crate::slot_queue::SlotGuard;
@@ -84,14 +84,7 @@
     body: CallerBody,
     mut slot: SlotGuard,
 ) -> Result<Answer, Outcome> {
-    let request = LocalRequest {
-        target: context.target.clone(),
-        method: context.head.method.clone(),
-        path: context.path.to_owned(),
-        headers: context.head.headers.clone(),
-        body: body.into_request_body(),
-        deadline_ms: context.deadline_ms,
-    };
+    let request = context.local_request(body);
     let left = Duration::from_millis(context.left_ms());
     let handed = local_run::hand_over(request, &mut slot, context.agent.control.clock);
     match compio::time::timeout(left, handed).await {
--- a/src/request.rs
+++ b/src/request.rs
@@ -13,6 +13,7 @@
 use crate::answer::{Answer, AnswerBody};
 use crate::caller_body::{BodyStream, CallerBody};
 use crate::code::Code;
+use crate::local_run::LocalRequest;
 use crate::request_spec::RequestSpec;
 use crate::sealed_id::{Purpose, SealedBytes, SealedId};
 use crate::target::Target;
@@ -35,6 +36,18 @@
     pub(crate) fn left_ms(&self) -> u64 {
         self.deadline_ms.saturating_sub(self.agent.control.now_ms())
     }
+
+    /// Returns the request as it runs at this host's backend server.
+    pub(crate) fn local_request(&self, body: CallerBody) -> LocalRequest {
+        LocalRequest {
+            target: self.target.clone(),
+            method: self.head.method.clone(),
+            path: self.path.to_owned(),
+            headers: self.head.headers.clone(),
+            body: body.into_request_body(),
+            deadline_ms: self.deadline_ms,
+        }
+    }
 }
 
 /// A step that lets a request pass or gives its final answer.
--- a/src/run_once.rs
+++ b/src/run_once.rs
@@ -105,14 +105,7 @@
         Ok(slot) => slot,
         Err(refusal) => return entry.refuse(refusal).with_ticket(ticket_for(context)),
     };
-    let request = LocalRequest {
-        target: context.target.clone(),
-        method: context.head.method.clone(),
-        path: context.path.to_owned(),
-        headers: context.head.headers.clone(),
-        body: body.into_request_body(),
-        deadline_ms: context.deadline_ms,
-    };
+    let request = context.local_request(body);
     let answer = run_detached(context.agent, request, slot, entry);
     match compio::time::timeout(Duration::from_millis(context.left_ms()), answer).await {
         Ok(Some(answer)) => {
