Let the backend stand-in start cold, keep deadlines and count cancellations

Cause: the stand-in lacked three of the ways in which backend servers behave, so they were not tested. Change: mode cold (ten times slower, warming for 5 s), a request that can't end in its time left is shed unrun, and requests whose client left are counted. Conclusion: cancellation reaches the backend server when a flow ends.

--- a/lab/src/backend_server.rs
+++ b/lab/src/backend_server.rs
@@ -7,11 +7,11 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compio::net::TcpListener;
-use endivedyke::{Result, bytes_hash};
+use endivedyke::{Result, TIMEOUT_HEADER, bytes_hash};
 use futures_channel::mpsc;
 use futures_util::SinkExt;
 use http::{Method, Request, Response, StatusCode};
@@ -36,6 +36,7 @@
     FailFast,
     Shed,
     Slow,
+    Cold,
 }
 
 struct Backend {
@@ -46,10 +47,20 @@
     busy_ms: Cell<u64>,
     claims: RefCell<Vec<String>>,
     mode: Cell<Mode>,
+    mode_since: Cell<Instant>,
+    cancelled: Cell<u64>,
 }
 
-/// Counts a request that holds a slot.
-struct Running(Rc<Backend>);
+/// How often its usual time a request takes at a slow or a cold server.
+const SLOWDOWN: u64 = 10;
+/// How long a cold server takes to reach its usual speed, in milliseconds.
+const WARM_UP_MS: u64 = 5_000;
+
+/// Counts a request that holds a slot, and whether its client went before its end.
+struct Running {
+    backend: Rc<Backend>,
+    finished: Cell<bool>,
+}
 
 impl Running {
     fn new(backend: &Rc<Backend>) -> Self {
@@ -58,13 +69,20 @@
         backend
             .most_running
             .set(backend.most_running.get().max(running));
-        Self(backend.clone())
+        Self {
+            backend: backend.clone(),
+            finished: Cell::new(false),
+        }
     }
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
+        let backend = &self.backend;
+        backend.running.set(backend.running.get() - 1);
+        if !self.finished.get() {
+            backend.cancelled.set(backend.cancelled.get() + 1);
+        }
     }
 }
 
@@ -79,6 +97,8 @@
         busy_ms: Cell::new(0),
         claims: RefCell::default(),
         mode: Cell::new(Mode::Normal),
+        mode_since: Cell::new(Instant::now()),
+        cancelled: Cell::new(0),
     });
     endivedyke::serve(listener, move |request| answer(backend.clone(), request)).await;
     Ok(())
@@ -100,11 +120,18 @@
         (&Method::GET, ["feed", id, events, period_ms]) => {
             feed(&backend, id, parse(events), parse(period_ms))
         }
-        (_, ["status" | "claim" | "upload", _]) => work(&backend, &head.method, &words, body).await,
+        (_, ["status" | "claim" | "upload", _]) => {
+            work(&backend, &head.method, &words, left_ms(&head.headers), body).await
+        }
         _ => whole(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
 
+/// Returns the time that the request has left, by its header.
+fn left_ms(headers: &http::HeaderMap) -> Option<u64> {
+    headers.get(TIMEOUT_HEADER)?.to_str().ok()?.parse().ok()
+}
+
 fn parse(word: &str) -> u64 {
     word.parse().unwrap_or(0)
 }
@@ -113,14 +140,19 @@
     backend: &Rc<Backend>,
     method: &Method,
     words: &[&str],
+    left_ms: Option<u64>,
     body: Incoming,
 ) -> Response<Body> {
     match backend.mode.get() {
         Mode::FailFast => return whole(StatusCode::INTERNAL_SERVER_ERROR, "fails\n"),
         Mode::Shed => return shed(),
-        Mode::Normal | Mode::Slow => {}
+        Mode::Normal | Mode::Slow | Mode::Cold => {}
+    }
+    let service_ms = backend.service_ms();
+    if left_ms.is_some_and(|left_ms| left_ms < service_ms) {
+        return shed();
     }
-    let _running = Running::new(backend);
+    let running = Running::new(backend);
     let Ok(body) = body.collect().await else {
         return whole(StatusCode::BAD_REQUEST, "the body ended early\n");
     };
@@ -136,6 +168,7 @@
     };
     let service_ms = backend.options.service_ms * slow;
     compio::time::sleep(Duration::from_millis(service_ms)).await;
+    running.finished.set(true);
     backend.served.set(backend.served.get() + 1);
     backend.busy_ms.set(backend.busy_ms.get() + service_ms);
     let service = &backend.options.service;
@@ -187,16 +220,33 @@
             ["mode", "fail-fast"] => Mode::FailFast,
             ["mode", "shed"] => Mode::Shed,
             ["mode", "slow"] => Mode::Slow,
+            ["mode", "cold"] => Mode::Cold,
             _ => return whole(StatusCode::NOT_FOUND, "no such order\n"),
         };
         self.mode.set(mode);
+        self.mode_since.set(Instant::now());
         whole(StatusCode::OK, "done\n")
     }
 
+    /// Returns how long a request takes now.
+    fn service_ms(&self) -> u64 {
+        let usual_ms = self.options.service_ms;
+        match self.mode.get() {
+            Mode::Slow => usual_ms * SLOWDOWN,
+            Mode::Cold => {
+                let since_ms = self.mode_since.get().elapsed().as_millis() as u64;
+                let cold_ms = WARM_UP_MS.saturating_sub(since_ms);
+                usual_ms + usual_ms * (SLOWDOWN - 1) * cold_ms / WARM_UP_MS
+            }
+            _ => usual_ms,
+        }
+    }
+
     fn counts(&self) -> String {
         let counts = serde_json::json!({
             "served": self.served.get(),
             "busy_ms": self.busy_ms.get(),
+            "cancelled": self.cancelled.get(),
             "most_running": self.most_running.get(),
             "slots": self.options.slots,
         });
--- a/lab/tests/agent_failures.rs
+++ b/lab/tests/agent_failures.rs
@@ -4,8 +4,10 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use common::{assert_promises, assert_unnoticed, load, run, site, sleep_ms, without_lists};
-use endivedyke_lab::CallerProcess;
+use endivedyke_lab::{Caller, CallerProcess, Site};
+use http::Method;
 
 #[test]
 fn a_graceful_stop_cuts_no_request_and_no_feed() {
@@ -165,3 +167,35 @@
         }
     });
 }
+
+#[test]
+fn a_cold_backend_server_costs_no_answer() {
+    run(async {
+        let site = site(3).await;
+        site.backend_order(0, 2, "mode/cold").await.expect("obeys");
+        let callers = CallerProcess::start(&site, 0, &load(5, 12, 4)).expect("callers");
+        assert_unnoticed(&callers.finish(&site).await.expect("ends"));
+    });
+}
+
+#[test]
+fn a_caller_that_leaves_is_cancelled_at_the_backend_server() {
+    run(async {
+        let site = site(1).await;
+        site.backend_order(0, 0, "mode/slow").await.expect("obeys");
+        let mut caller = Caller::new(site.service_address(0)).await.expect("caller");
+        caller.connect().await.expect("a flow");
+        let empty = Bytes::new();
+        let call = caller.call(&Method::GET, "/status/left", None, &empty);
+        let left = compio::time::timeout(Duration::from_millis(20), call).await;
+        assert!(left.is_err(), "the caller left before its answer");
+        drop(caller);
+        let cancelled = async |site: &Site| {
+            let counts = site.backend_order(0, 0, "counts").await.unwrap_or_default();
+            counts.contains("\"cancelled\":1")
+        };
+        site.until("the cancellation", cancelled)
+            .await
+            .expect("counted");
+    });
+}
