Keep the entry hosts at hand instead of gathering them for each answer

Cause: read as a newcomer, the path of each answer walked the whole host list and built a new list, and each new flow summed the limits of all tables; neither shows with ten hosts. Change: the entry hosts are kept when the host list changes, a target keeps its own limit. The sum of limits was not measured.

--- a/src/agent_datagrams.rs
+++ b/src/agent_datagrams.rs
@@ -201,16 +201,12 @@
     }
 
     fn flow_limit(&self) -> usize {
-        let allowed: u64 = self.own_limits().sum();
-        allowed as usize + SPARE_FLOW_SOCKETS
-    }
-
-    fn own_limits(&self) -> impl Iterator<Item = u64> {
-        let store = self.control.store.borrow();
-        let host = self.control.settings.host;
-        let rows = store.tables().filter_map(move |table| table.row_on(host));
-        let limits: Vec<u64> = rows.map(|row| u64::from(row.connections)).collect();
-        limits.into_iter()
+        let targets = self.targets.borrow();
+        let allowed: usize = targets
+            .iter()
+            .map(|target| target.connections.get() as usize)
+            .sum();
+        allowed + SPARE_FLOW_SOCKETS
     }
 
     async fn hand_back(&self, socket: &UdpSocket, flow: std::rc::Weak<FlowSocket>) {
--- a/src/control.rs
+++ b/src/control.rs
@@ -7,8 +7,9 @@
 use serde_json::{Value, json};
 
 use crate::clock::{self, Clock};
-use crate::config_store::{Acceptance, ConfigStore, ValueUpdate};
+use crate::config_store::{Acceptance, ConfigStore, HOSTS_NAME, ValueUpdate};
 use crate::error::Result;
+use crate::hosts::HostRole;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::settings::Settings;
@@ -32,6 +33,7 @@
     pub(crate) suspicion: RefCell<Suspicion>,
     pub(crate) platform_answers: Cell<bool>,
     linking: RefCell<Vec<Ipv4Addr>>,
+    entry_hosts: RefCell<Rc<[Ipv4Addr]>>,
     on_change: RefCell<Vec<ChangeAction>>,
 }
 
@@ -53,6 +55,7 @@
             suspicion: RefCell::default(),
             platform_answers: Cell::new(false),
             linking: RefCell::default(),
+            entry_hosts: RefCell::new(Rc::default()),
             on_change: RefCell::default(),
             metrics,
             settings,
@@ -108,6 +111,9 @@
                 self.metrics.values_accepted.inc();
                 let highest = self.store.borrow().digest().highest;
                 self.metrics.config_revision.set(highest as i64);
+                if name == HOSTS_NAME {
+                    self.keep_entry_hosts();
+                }
                 log::info!("event=value_in_force name={name} revision={revision}");
                 let actions = self.on_change.borrow().clone();
                 actions.iter().for_each(|action| action(name));
@@ -121,10 +127,15 @@
     }
 
     /// Returns the entry hosts of the list, to which answers may go.
-    pub(crate) fn entry_hosts(&self) -> Vec<Ipv4Addr> {
+    pub(crate) fn entry_hosts(&self) -> Rc<[Ipv4Addr]> {
+        self.entry_hosts.borrow().clone()
+    }
+
+    /// Keeps the entry hosts at hand, since each answer asks for them.
+    fn keep_entry_hosts(&self) {
         let store = self.store.borrow();
-        let entries = store.hosts().in_role(crate::hosts::HostRole::Entry);
-        entries.map(|host| host.address).collect()
+        let entries = store.hosts().in_role(HostRole::Entry);
+        *self.entry_hosts.borrow_mut() = entries.map(|host| host.address).collect();
     }
 
     /// Returns the part of the state dump that all daemons have.
--- a/src/target.rs
+++ b/src/target.rs
@@ -29,6 +29,7 @@
     pub(crate) endpoint: Endpoint,
     pub(crate) endpoint_address: SocketAddr,
     pub(crate) backend: Cell<SocketAddr>,
+    pub(crate) connections: Cell<u32>,
     pub(crate) slots: Rc<SlotQueue>,
     pub(crate) admission: RefCell<Admission>,
     pub(crate) board: RefCell<LoadBoard>,
@@ -59,6 +60,7 @@
             endpoint_address: endpoint.local_addr()?,
             endpoint,
             backend: Cell::new(row.backend),
+            connections: Cell::new(row.connections),
             slots: SlotQueue::new(row.slots, clock),
             admission: RefCell::new(Admission::new(row.host, clock.now_ms())),
             board: RefCell::default(),
@@ -79,6 +81,7 @@
     pub(crate) fn apply(&self, row: Option<&Row>, host_leaves: bool) -> bool {
         if let Some(row) = row {
             self.backend.set(row.backend);
+            self.connections.set(row.connections);
             self.slots.set_limit(row.slots);
         }
         self.set_draining(row.is_none() || host_leaves)
