Say once what a request's digest is, and read metrics once

Cause, from reading the whole change again: the digest that holds a ticket to its request stood twice, for callers and for peers, and had to stay equal by hand; a peer's standing was given a host that its row has; pairs of hosts and standings were built and taken apart again; the lab counted targets in two places and read a daemon's metrics three times each second for three values.

Ruled out: merging the options of the command lines (alike by form only) and the caller's two functions that share their arguments.

Change: one function or reading serves each. Behaviour stays as it is; no test was touched.

Readings of metrics for a process and second: three before, one after, counted by reading.

Conclusion: the two digests can't drift apart any more.

--- a/lab/src/control_cost.rs
+++ b/lab/src/control_cost.rs
@@ -7,6 +7,7 @@
     CLUSTER_KEY_BYTES, ClusterKey, ConfigStore, HOSTS_HEADER, HOSTS_NAME, Result, TABLE_HEADER,
 };
 
+use crate::control_traffic;
 use crate::proc_stat;
 use crate::site::{Site, SiteBuilder};
 
@@ -47,9 +48,9 @@
             continue;
         };
         total.daemons += 1.0;
-        total.bytes += site.metric(host, "control_bytes_sent_total").await?;
-        total.bytes += site.metric(host, "control_bytes_received_total").await?;
-        total.calls += site.metric(host, "control_calls_total").await?;
+        let traffic = control_traffic::read(site, host).await?;
+        total.bytes += traffic.bytes;
+        total.calls += traffic.calls;
         total.cpu_ms += proc_stat::usage(id)?.cpu_ms as f64;
     }
     Ok(total)
--- a/lab/src/http_text.rs
+++ b/lab/src/http_text.rs
@@ -33,3 +33,15 @@
     let response = endivedyke::call(address, request, TIMEOUT_MS).await?;
     Ok(String::from_utf8_lossy(response.body()).into_owned())
 }
+
+/// Sums the values of a metric over its labels in what a daemon's `/metrics` shows.
+pub(crate) fn metric(text: &str, name: &str) -> f64 {
+    let prefix = format!("endivedyke_{name}");
+    let labelled = format!("{prefix}{{");
+    let values = text.lines().filter_map(|line| {
+        let (series, value) = line.rsplit_once(' ')?;
+        let named = series == prefix || series.starts_with(&labelled);
+        named.then(|| value.parse::<f64>().unwrap_or(0.0))
+    });
+    values.sum()
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -10,6 +10,7 @@
 mod cli;
 mod config_service;
 mod control_cost;
+mod control_traffic;
 mod datagram_rate;
 mod experiments;
 mod fabric;
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -1,12 +1,12 @@
 //! Load on a whole site of real processes, sampled each second.
 
-use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use endivedyke::{Code, Error, Result};
 use serde::Serialize;
 
 use crate::caller_process::{CallerLoad, CallerProcess};
+use crate::control_traffic::{self, ControlTraffic};
 use crate::proc_stat;
 use crate::site::{Site, SiteBuilder};
 use crate::tally::Tally;
@@ -223,13 +223,16 @@
     let mut processes = Vec::new();
     for (name, id, host) in site.processes() {
         let usage = proc_stat::usage(id).unwrap_or_default();
-        let (control_bytes, control_calls) = control(site, host).await;
+        let traffic = match host {
+            Some(host) => control_traffic::read(site, host).await.unwrap_or_default(),
+            None => ControlTraffic::default(),
+        };
         processes.push(ProcessState {
             name,
             cpu_ms: usage.cpu_ms,
             memory_bytes: usage.memory_bytes,
-            control_bytes,
-            control_calls,
+            control_bytes: traffic.bytes as u64,
+            control_calls: traffic.calls as u64,
         });
     }
     let mut targets = Vec::new();
@@ -243,16 +246,6 @@
     Snapshot { processes, targets }
 }
 
-async fn control(site: &Site, host: Option<Ipv4Addr>) -> (u64, u64) {
-    let Some(host) = host else {
-        return (0, 0);
-    };
-    let metric = async |name: &str| site.metric(host, name).await.unwrap_or(0.0) as u64;
-    let sent = metric("control_bytes_sent_total").await;
-    let received = metric("control_bytes_received_total").await;
-    (sent + received, metric("control_calls_total").await)
-}
-
 async fn busy_ms(site: &Site, host: usize) -> u64 {
     let counts = site
         .backend_order(0, host, "counts")
--- a/lab/src/load_report.rs
+++ b/lab/src/load_report.rs
@@ -59,6 +59,11 @@
     }
 }
 
+fn target_count(report: &LoadReport) -> usize {
+    let numbers = report.targets.iter().map(|sample| sample.target + 1);
+    numbers.max().unwrap_or(0)
+}
+
 fn of_second(report: &LoadReport, second: u64) -> Vec<&TargetSample> {
     report
         .targets
@@ -87,13 +92,7 @@
 fn busy_imbalance(report: &LoadReport) -> f64 {
     let last = report.seconds.saturating_sub(1);
     let first = last.saturating_sub(10);
-    let targets = report
-        .targets
-        .iter()
-        .map(|sample| sample.target + 1)
-        .max()
-        .unwrap_or(0);
-    let mut busy = vec![0.0; targets];
+    let mut busy = vec![0.0; target_count(report)];
     for sample in report
         .targets
         .iter()
@@ -190,13 +189,7 @@
 }
 
 fn plot_flows(report: &LoadReport, path: &Path) -> Result<()> {
-    let targets = report
-        .targets
-        .iter()
-        .map(|sample| sample.target + 1)
-        .max()
-        .unwrap_or(0);
-    let series = (0..targets).map(|target| Series {
+    let series = (0..target_count(report)).map(|target| Series {
         name: format!("t{target}"),
         points: report
             .targets
--- a/lab/src/site.rs
+++ b/lab/src/site.rs
@@ -411,15 +411,23 @@
     ///
     /// Returns code 5001 where the process does not answer.
     pub async fn metric(&self, host: Ipv4Addr, name: &str) -> Result<f64> {
+        let [value] = self.metrics(host, [name]).await?;
+        Ok(value)
+    }
+
+    /// Returns several metrics of the process on `host` from one reading.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where the process does not answer.
+    pub async fn metrics<const N: usize>(
+        &self,
+        host: Ipv4Addr,
+        names: [&str; N],
+    ) -> Result<[f64; N]> {
         let address = SocketAddr::from((host, METRICS_PORT));
         let text = http_text::ask(address, "GET", "/metrics", "").await?;
-        let prefix = format!("endivedyke_{name}");
-        let values = text.lines().filter_map(|line| {
-            let (series, value) = line.rsplit_once(' ')?;
-            let named = series == prefix || series.starts_with(&format!("{prefix}{{"));
-            named.then(|| value.parse::<f64>().unwrap_or(0.0))
-        });
-        Ok(values.sum())
+        Ok(names.map(|name| http_text::metric(&text, name)))
     }
 
     /// Returns the hosts of all daemons.
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -218,7 +218,7 @@
         let peers = self.peers(table, board, now_ms);
         let own = row.filter(|_| fits).map(|row| {
             let share_permille = self.share_permille(opener.health_permille, now_ms);
-            Standing::new(self.host, row, self.open_flows, share_permille)
+            Standing::new(row, self.open_flows, share_permille)
         });
         match own.filter(|own| own.weight > 0.0) {
             Some(own) if !self.corrects(peers.excess(&own), board, now_ms, random) => {
@@ -255,12 +255,8 @@
     /// every peer would seem to stand below. But owners are drawn evenly, so that a peer has grown
     /// as this agent would have; see docs/DESIGN.md, "Deflection".
     fn peer_standing(&self, row: &Row, known: &KnownLoad, own_weight: u32) -> Option<Standing> {
-        let mut standing = Standing::new(
-            row.host,
-            row,
-            known.report.open_flows,
-            known.report.share_permille,
-        );
+        let report = &known.report;
+        let mut standing = Standing::new(row, report.open_flows, report.share_permille);
         if own_weight > 0 {
             let ratio = f64::from(row.weight) / f64::from(own_weight);
             let grown = self.history.growth_since(known.counted_ms) * ratio;
@@ -336,10 +332,10 @@
 }
 
 impl Standing {
-    fn new(host: Ipv4Addr, row: &Row, open_flows: u32, share_permille: u16) -> Self {
+    fn new(row: &Row, open_flows: u32, share_permille: u16) -> Self {
         let share = f64::from(share_permille) / f64::from(FULL_SHARE_PERMILLE);
         Self {
-            host,
+            host: row.host,
             open_flows: f64::from(open_flows),
             weight: f64::from(row.weight) * share,
         }
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -24,7 +24,7 @@
 use crate::table::{Row, Table};
 use crate::target::Target;
 use crate::token_source::{SharedRing, TokenSource};
-use crate::udp::{self};
+use crate::udp;
 use crate::{flow, load_exchange, quic_endpoint};
 
 /// How often an agent tidies what it remembers, in milliseconds.
--- a/src/peer_service.rs
+++ b/src/peer_service.rs
@@ -8,7 +8,6 @@
 use crate::answer::{Answer, AnswerBody};
 use crate::caller_body::whole_body;
 use crate::code::Code;
-use crate::hash;
 use crate::ledger::Begin;
 use crate::load_exchange;
 use crate::local_run::{self, LocalRequest};
@@ -16,6 +15,7 @@
 use crate::peer_request::{PeerAnswer, PeerRequest};
 use crate::peers::OfferReply;
 use crate::request::new_ticket;
+use crate::request_spec;
 use crate::run_once::LedgerEntry;
 use crate::sealed_id::SealedBytes;
 use crate::service_id::ServiceId;
@@ -98,7 +98,8 @@
     if !agent.is_own(&id) {
         return refused_answer(Code::IncarnationGone, 0);
     }
-    let begin = target.ledger.borrow_mut().begin(id.nonce, digest(&request));
+    let digest = request_spec::digest(&request.method, &request.path, &request.headers);
+    let begin = target.ledger.borrow_mut().begin(id.nonce, digest);
     let answer = match begin {
         Begin::Run => run_begun(agent, &target, id.nonce, &ticket, request).await,
         Begin::Stop(code) => Answer::refusal(code, target.slots.retry_after_ms()),
@@ -142,13 +143,6 @@
     entry.conclude(outcome)
 }
 
-/// Hashes what names the request, as [`crate::RequestSpec`] does for a caller's.
-fn digest(request: &PeerRequest) -> u64 {
-    let length = request.headers.get("content-length");
-    let length = length.and_then(|length| length.to_str().ok()).unwrap_or("");
-    hash::bytes_hash(format!("{} {} {length}", request.method, request.path).as_bytes())
-}
-
 fn cancel(agent: &Agent, ticket: &SealedBytes) {
     for target in agent.targets.borrow().iter() {
         drop(take_reservation(target, ticket));
--- a/src/request_spec.rs
+++ b/src/request_spec.rs
@@ -50,7 +50,7 @@
             feed: feed && method == Method::GET,
             timeout_ms: timeout_ms(headers)?,
             ticket: ticket(headers)?,
-            digest: digest(method, path, headers),
+            digest: digest(method.as_str(), path, headers),
         })
     }
 }
@@ -92,7 +92,9 @@
 }
 
 /// Hashes what names the request; the body is left out, since it may be a stream.
-fn digest(method: &Method, path: &str, headers: &HeaderMap) -> u64 {
+///
+/// A request that a peer passes on hashes to the same, so that its ticket is held to it there too.
+pub(crate) fn digest(method: &str, path: &str, headers: &HeaderMap) -> u64 {
     let length = header(headers, "content-length").unwrap_or("");
     hash::bytes_hash(format!("{method} {path} {length}").as_bytes())
 }
--- a/src/target.rs
+++ b/src/target.rs
@@ -136,8 +136,7 @@
     pub(crate) fn balance(&self, table: &Table, span_ms: u64) {
         let busy_slots = self.slots.take_busy_ms() as f64 / span_ms as f64;
         let weight = table.row_on(self.host).map_or(0, |row| row.weight);
-        let peers = self.busy_peers(table);
-        let standings: Vec<BusyStanding> = peers.iter().map(|(_, standing)| *standing).collect();
+        let (_, standings) = self.busy_peers(table);
         let mut move_share = self.move_share.borrow_mut();
         move_share.observe(busy_slots);
         move_share.adjust(f64::from(weight), &standings);
@@ -146,14 +145,14 @@
     /// Draws the peer for a request that moves to level the busy slots.
     pub(crate) fn draw_peer(&self, table: &Table) -> Option<Ipv4Addr> {
         let weight = table.row_on(self.host)?.weight;
-        let peers = self.busy_peers(table);
-        let standings: Vec<BusyStanding> = peers.iter().map(|(_, standing)| *standing).collect();
+        let (hosts, standings) = self.busy_peers(table);
         let move_share = self.move_share.borrow();
         let drawn = move_share.draw(f64::from(weight), &standings, &mut rand::rng())?;
-        Some(peers[drawn].0)
+        Some(hosts[drawn])
     }
 
-    fn busy_peers(&self, table: &Table) -> Vec<(Ipv4Addr, BusyStanding)> {
+    /// Returns the hosts of peers whose load is known, and their busy slots in the same order.
+    fn busy_peers(&self, table: &Table) -> (Vec<Ipv4Addr>, Vec<BusyStanding>) {
         let board = self.board.borrow();
         let now_ms = self.clock.now_ms();
         let standing = |row: &Row| {
@@ -163,7 +162,7 @@
             Some((row.host, BusyStanding { busy_slots, weight }))
         };
         let others = table.rows.iter().filter(|row| row.host != self.host);
-        others.filter_map(standing).collect()
+        others.filter_map(standing).unzip()
     }
 
     /// Frees the slots of offers that were accepted and never used.
