Take a refused connection of a draining backend server for no proof

Ruled out: a wrong agent, a reused address (the entry was the right one, draining). Change: a refusal counts only of a backend server that should be there, after 150 ms without a packet of it; of a drained one when its agent is stopped after it.

--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -29,6 +29,9 @@
 const BACKEND_TIMEOUT_MS: u64 = 50;
 /// How often a silent backend server is tried with an opener, in milliseconds.
 const PROBE_MS: u64 = 200;
+/// How long nothing must listen at the backend server's address, and no packet come from there, before
+/// its process counts as ended, in milliseconds: the connection attempt is repeated meanwhile.
+const REFUSED_MS: u64 = 150;
 /// By how many agents an opener may be passed on before its caller is told that nobody takes it.
 const MAX_HOPS: u8 = 8;
 /// The requests for each slot, running or waiting, from which openers go to others first.
@@ -106,6 +109,8 @@
     backend_up: bool,
     leaving: bool,
     silent_since_ms: Option<u64>,
+    refused_since_ms: Option<u64>,
+    refusing: bool,
     last_probe_ms: u64,
     busy: u32,
     open_flows: u32,
@@ -124,6 +129,8 @@
             backend_up: true,
             leaving: false,
             silent_since_ms: None,
+            refused_since_ms: None,
+            refusing: false,
             last_probe_ms: 0,
             busy: 0,
             open_flows: 0,
@@ -150,11 +157,6 @@
         self.knows_all = true;
     }
 
-    /// Takes no new flow from now on, since this process stops.
-    pub fn leave(&mut self) {
-        self.leaving = true;
-    }
-
     /// Tells whether [`Keeper::tick`] has something to wait for.
     pub fn is_waiting(&self) -> bool {
         !self.pending.is_empty() || !self.lookups.is_empty()
@@ -203,6 +205,7 @@
         let segment = (self.wire.decode)(&packet)?;
         self.backend_up = true;
         self.silent_since_ms = None;
+        self.refused_since_ms = None;
         let mut actions = Vec::new();
         if segment.returned {
             self.returned(scene, &segment, packet, &mut actions);
@@ -214,10 +217,40 @@
         Ok(actions)
     }
 
-    /// Notes that nothing listens at the backend server's address: its flows are gone for certain.
+    /// Notes that nothing listens at the backend server's address.
+    ///
+    /// One that drains stops listening long before it has ended its flows, so that this is proof only
+    /// of one that should be there.
+    pub fn backend_refuses(&mut self, scene: &mut Scene<'_>) -> Vec<Action> {
+        self.refusing = true;
+        let own = scene.directory.own(self.identity.backend, scene.now_ms);
+        if own.is_some_and(|own| !own.takes_flows) {
+            return Vec::new();
+        }
+        let since_ms = *self.refused_since_ms.get_or_insert(scene.now_ms);
+        if scene.now_ms < since_ms + REFUSED_MS {
+            return Vec::new();
+        }
+        self.backend_ended(scene)
+    }
+
+    /// Notes that the process stops, and takes no new flow from now on.
     ///
-    /// Ends them at once, so that their callers open new ones instead of waiting.
-    pub fn backend_ended(&mut self, scene: &mut Scene<'_>) -> Vec<Action> {
+    /// The agent of a backend server that has drained is stopped after it, so that flows which still
+    /// seem open there are gone.
+    pub fn leave(&mut self, scene: &mut Scene<'_>) -> Vec<Action> {
+        self.leaving = true;
+        let own = scene.directory.own(self.identity.backend, scene.now_ms);
+        let drained = own.is_none_or(|own| !own.takes_flows);
+        if drained && self.refusing {
+            return self.backend_ended(scene);
+        }
+        Vec::new()
+    }
+
+    /// Ends all flows of a backend server whose process is gone at once, so that their callers open
+    /// new ones instead of waiting.
+    fn backend_ended(&mut self, scene: &mut Scene<'_>) -> Vec<Action> {
         self.knows_all = true;
         if !std::mem::replace(&mut self.backend_up, false) {
             return Vec::new();
@@ -227,6 +260,7 @@
         let mut openers = Vec::new();
         self.flows.retain(|key, flow| {
             match &flow.holding {
+                _ if flow.closed => {}
                 Holding::Opening(opening) => openers.push((*key, opening.clone())),
                 Holding::Open | Holding::Unconfirmed { .. } => {
                     ended.push((*key, flow.caller_acknowledgement));
@@ -255,6 +289,8 @@
     /// Notes that something listens at the backend server's address.
     pub fn backend_listens(&mut self) {
         self.backend_up = true;
+        self.refusing = false;
+        self.refused_since_ms = None;
     }
 
     /// Does what is due: openers without an answer, packets that were not returned, questions.
--- a/src/opaque/side.rs
+++ b/src/opaque/side.rs
@@ -34,7 +34,6 @@
     keeper: RefCell<Keeper>,
     backend: SocketAddrV4,
     backend_sender: std::net::UdpSocket,
-    start_revision: u64,
     ticking: Cell<bool>,
 }
 
@@ -57,7 +56,6 @@
         node: node.clone(),
         backend: identity.backend,
         backend_sender,
-        start_revision: 0,
         ticking: Cell::new(false),
     });
     side.clone().receive(from_backend);
@@ -70,7 +68,7 @@
         control.store.borrow().digest().highest
     );
     stop.await;
-    side.keeper.borrow_mut().leave();
+    side.decide(|keeper, scene| Ok(keeper.leave(scene)));
     log::info!("event=leaving grace_ms={}", LEAVING.as_millis());
     compio::time::sleep(LEAVING).await;
     Ok(())
@@ -124,7 +122,7 @@
     fn backend_sign(self: &Rc<Self>, sign: BackendSign) {
         match sign {
             BackendSign::Listens => self.keeper.borrow_mut().backend_listens(),
-            BackendSign::Refuses => self.decide(|keeper, scene| Ok(keeper.backend_ended(scene))),
+            BackendSign::Refuses => self.decide(|keeper, scene| Ok(keeper.backend_refuses(scene))),
         }
     }
 
