Drop openers that nobody takes until their last copy; let no crowded server take one

Cause: after a loss of power of all, openers were reset within milliseconds of each other while agents and backend servers started, so callers spent their attempts (184 resets in 0.3 s), and the first servers up took 16 waiting requests each, all late. Ruled out: slow starts (ready 35 ms after the start), slow lookups. Change: an opener without room is dropped until its last copy; a server with two requests a slot takes none, counting openers that it has just taken.

--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -32,10 +32,15 @@
 /// How long nothing must listen at the backend server's address, and no packet come from there, before
 /// its process counts as ended, in milliseconds: the connection attempt is repeated meanwhile.
 const REFUSED_MS: u64 = 150;
-/// By how many agents an opener may be passed on before its caller is told that nobody takes it.
+/// By how many agents an opener may be passed on.
 const MAX_HOPS: u8 = 8;
-/// The requests for each slot, running or waiting, from which openers go to others first.
+/// The requests for each slot, running or waiting, from which a backend server takes no opener: with
+/// one waiting behind each running one, what is taken still ends within about two service times.
 const CROWDED_PER_SLOT: u32 = 2;
+/// How long a taken opener counts as a request before its caller has sent one, in milliseconds.
+const EXPECTED_MS: u64 = 500;
+/// The number of the last copy that a caller sends of an opener.
+const LAST_COPY: u32 = 2;
 
 /// What the agent knows of one flow.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -61,6 +66,7 @@
     packet: Vec<u8>,
     balancer: Ipv4Addr,
     hops: u8,
+    copy: u32,
     answered: bool,
     backend_sequence: u32,
 }
@@ -315,8 +321,11 @@
         self.flows.retain(|_, flow| {
             let kept_ms = if flow.closed { CLOSED_MS } else { FLOW_MS };
             let keeps = now_ms < flow.seen_ms + kept_ms;
-            if keeps && !flow.closed && flow.holding == Holding::Open {
-                open_flows += 1;
+            if let Holding::Opening(opening) = &flow.holding {
+                flow.busy &= now_ms < opening.since_ms + EXPECTED_MS;
+            }
+            if keeps && !flow.closed {
+                open_flows += u32::from(flow.holding == Holding::Open);
                 busy += u32::from(flow.busy);
             }
             keeps
@@ -340,12 +349,13 @@
             packet: packet.to_vec(),
             balancer: message.host,
             hops: message.hops,
+            copy: segment.acknowledgement,
             answered: false,
             backend_sequence: 0,
         };
         let known = self.flows.get(&key).map(|flow| &flow.holding);
         let is_copy = matches!(known, Some(Holding::Opening(_) | Holding::Open));
-        if !is_copy && !self.takes_opener(scene, &key, message.hops) {
+        if !is_copy && !self.takes_opener(scene, &key) {
             if message.kind == MessageKind::Deliver && !message.host.is_unspecified() {
                 let alive = Message::new(MessageKind::Absent);
                 actions.push(Action::ToPeer(message.host, alive, key.to_bytes().to_vec()));
@@ -358,12 +368,13 @@
                 holding: Holding::Opening(opening),
                 seen_ms: scene.now_ms,
                 caller_acknowledgement: 0,
-                busy: false,
+                busy: true,
                 closed: false,
             };
             if !self.flows.insert(key, flow) {
                 return;
             }
+            self.busy += 1;
             self.lookups.forget(&key);
             self.pending.push(key);
         }
@@ -371,7 +382,7 @@
         actions.push(Action::ToBackend(packet.to_vec()));
     }
 
-    fn takes_opener(&mut self, scene: &Scene<'_>, key: &FlowKey, hops: u8) -> bool {
+    fn takes_opener(&mut self, scene: &Scene<'_>, key: &FlowKey) -> bool {
         if self.leaving || !self.backend_up {
             return false;
         }
@@ -393,7 +404,7 @@
             }
             return due;
         }
-        hops > 0 || !self.is_crowded(scene)
+        !self.is_crowded(scene)
     }
 
     fn is_crowded(&self, scene: &Scene<'_>) -> bool {
@@ -402,7 +413,10 @@
         row.is_some_and(|row| self.busy >= row.slots * CROWDED_PER_SLOT)
     }
 
-    /// Passes an opener to the agent after this one in the flow's order, or refuses it.
+    /// Passes an opener to the agent after this one in the flow's order, if there is one left.
+    ///
+    /// Otherwise its caller sends another copy, for which there may be room; only of the last copy is
+    /// it told that nobody takes it, since it has but few attempts.
     fn hand_on(
         &mut self,
         scene: &mut Scene<'_>,
@@ -422,7 +436,8 @@
                 );
                 actions.push(Action::ToPeer(host, message, opening.packet));
             }
-            None => self.reset(key, 0, Code::NoRoom, actions),
+            None if opening.copy >= LAST_COPY => self.reset(key, 0, Code::NoRoom, actions),
+            None => log::debug!("event=opener_dropped flow={key} copy={}", opening.copy),
         }
     }
 
@@ -494,6 +509,8 @@
                     <= 1;
                 if opening.answered && !chosen {
                     flow.holding = Holding::Absent;
+                    self.busy = self.busy.saturating_sub(u32::from(flow.busy));
+                    flow.busy = false;
                     return false;
                 }
                 flow.holding = Holding::Open;
@@ -648,6 +665,7 @@
         match holding {
             Holding::Opening(opening) => {
                 self.flows.remove(&key);
+                self.busy = self.busy.saturating_sub(u32::from(was_busy));
                 self.hand_on(scene, &key, opening, actions);
             }
             Holding::Unconfirmed {
