Reset only flows that an ended backend server had shown to hold; test the core

Cause: an agent that handed a packet to a dead backend server took the silence for a flow held there, and reset it when the connection was refused, while another server held it. Change: a flow counts as shown once a packet of the server's came back; only those are reset when it ends. An agent that is stopped resets only after a server that is no longer published and has been still for half a second. A late copy of an opener that returns starts nothing.

--- a/src/opaque/directory.rs
+++ b/src/opaque/directory.rs
@@ -55,8 +55,8 @@
     pub service: ServiceId,
     /// Whether it takes new flows.
     pub takes_flows: bool,
-    /// The revision that published it first.
-    pub first_revision: u64,
+    /// Whether it is no longer published.
+    pub is_gone: bool,
 }
 
 /// Backend servers sorted by id, a table for each service, and the routes.
@@ -143,7 +143,7 @@
         Some(OwnBackend {
             service: newest.backend.service,
             takes_flows: newest.takes_flows(now_ms),
-            first_revision: newest.first_revision,
+            is_gone: newest.gone.is_some(),
         })
     }
 
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -32,6 +32,9 @@
 /// How long nothing must listen at the backend server's address, and no packet come from there, before
 /// its process counts as ended, in milliseconds: the connection attempt is repeated meanwhile.
 const REFUSED_MS: u64 = 150;
+/// How long a backend server that is no longer published must have sent nothing before its agent, when
+/// it is stopped, takes its flows for gone, in milliseconds: some copies of a packet that waits.
+const STILL_MS: u64 = 500;
 /// By how many agents an opener may be passed on.
 const MAX_HOPS: u8 = 8;
 /// The requests for each slot, running or waiting, from which a backend server takes no opener: with
@@ -78,6 +81,8 @@
     caller_acknowledgement: u32,
     busy: bool,
     closed: bool,
+    /// Whether the backend server showed that it holds the flow; silence shows nothing.
+    shown: bool,
 }
 
 /// What an agent looks at while it decides.
@@ -117,6 +122,7 @@
     silent_since_ms: Option<u64>,
     refused_since_ms: Option<u64>,
     refusing: bool,
+    last_heard_ms: u64,
     last_probe_ms: u64,
     busy: u32,
     open_flows: u32,
@@ -137,6 +143,7 @@
             silent_since_ms: None,
             refused_since_ms: None,
             refusing: false,
+            last_heard_ms: 0,
             last_probe_ms: 0,
             busy: 0,
             open_flows: 0,
@@ -212,6 +219,7 @@
         self.backend_up = true;
         self.silent_since_ms = None;
         self.refused_since_ms = None;
+        self.last_heard_ms = scene.now_ms;
         let mut actions = Vec::new();
         if segment.returned {
             self.returned(scene, &segment, packet, &mut actions);
@@ -242,13 +250,14 @@
 
     /// Notes that the process stops, and takes no new flow from now on.
     ///
-    /// The agent of a backend server that has drained is stopped after it, so that flows which still
-    /// seem open there are gone.
+    /// The agent of a backend server that has left is stopped after it, so that flows which still seem
+    /// open there are gone.
     pub fn leave(&mut self, scene: &mut Scene<'_>) -> Vec<Action> {
         self.leaving = true;
         let own = scene.directory.own(self.identity.backend, scene.now_ms);
-        let drained = own.is_none_or(|own| !own.takes_flows);
-        if drained && self.refusing {
+        let gone = own.is_some_and(|own| own.is_gone && !own.takes_flows);
+        let silent = scene.now_ms >= self.last_heard_ms + STILL_MS;
+        if gone && silent && self.refusing {
             return self.backend_ended(scene);
         }
         Vec::new()
@@ -268,9 +277,11 @@
             match &flow.holding {
                 _ if flow.closed => {}
                 Holding::Opening(opening) => openers.push((*key, opening.clone())),
-                Holding::Open | Holding::Unconfirmed { .. } => {
+                Holding::Open if flow.shown => {
                     ended.push((*key, flow.caller_acknowledgement));
                 }
+                // Another backend server may hold what this one never showed.
+                Holding::Open | Holding::Unconfirmed { .. } => {}
                 Holding::Elsewhere(_) | Holding::Absent => return true,
             }
             false
@@ -370,6 +381,7 @@
                 caller_acknowledgement: 0,
                 busy: true,
                 closed: false,
+                shown: false,
             };
             if !self.flows.insert(key, flow) {
                 return;
@@ -513,6 +525,7 @@
                     flow.busy = false;
                     return false;
                 }
+                flow.shown = opening.answered;
                 flow.holding = Holding::Open;
                 self.open_flows += 1;
             }
@@ -547,6 +560,7 @@
             caller_acknowledgement: segment.acknowledgement,
             busy: false,
             closed: false,
+            shown: false,
         };
         if self.flows.insert(key, flow) {
             self.pending.push(key);
@@ -627,6 +641,7 @@
                     caller_acknowledgement: lookup.acknowledgement,
                     busy: false,
                     closed: false,
+                    shown: false,
                 };
                 self.flows.insert(key, flow);
             }
@@ -659,6 +674,10 @@
         let Some(flow) = self.flows.get_mut(&key) else {
             return;
         };
+        if segment.opens && !matches!(flow.holding, Holding::Opening(_)) {
+            // A late copy of an opener whose flow has opened already, here or elsewhere.
+            return;
+        }
         let holding = std::mem::replace(&mut flow.holding, Holding::Absent);
         let (was_busy, was_closed) = (flow.busy, flow.closed);
         flow.busy = false;
@@ -692,6 +711,7 @@
                     caller_acknowledgement: segment.sequence,
                     busy: false,
                     closed: false,
+                    shown: true,
                 };
                 if self.flows.insert(key, flow) {
                     self.open_flows += 1;
@@ -700,6 +720,7 @@
             return;
         };
         flow.seen_ms = now_ms;
+        flow.shown |= !segment.accepts;
         match &mut flow.holding {
             Holding::Opening(opening) if segment.accepts => {
                 opening.answered = true;
--- /dev/null
+++ b/tests/opaque/builder.rs
@@ -0,0 +1,329 @@
+//! A small site of hosts 10.0.0.1, 10.0.0.2, … with one backend server each.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use endivedyke::opaque::{
+    Action, Backend, BackendState, Directory, FlowKey, Forwarder, GONE_TEXT, Keeper,
+    KeeperIdentity, Message, MessageKind, ROUTES_HEADER, RouteTable, Scene, Segment, WireFormat,
+    backend_text,
+};
+use endivedyke::{Code, Error, Result, ServiceId, Suspicion};
+
+/// The service of the site.
+pub(crate) const SERVICE: &str = "queue-desk";
+/// The address that callers call.
+pub(crate) const CALLED: &str = "192.0.2.1:443";
+/// The balancer through which packets come in.
+pub(crate) const BALANCER: Ipv4Addr = Ipv4Addr::new(10, 9, 0, 1);
+
+/// A form of packets of the tests' own: flags, a mark, two numbers, two ends, data.
+pub(crate) const WIRE: WireFormat = WireFormat {
+    decode,
+    set_mark,
+    restore,
+    reset,
+};
+
+const HEADER_BYTES: usize = 25;
+
+fn decode(packet: &[u8]) -> Result<Segment> {
+    if !(HEADER_BYTES..2_000).contains(&packet.len()) {
+        return Err(Error::new(Code::SegmentMalformed, packet.len().to_string()));
+    }
+    let word = |at: usize| u32::from_be_bytes(packet[at..at + 4].try_into().expect("four bytes"));
+    let end = |at: usize| {
+        let port = u16::from_be_bytes([packet[at + 4], packet[at + 5]]);
+        SocketAddrV4::new(Ipv4Addr::from(word(at)), port)
+    };
+    let flags = packet[0];
+    Ok(Segment {
+        source: end(13),
+        destination: end(19),
+        opens: flags & (SYN | ACK) == SYN,
+        accepts: flags & (SYN | ACK) == SYN | ACK,
+        ends: flags & FIN != 0,
+        resets: flags & RST != 0,
+        returned: flags & BOUNCED != 0,
+        sequence: word(5),
+        acknowledgement: word(9),
+        payload_bytes: (packet.len() - HEADER_BYTES) as u16,
+        mark: word(1),
+    })
+}
+
+fn set_mark(packet: &mut [u8], mark: u32) {
+    packet[1..5].copy_from_slice(&mark.to_be_bytes());
+}
+
+fn restore(packet: &mut [u8]) {
+    packet[0] &= !BOUNCED;
+    set_mark(packet, 0);
+}
+
+fn reset(key: &FlowKey, sequence: u32) -> Vec<u8> {
+    let spec = PacketSpec {
+        flags: RST,
+        sequence,
+        ..PacketSpec::default()
+    };
+    packet(key.called, key.caller, spec)
+}
+
+pub(crate) fn host(index: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, index)
+}
+
+pub(crate) fn backend_address(index: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(host(index), 8_000)
+}
+
+/// Returns the flow of a caller's port.
+pub(crate) fn flow(port: u16) -> FlowKey {
+    FlowKey {
+        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), port),
+        called: CALLED.parse().expect("address"),
+    }
+}
+
+/// What a packet of a caller is.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct PacketSpec {
+    pub(crate) flags: u8,
+    pub(crate) sequence: u32,
+    pub(crate) acknowledgement: u32,
+    pub(crate) data_bytes: usize,
+}
+
+pub(crate) const SYN: u8 = 1;
+pub(crate) const ACK: u8 = 2;
+pub(crate) const FIN: u8 = 4;
+pub(crate) const RST: u8 = 8;
+pub(crate) const BOUNCED: u8 = 16;
+
+fn packet(source: SocketAddrV4, destination: SocketAddrV4, spec: PacketSpec) -> Vec<u8> {
+    let mut bytes = vec![spec.flags, 0, 0, 0, 0];
+    bytes.extend_from_slice(&spec.sequence.to_be_bytes());
+    bytes.extend_from_slice(&spec.acknowledgement.to_be_bytes());
+    for end in [source, destination] {
+        bytes.extend_from_slice(&end.ip().octets());
+        bytes.extend_from_slice(&end.port().to_be_bytes());
+    }
+    bytes.resize(HEADER_BYTES + spec.data_bytes, 0x5a);
+    bytes
+}
+
+/// Returns a packet from a caller.
+pub(crate) fn from_caller(key: &FlowKey, spec: PacketSpec) -> Vec<u8> {
+    packet(key.caller, key.called, spec)
+}
+
+/// Returns a packet from a backend server.
+pub(crate) fn from_backend(key: &FlowKey, spec: PacketSpec) -> Vec<u8> {
+    packet(key.called, key.caller, spec)
+}
+
+/// Returns one copy of an opener.
+pub(crate) fn opener(key: &FlowKey, copy: u32) -> Vec<u8> {
+    let spec = PacketSpec {
+        flags: SYN,
+        sequence: 100,
+        acknowledgement: copy,
+        ..PacketSpec::default()
+    };
+    from_caller(key, spec)
+}
+
+/// Returns a request whose sender acknowledges a backend server's number.
+pub(crate) fn request(key: &FlowKey, acknowledgement: u32) -> Vec<u8> {
+    let spec = PacketSpec {
+        flags: ACK,
+        sequence: 101,
+        acknowledgement,
+        data_bytes: 40,
+    };
+    from_caller(key, spec)
+}
+
+/// Returns the acceptance of a flow by a backend server.
+pub(crate) fn acceptance(key: &FlowKey, sequence: u32) -> Vec<u8> {
+    let spec = PacketSpec {
+        flags: SYN | ACK,
+        sequence,
+        acknowledgement: 101,
+        data_bytes: 0,
+    };
+    from_backend(key, spec)
+}
+
+/// Returns a packet as a backend server hands it back.
+pub(crate) fn bounced(mut packet: Vec<u8>) -> Vec<u8> {
+    packet[0] |= BOUNCED;
+    packet
+}
+
+pub(crate) fn state_text(index: u8, state: BackendState) -> String {
+    let address = backend_address(index).to_string();
+    backend_text(SERVICE, &address, "zone-a", 4, state)
+}
+
+pub(crate) fn publish(
+    directory: &mut Directory,
+    index: u8,
+    text: &str,
+    revision: u64,
+    now_ms: u64,
+) {
+    let backend: Option<Backend> = Backend::parse(text).expect("sound text");
+    directory.apply(&format!("i-{index}"), backend, revision, now_ms);
+}
+
+pub(crate) fn vanish(directory: &mut Directory, index: u8, revision: u64, now_ms: u64) {
+    publish(directory, index, GONE_TEXT, revision, now_ms);
+}
+
+/// Returns a directory with this many ready backend servers and one route.
+pub(crate) fn directory(count: u8) -> Directory {
+    let mut directory = Directory::default();
+    let routes = format!("{ROUTES_HEADER}\n{CALLED},{SERVICE},1\n");
+    directory.set_routes(RouteTable::parse(&routes).expect("sound routes"));
+    for index in 1..=count {
+        let text = state_text(index, BackendState::Ready);
+        publish(&mut directory, index, &text, u64::from(index), 0);
+    }
+    directory
+}
+
+pub(crate) fn forwarder() -> Forwarder {
+    Forwarder::new(WIRE, BALANCER)
+}
+
+/// An agent with what it sees.
+pub(crate) struct AgentUnderTest {
+    pub(crate) keeper: Keeper,
+    pub(crate) directory: Directory,
+    pub(crate) suspicion: Suspicion,
+    pub(crate) revision: u64,
+    pub(crate) now_ms: u64,
+}
+
+impl AgentUnderTest {
+    /// Returns the agent on host 1 of a site with this many hosts.
+    pub(crate) fn new(count: u8, knows_all: bool) -> Self {
+        let identity = KeeperIdentity {
+            host: host(1),
+            backend: backend_address(1),
+            service: ServiceId::of(SERVICE),
+        };
+        Self {
+            keeper: Keeper::new(WIRE, identity, knows_all),
+            directory: directory(count),
+            suspicion: Suspicion::default(),
+            revision: u64::from(count),
+            now_ms: 1_000,
+        }
+    }
+
+    fn with<T>(&mut self, decide: impl FnOnce(&mut Keeper, &mut Scene<'_>) -> T) -> T {
+        let mut scene = Scene {
+            directory: &self.directory,
+            suspicion: &mut self.suspicion,
+            revision: self.revision,
+            now_ms: self.now_ms,
+        };
+        decide(&mut self.keeper, &mut scene)
+    }
+
+    /// Hands over a datagram of another process.
+    pub(crate) fn hear(&mut self, from: Ipv4Addr, message: Message, payload: &[u8]) -> Vec<Action> {
+        self.with(|keeper, scene| keeper.peer_says(scene, from, &message, payload))
+            .expect("sound packet")
+    }
+
+    /// Hands over a packet that a balancer forwarded.
+    pub(crate) fn deliver(&mut self, packet: &[u8]) -> Vec<Action> {
+        let mut message = Message::new(MessageKind::Deliver);
+        message.host = BALANCER;
+        self.hear(BALANCER, message, packet)
+    }
+
+    /// Hands over the word of another agent about a flow.
+    pub(crate) fn answer(
+        &mut self,
+        kind: MessageKind,
+        from: Ipv4Addr,
+        key: &FlowKey,
+    ) -> Vec<Action> {
+        self.answer_at(kind, from, key, self.revision)
+    }
+
+    /// The same from an agent that knows another revision.
+    pub(crate) fn answer_at(
+        &mut self,
+        kind: MessageKind,
+        from: Ipv4Addr,
+        key: &FlowKey,
+        revision: u64,
+    ) -> Vec<Action> {
+        let mut message = Message::new(kind);
+        message.digest.highest = revision;
+        let mut payload = Vec::new();
+        for end in [key.caller, key.called] {
+            payload.extend_from_slice(&end.ip().octets());
+            payload.extend_from_slice(&end.port().to_be_bytes());
+        }
+        self.hear(from, message, &payload)
+    }
+
+    /// Hands over a packet of the backend server.
+    pub(crate) fn backend(&mut self, packet: Vec<u8>) -> Vec<Action> {
+        self.with(|keeper, scene| keeper.backend_says(scene, packet))
+            .expect("sound packet")
+    }
+
+    pub(crate) fn refuse(&mut self) -> Vec<Action> {
+        self.with(|keeper, scene| keeper.backend_refuses(scene))
+    }
+
+    pub(crate) fn leave(&mut self) -> Vec<Action> {
+        self.with(|keeper, scene| keeper.leave(scene))
+    }
+
+    pub(crate) fn tick_at(&mut self, now_ms: u64) -> Vec<Action> {
+        self.now_ms = now_ms;
+        self.with(|keeper, scene| keeper.tick(scene))
+    }
+
+    /// Opens a flow whose backend server chose this number.
+    pub(crate) fn open(&mut self, key: &FlowKey, sequence: u32) {
+        self.deliver(&opener(key, 0));
+        self.backend(acceptance(key, sequence));
+        self.deliver(&request(key, sequence + 1));
+    }
+}
+
+/// Returns the flows that actions reset.
+pub(crate) fn resets(actions: &[Action]) -> Vec<FlowKey> {
+    let segments = actions.iter().filter_map(|action| match action {
+        Action::ToCaller(_, packet) => (WIRE.decode)(packet).ok(),
+        _ => None,
+    });
+    segments
+        .filter(|segment| segment.resets)
+        .map(|segment| segment.flow_from_backend())
+        .collect()
+}
+
+/// Returns the hosts to which actions send messages of a kind.
+pub(crate) fn hosts_told(actions: &[Action], kind: MessageKind) -> Vec<Ipv4Addr> {
+    let told = actions.iter().filter_map(|action| match action {
+        Action::ToPeer(host, message, _) if message.kind == kind => Some(*host),
+        _ => None,
+    });
+    told.collect()
+}
+
+/// Tells whether actions hand a packet to the backend server.
+pub(crate) fn reaches_backend(actions: &[Action]) -> bool {
+    let mut actions = actions.iter();
+    actions.any(|action| matches!(action, Action::ToBackend(_)))
+}
--- /dev/null
+++ b/tests/opaque/directory.rs
@@ -0,0 +1,94 @@
+//! What a process makes of published backend servers.
+
+use endivedyke::ServiceId;
+use endivedyke::opaque::{Backend, BackendState, Directory};
+
+use crate::builder::{SERVICE, backend_address, directory, host, publish, state_text, vanish};
+
+fn takers(directory: &Directory) -> Vec<std::net::Ipv4Addr> {
+    let table = directory.table(ServiceId::of(SERVICE));
+    let rows = table.map_or(&[][..], |table| &table.rows);
+    rows.iter()
+        .filter(|row| row.weight > 0)
+        .map(|row| row.host)
+        .collect()
+}
+
+#[test]
+fn one_that_vanished_without_draining_takes_flows_for_a_while() {
+    let mut directory = directory(2);
+    vanish(&mut directory, 1, 9, 1_000);
+    directory.expire(3_400);
+    assert_eq!(takers(&directory), [host(1), host(2)]);
+    directory.expire(3_500);
+    assert_eq!(takers(&directory), [host(2)]);
+    assert!(!directory.is_current(host(1)));
+}
+
+#[test]
+fn one_that_drained_and_vanished_takes_none() {
+    let mut directory = directory(2);
+    publish(
+        &mut directory,
+        1,
+        &state_text(1, BackendState::Draining),
+        8,
+        900,
+    );
+    assert_eq!(takers(&directory), [host(2)]);
+    assert!(directory.is_current(host(1)), "it keeps its flows");
+    vanish(&mut directory, 1, 9, 1_000);
+    assert!(!directory.is_current(host(1)));
+}
+
+#[test]
+fn one_that_lapsed_and_came_back_takes_flows() {
+    let mut directory = directory(1);
+    vanish(&mut directory, 1, 9, 1_000);
+    publish(
+        &mut directory,
+        1,
+        &state_text(1, BackendState::Ready),
+        10,
+        2_000,
+    );
+    directory.expire(60_000);
+    assert_eq!(takers(&directory), [host(1)]);
+}
+
+#[test]
+fn an_address_belongs_to_the_newest_id() {
+    let mut directory = directory(1);
+    let text = state_text(1, BackendState::Ready).replace(SERVICE, "scene-intake");
+    let backend = Backend::parse(&text).expect("sound text");
+    directory.apply("i-new", backend, 50, 1_000);
+    assert!(takers(&directory).is_empty());
+    let own = directory.own(backend_address(1), 1_000).expect("published");
+    assert_eq!(own.service, ServiceId::of("scene-intake"));
+    // The old id reports once more, late: the address stays with the newer one.
+    publish(
+        &mut directory,
+        1,
+        &state_text(1, BackendState::Ready),
+        51,
+        1_100,
+    );
+    let own = directory.own(backend_address(1), 1_000).expect("published");
+    assert_eq!(own.service, ServiceId::of("scene-intake"));
+}
+
+#[test]
+fn malformed_values_are_refused_with_their_code() {
+    let texts = [
+        "",
+        "a,b",
+        "s,10.0.0.1,zone,4,ready",
+        "s,10.0.0.1:80,zone,0,ready",
+        "s,10.0.0.1:80,zone,4,odd",
+        "s,10.0.0.1:80,ZONE,4,ready",
+    ];
+    for text in texts {
+        let code = Backend::parse(text).map_err(|error| error.code);
+        assert_eq!(code, Err(endivedyke::Code::BackendSyntax), "{text:?}");
+    }
+}
--- /dev/null
+++ b/tests/opaque/forwarder.rs
@@ -0,0 +1,154 @@
+//! What a balancer does with packets.
+
+use endivedyke::opaque::{Action, BackendState, Forwarder, MessageKind};
+use endivedyke::{Code, Suspicion};
+
+use crate::builder::{
+    PacketSpec, RST, directory, flow, forwarder, from_caller, host, hosts_told, opener, publish,
+    request, resets, state_text,
+};
+
+fn host_of(action: &Action) -> std::net::Ipv4Addr {
+    let Action::ToPeer(host, message, _) = action else {
+        panic!("not forwarded: {action:?}");
+    };
+    assert_eq!(message.kind, MessageKind::Deliver);
+    *host
+}
+
+fn send(forwarder: &mut Forwarder, packet: Vec<u8>) -> Action {
+    let mut suspicion = Suspicion::default();
+    forwarder
+        .handle(&directory(5), &mut suspicion, packet, 1_000)
+        .expect("forwarded")
+}
+
+#[test]
+fn two_balancers_choose_the_same_agent() {
+    for port in 1..200 {
+        let first = send(&mut forwarder(), opener(&flow(port), 0));
+        let second = send(&mut forwarder(), request(&flow(port), 1));
+        assert_eq!(host_of(&first), host_of(&second));
+    }
+}
+
+#[test]
+fn each_copy_of_an_opener_without_an_answer_goes_to_another_agent() {
+    let mut balancer = forwarder();
+    let copies = [0, 1, 2].map(|copy| host_of(&send(&mut balancer, opener(&flow(1), copy))));
+    assert_ne!(copies[0], copies[1]);
+    assert_ne!(copies[1], copies[2]);
+}
+
+#[test]
+fn a_copy_of_an_opener_that_was_taken_goes_where_it_was_taken() {
+    let mut balancer = forwarder();
+    send(&mut balancer, opener(&flow(1), 0));
+    balancer.holds(flow(1), host(4), 1_001);
+    assert_eq!(host_of(&send(&mut balancer, opener(&flow(1), 1))), host(4));
+    assert_eq!(host_of(&send(&mut balancer, request(&flow(1), 1))), host(4));
+}
+
+#[test]
+fn an_opener_that_no_agent_confirms_goes_to_the_next_soon() {
+    let mut balancer = forwarder();
+    let first = host_of(&send(&mut balancer, opener(&flow(1), 0)));
+    let mut suspicion = Suspicion::default();
+    assert!(
+        balancer
+            .tick(&directory(5), &mut suspicion, 1_050)
+            .is_empty()
+    );
+    let actions = balancer.tick(&directory(5), &mut suspicion, 1_100);
+    let next = hosts_told(&actions, MessageKind::Deliver);
+    assert_eq!(next.len(), 1);
+    assert_ne!(next[0], first);
+    assert!(suspicion.is_suspected(first, 1_100));
+}
+
+#[test]
+fn an_opener_that_was_handed_on_suspects_nobody() {
+    let mut balancer = forwarder();
+    let first = host_of(&send(&mut balancer, opener(&flow(1), 0)));
+    balancer.handed_on(&flow(1), first);
+    let mut suspicion = Suspicion::default();
+    assert!(
+        balancer
+            .tick(&directory(5), &mut suspicion, 2_000)
+            .is_empty()
+    );
+    assert!(!suspicion.is_suspected(first, 2_000));
+}
+
+#[test]
+fn draining_backend_servers_get_no_opener_and_keep_their_flows() {
+    let mut directory = directory(2);
+    publish(
+        &mut directory,
+        1,
+        &state_text(1, BackendState::Draining),
+        9,
+        0,
+    );
+    let mut suspicion = Suspicion::default();
+    let mut balancer = forwarder();
+    balancer.holds(flow(1), host(1), 1_000);
+    for port in 2..100 {
+        let action = balancer.handle(&directory, &mut suspicion, opener(&flow(port), 0), 1_000);
+        assert_eq!(host_of(&action.expect("forwarded")), host(2));
+    }
+    let action = balancer.handle(&directory, &mut suspicion, request(&flow(1), 1), 1_000);
+    assert_eq!(host_of(&action.expect("forwarded")), host(1));
+}
+
+#[test]
+fn a_flow_to_an_address_without_a_route_is_reset_at_once() {
+    let mut key = flow(1);
+    key.called.set_port(444);
+    let mut balancer = forwarder();
+    for packet in [opener(&key, 0), request(&key, 77)] {
+        assert_eq!(resets(&[send(&mut balancer, packet)]), [key]);
+    }
+}
+
+#[test]
+fn a_reset_without_a_route_is_dropped_not_answered() {
+    let mut key = flow(1);
+    key.called.set_port(444);
+    let spec = PacketSpec {
+        flags: RST,
+        ..PacketSpec::default()
+    };
+    let mut suspicion = Suspicion::default();
+    let result = forwarder().handle(
+        &directory(1),
+        &mut suspicion,
+        from_caller(&key, spec),
+        1_000,
+    );
+    assert_eq!(result.map_err(|error| error.code), Err(Code::RouteUnknown));
+}
+
+#[test]
+fn hints_live_as_long_as_flows() {
+    let mut balancer = forwarder();
+    balancer.holds(flow(1), host(1), 1_000);
+    balancer.expire(60_000);
+    assert_eq!(balancer.hints(), 1);
+    balancer.expire(61_001);
+    assert_eq!(balancer.hints(), 0);
+}
+
+#[test]
+fn malformed_packets_are_dropped_with_their_code() {
+    let mut short = opener(&flow(1), 0);
+    short.pop();
+    for packet in [Vec::new(), short, vec![0xff; 4_000]] {
+        let mut suspicion = Suspicion::default();
+        let result = forwarder().handle(&directory(1), &mut suspicion, packet, 1_000);
+        assert_eq!(
+            result.map_err(|error| error.code),
+            Err(Code::SegmentMalformed)
+        );
+    }
+}
--- /dev/null
+++ b/tests/opaque/freshness.rs
@@ -0,0 +1,100 @@
+//! Who reads the platform, and when others step in.
+
+use std::net::Ipv4Addr;
+
+use endivedyke::HostList;
+use endivedyke::opaque::{Freshness, READERS, standing};
+
+fn hosts(count: u32) -> HostList {
+    let mut text = String::from("host,zone,role,state\n");
+    for index in 1..=count {
+        text += &format!(
+            "{},zone-a,backend,live\n",
+            Ipv4Addr::from(0x0a00_0000 + index)
+        );
+    }
+    HostList::parse(&text).expect("sound list")
+}
+
+fn all(count: u32) -> impl Iterator<Item = Ipv4Addr> {
+    (1..=count).map(|index| Ipv4Addr::from(0x0a00_0000 + index))
+}
+
+#[test]
+fn a_few_read_and_each_other_asks_one_before_it() {
+    for count in [1, 2, 10, 66, 3_000] {
+        let hosts = hosts(count);
+        let standings: Vec<_> = all(count)
+            .map(|host| standing(&hosts, host, |_| true))
+            .collect();
+        let readers = standings.iter().filter(|standing| standing.rank < READERS);
+        assert_eq!(readers.count(), READERS.min(count as usize), "{count}");
+        let orphans = standings
+            .iter()
+            .filter(|standing| standing.parent.is_none());
+        assert_eq!(orphans.count(), 1, "{count}: only the first asks nobody");
+    }
+}
+
+#[test]
+fn nobody_is_asked_by_many_and_ways_are_short() {
+    let count = 3_000;
+    let hosts = hosts(count);
+    let parent = |host| standing(&hosts, host, |_| true).parent;
+    let mut askers: Vec<Ipv4Addr> = all(count).filter_map(parent).collect();
+    askers.sort_unstable();
+    let busiest = askers.chunk_by(|a, b| a == b).map(<[_]>::len).max();
+    assert!(busiest <= Some(18), "{busiest:?}");
+    for host in all(count) {
+        let steps = std::iter::successors(Some(host), |host| parent(*host)).count();
+        assert!(steps <= 6, "{host} is {steps} steps away");
+    }
+}
+
+#[test]
+fn dead_readers_are_passed_over() {
+    let hosts = hosts(10);
+    let first = all(10).find(|host| standing(&hosts, *host, |_| true).rank == 0);
+    let first = first.expect("a reader");
+    for host in all(10).filter(|host| *host != first) {
+        assert_ne!(
+            standing(&hosts, host, |other| other != first).parent,
+            Some(first)
+        );
+    }
+}
+
+#[test]
+fn an_unlisted_process_asks_and_does_not_read_at_once() {
+    let me = Ipv4Addr::new(10, 9, 0, 1);
+    for count in [0, 10] {
+        let standing = standing(&hosts(count), me, |_| true);
+        assert!(standing.rank >= READERS);
+        assert_eq!(standing.parent.is_some(), count > 0);
+    }
+}
+
+#[test]
+fn patience_ends_in_turn_and_sooner_when_the_readers_are_turned_away() {
+    let mut freshness = Freshness::default();
+    freshness.confirm(10_000);
+    assert!(!freshness.should_read(2, 11_500));
+    assert!(freshness.should_read(2, 12_001));
+    assert!(!freshness.should_read(5, 12_001));
+    assert!(freshness.should_read(5, 12_500));
+    freshness.set_parent_failing(true);
+    assert!(freshness.should_read(2, 10_400));
+    assert!(!freshness.should_read(5, 10_400));
+    assert!(freshness.should_read(0, 10_000), "readers always read");
+}
+
+#[test]
+fn one_that_can_not_read_says_so_once_its_values_are_old() {
+    let mut freshness = Freshness::default();
+    freshness.confirm(10_000);
+    freshness.set_failing(true);
+    assert_eq!(freshness.told_age_ms(10_500), Some(500));
+    assert_eq!(freshness.told_age_ms(12_500), None);
+    freshness.set_failing(false);
+    assert_eq!(freshness.told_age_ms(12_500), Some(2_500));
+}
--- /dev/null
+++ b/tests/opaque/main.rs
@@ -0,0 +1,11 @@
+//! The decisions about opaque flows, without input or output.
+
+mod builder;
+mod directory;
+mod forwarder;
+mod freshness;
+mod keeper;
+mod lookup;
+mod message;
+mod model;
+mod route_table;
