--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -19,6 +19,7 @@
 mod ledger_check;
 mod load;
 mod load_report;
+pub mod opaque;
 mod proc_stat;
 mod process;
 mod quickstart;
--- /dev/null
+++ b/lab/src/opaque/mod.rs
@@ -0,0 +1,16 @@
+//! Stand-ins for the users' platform: its store, its routers, callers and backend servers of opaque
+//! flows, written from its published pages and independent of the adapter in `platform/`.
+
+mod backend;
+mod callers;
+mod flow_end;
+mod packet;
+mod quickstart;
+mod routers;
+mod site;
+mod store;
+
+pub use crate::opaque::callers::{CallPlan, CallTally};
+pub use crate::opaque::quickstart::run_opaque_quickstart;
+pub use crate::opaque::site::{OpaqueSite, OpaqueSiteBuilder};
+pub use crate::opaque::store::{StoreFault, StoreHandle};
--- /dev/null
+++ b/lab/src/opaque/site.rs
@@ -0,0 +1,509 @@
+//! A site of opaque flows on loopback: real balancers and agents, stand-ins for the rest.
+
+use std::cell::RefCell;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use endivedyke::{Code, Error, Result};
+use serde_json::json;
+use tempfile::TempDir;
+
+use crate::opaque::backend::{BackendHandle, BackendJournal, BackendSpec};
+use crate::opaque::callers::{CallPlan, CallTally, CallersHandle};
+use crate::opaque::routers::Routers;
+use crate::opaque::store::StoreHandle;
+use crate::process::Process;
+
+const STORE_PORT: u16 = 8_169;
+const PACKET_PORT: u16 = 8_172;
+const READY_PORT: u16 = 8_167;
+const OUTBOUND_PORT: u16 = 8_162;
+const APP_PORT: u16 = 8_165;
+const PEER_PORT: u16 = 7_720;
+const METRICS_PORT: u16 = 9_102;
+const FIRST_CALLED_PORT: u16 = 443;
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(20);
+
+const BALANCER_TEMPLATE: &str = include_str!("../../../deploy/balancer.ini");
+const AGENT_TEMPLATE: &str = include_str!("../../../deploy/agent.ini");
+
+#[derive(Debug, Clone)]
+struct ServiceSpec {
+    name: String,
+    targets: usize,
+    slots: usize,
+    work_ms: u64,
+}
+
+/// Describes a site before it is started.
+#[derive(Debug, Clone)]
+pub struct OpaqueSiteBuilder {
+    balancers: usize,
+    services: Vec<ServiceSpec>,
+    log_to_pipe: bool,
+}
+
+impl OpaqueSiteBuilder {
+    /// Describes a site with this many balancers and no service yet.
+    pub fn new(balancers: usize) -> Self {
+        Self {
+            balancers,
+            services: Vec::new(),
+            log_to_pipe: false,
+        }
+    }
+
+    /// Adds a service with this many backend servers.
+    pub fn service(mut self, name: &str, targets: usize, slots: usize, work_ms: u64) -> Self {
+        self.services.push(ServiceSpec {
+            name: name.to_owned(),
+            targets,
+            slots,
+            work_ms,
+        });
+        self
+    }
+
+    /// Lets processes write log lines to pipes that nobody reads.
+    pub fn unread_logs(mut self) -> Self {
+        self.log_to_pipe = true;
+        self
+    }
+
+    /// Starts everything and waits until all balancers are in rotation.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where a process does not come up.
+    pub async fn start(self) -> Result<OpaqueSite> {
+        let mut site = self.start_stand_ins().await?;
+        for index in 0..site.spec.balancers {
+            site.start_balancer(index)?;
+        }
+        for index in 0..site.backends.len() {
+            site.start_agent(index)?;
+        }
+        site.wait_ready().await?;
+        Ok(site)
+    }
+
+    /// Starts the stand-ins alone; processes of the product are started one by one.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where an address is taken.
+    pub async fn start_stand_ins(self) -> Result<OpaqueSite> {
+        let net = free_net()?;
+        let ip = |last: usize| Ipv4Addr::new(127, net.0, net.1, last as u8);
+        let store = StoreHandle::start((ip(2), STORE_PORT).into()).await?;
+        let hosts: Vec<Ipv4Addr> = (0..self.balancers).map(|index| ip(10 + index)).collect();
+        let routers = Routers::start(ip(1), &hosts, PACKET_PORT, READY_PORT)?;
+        let mut site = OpaqueSite {
+            net,
+            folder: tempfile::tempdir()?,
+            store,
+            routers,
+            balancers: (0..self.balancers).map(|_| None).collect(),
+            agents: Vec::new(),
+            backends: Vec::new(),
+            journals: Vec::new(),
+            routed: (0..self.services.len()).collect(),
+            version: 0,
+            callers: None,
+            spec: self,
+        };
+        site.publish_routes();
+        for service in 0..site.spec.services.len() {
+            for _ in 0..site.spec.services[service].targets {
+                site.add_backend(service).await?;
+            }
+        }
+        Ok(site)
+    }
+}
+
+/// A running site; its processes end when it is dropped.
+pub struct OpaqueSite {
+    net: (u8, u8),
+    folder: TempDir,
+    spec: OpaqueSiteBuilder,
+    store: StoreHandle,
+    routers: Routers,
+    balancers: Vec<Option<Process>>,
+    agents: Vec<Option<Process>>,
+    backends: Vec<Option<BackendHandle>>,
+    journals: Vec<Rc<RefCell<BackendJournal>>>,
+    /// The service behind each called address.
+    routed: Vec<usize>,
+    version: u64,
+    callers: Option<CallersHandle>,
+}
+
+/// Finds a loopback network that no other site of this machine uses.
+fn free_net() -> Result<(u8, u8)> {
+    for _ in 0..100 {
+        let net = (rand::random_range(16..=250), rand::random_range(0..=250));
+        let address = (Ipv4Addr::new(127, net.0, net.1, 2), STORE_PORT);
+        if std::net::TcpListener::bind(address).is_ok() {
+            return Ok(net);
+        }
+    }
+    Err(Error::new(Code::Io, "no free loopback network"))
+}
+
+impl OpaqueSite {
+    fn ip(&self, last: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.net.0, self.net.1, last as u8)
+    }
+
+    /// Returns the host of a balancer.
+    pub fn balancer_host(&self, index: usize) -> Ipv4Addr {
+        self.ip(10 + index)
+    }
+
+    /// Returns the host of an agent and its backend server.
+    pub fn agent_host(&self, index: usize) -> Ipv4Addr {
+        self.ip(100 + index)
+    }
+
+    /// Returns the platform's store.
+    pub fn store(&self) -> &StoreHandle {
+        &self.store
+    }
+
+    /// Returns the address that callers call for a service.
+    pub fn called(&self, service: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(
+            Ipv4Addr::new(198, 18, 0, 1),
+            FIRST_CALLED_PORT + service as u16,
+        )
+    }
+
+    /// Returns the ports of a host to which strangers could send: packets, peers, outbound.
+    pub fn datagram_addresses(&self, host: Ipv4Addr) -> [SocketAddr; 3] {
+        [PACKET_PORT, PEER_PORT, OUTBOUND_PORT].map(|port| SocketAddr::from((host, port)))
+    }
+
+    /// Routes a called address to another service.
+    pub fn route(&mut self, called: usize, service: usize) {
+        self.routed[called] = service;
+        self.publish_routes();
+    }
+
+    /// Takes a called address away.
+    pub fn unroute_last(&mut self) {
+        self.routed.pop();
+        self.publish_routes();
+    }
+
+    fn publish_routes(&mut self) {
+        self.version += 3;
+        let routes: Vec<_> = self
+            .routed
+            .iter()
+            .enumerate()
+            .map(|(called, service)| {
+                let address = self.called(called);
+                json!({
+                    "name": format!("r-{called}"),
+                    "host": address.ip().to_string(),
+                    "prefix": format!("/{}/", address.port()),
+                    "service": self.spec.services[*service].name,
+                    "kind": "safe",
+                })
+            })
+            .collect();
+        let config =
+            json!({"version": self.version, "routes": routes, "services": [], "limits": {}});
+        self.store.put("op/config", &config);
+    }
+
+    /// Starts a backend server on a new host and registers it; returns its index.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where an address is taken.
+    pub async fn add_backend(&mut self, service: usize) -> Result<usize> {
+        let index = self.backends.len();
+        self.journals.push(Rc::default());
+        self.backends.push(None);
+        self.agents.push(None);
+        self.start_backend(index, service).await?;
+        Ok(index)
+    }
+
+    /// Starts a new lifetime of a backend server, under a new id, and registers it.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where an address is taken.
+    pub async fn start_backend(&mut self, index: usize, service: usize) -> Result<()> {
+        let host = self.agent_host(index);
+        let spec = &self.spec.services[service];
+        let spec = BackendSpec {
+            service: spec.name.clone(),
+            address: SocketAddrV4::new(host, APP_PORT),
+            outbound: SocketAddrV4::new(host, OUTBOUND_PORT),
+            called: self.called_of(service),
+            slots: spec.slots,
+            queue: 4 * spec.slots,
+            work_ms: spec.work_ms,
+        };
+        let backend = BackendHandle::start(&spec, &self.journals[index]).await?;
+        self.backends[index] = Some(backend);
+        self.register(index, "ready");
+        Ok(())
+    }
+
+    fn called_of(&self, service: usize) -> Vec<SocketAddrV4> {
+        let routed = self.routed.iter().enumerate();
+        let own = routed.filter(|(_, routed)| **routed == service);
+        own.map(|(called, _)| self.called(called)).collect()
+    }
+
+    fn register(&self, index: usize, state: &str) {
+        if let Some(backend) = &self.backends[index] {
+            let entry = json!({
+                "service": backend.spec.service,
+                "address": backend.spec.address.to_string(),
+                "zone": "zone-a",
+                "version": "v1",
+                "slots": backend.spec.slots,
+                "state": state,
+                "coldRemainingMs": 0,
+                "sequence": 1,
+            });
+            self.store.put(&format!("servers/{}", backend.id), &entry);
+        }
+    }
+
+    /// Lets a backend server report that it leaves, and close flows after their next answer.
+    pub fn drain_backend(&self, index: usize) {
+        self.register(index, "draining");
+        if let Some(backend) = &self.backends[index] {
+            backend.drain();
+        }
+    }
+
+    /// Ends a backend server as a crash would; its entry stays until it is removed.
+    pub fn crash_backend(&mut self, index: usize) -> Option<String> {
+        let backend = self.backends[index].take()?;
+        Some(backend.id)
+    }
+
+    /// Removes a backend server's entry from the store.
+    pub fn expire_entry(&self, id: &str) {
+        self.store.remove(&format!("servers/{id}"));
+    }
+
+    /// Returns the number of flows open at a backend server.
+    pub fn open_flows(&self, index: usize) -> usize {
+        self.backends[index]
+            .as_ref()
+            .map_or(0, BackendHandle::open_flows)
+    }
+
+    /// Starts a balancer's process.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where it can't be started.
+    pub fn start_balancer(&mut self, index: usize) -> Result<()> {
+        let host = self.balancer_host(index);
+        let settings = self.settings(BALANCER_TEMPLATE, host, "");
+        let process = self.spawn("endivedyke-platform-balancer", host, &settings)?;
+        self.balancers[index] = Some(process);
+        Ok(())
+    }
+
+    /// Starts an agent's process beside its backend server.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where it can't be started.
+    pub fn start_agent(&mut self, index: usize) -> Result<()> {
+        let host = self.agent_host(index);
+        let service = self.backends[index]
+            .as_ref()
+            .map_or("unknown", |backend| &backend.spec.service);
+        let settings = self.settings(AGENT_TEMPLATE, host, service);
+        let process = self.spawn("endivedyke-platform-agent", host, &settings)?;
+        self.agents[index] = Some(process);
+        Ok(())
+    }
+
+    fn spawn(&self, program: &str, host: Ipv4Addr, settings: &str) -> Result<Process> {
+        let path = self.settings_path(host);
+        std::fs::write(&path, settings)?;
+        let arguments = ["--settings".to_owned(), path.display().to_string()];
+        if self.spec.log_to_pipe {
+            Process::start_unread(program, &arguments)
+        } else {
+            Process::start(program, &arguments)
+        }
+    }
+
+    /// Returns the path of the settings file of a host's process.
+    pub fn settings_path(&self, host: Ipv4Addr) -> PathBuf {
+        self.folder.path().join(format!("{host}.ini"))
+    }
+
+    /// Fills a template in as the platform does.
+    fn settings(&self, template: &str, host: Ipv4Addr, service: &str) -> String {
+        let seeds: Vec<String> = (0..self.spec.balancers.min(3))
+            .map(|index| format!("{}:{PEER_PORT}", self.balancer_host(index)))
+            .collect();
+        let values = [
+            ("ip", host.to_string()),
+            ("zone", "zone-a".to_owned()),
+            ("internalPortRange.0", PEER_PORT.to_string()),
+            ("listen.datagramAddr", format!("{host}:{PACKET_PORT}")),
+            ("listen.ready", format!("{host}:{READY_PORT}")),
+            ("listen.outbound", format!("{host}:{OUTBOUND_PORT}")),
+            ("app", format!("{host}:{APP_PORT}")),
+            ("service", service.to_owned()),
+            ("bootstrap", "false".to_owned()),
+            ("platform.address", format!("{}:{STORE_PORT}", self.ip(2))),
+            ("seeds", seeds.join(",")),
+        ];
+        values
+            .iter()
+            .fold(template.to_owned(), |text, (name, value)| {
+                text.replace(&format!("{{{{{name}}}}}"), value)
+            })
+    }
+
+    /// Returns a balancer's process.
+    pub fn balancer(&mut self, index: usize) -> Option<&mut Process> {
+        self.balancers[index].as_mut()
+    }
+
+    /// Returns an agent's process.
+    pub fn agent(&mut self, index: usize) -> Option<&mut Process> {
+        self.agents[index].as_mut()
+    }
+
+    /// Waits until every balancer that runs is in rotation and every agent answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where that takes too long.
+    pub async fn wait_ready(&self) -> Result<()> {
+        let until = Instant::now() + READY_TIMEOUT;
+        let running = self.balancers.iter().flatten().count();
+        let mut hosts: Vec<Ipv4Addr> = Vec::new();
+        for index in 0..self.agents.len() {
+            if self.agents[index].is_some() {
+                hosts.push(self.agent_host(index));
+            }
+        }
+        while self.routers.ready() < running || !self.all_ready(&hosts).await {
+            if Instant::now() >= until {
+                return Err(Error::new(Code::Io, "the site does not become ready"));
+            }
+            compio::time::sleep(POLL).await;
+        }
+        Ok(())
+    }
+
+    /// Tells whether the processes on these hosts say that they take traffic.
+    pub async fn all_ready(&self, hosts: &[Ipv4Addr]) -> bool {
+        for host in hosts {
+            let address = SocketAddr::from((*host, READY_PORT));
+            let answer = endivedyke::get(address, "/api/readiness", 500).await;
+            if !answer.is_ok_and(|answer| answer.status().is_success()) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Starts callers.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where the callers' address is taken.
+    pub fn call(&mut self, plans: &[CallPlan]) -> Result<()> {
+        let host = self.ip(200);
+        self.callers = Some(CallersHandle::start(
+            host,
+            PACKET_PORT,
+            &self.routers,
+            plans,
+        )?);
+        Ok(())
+    }
+
+    /// Returns a plan for callers of a service.
+    pub fn plan(&self, service: usize, feeds: usize, claims: usize) -> CallPlan {
+        CallPlan {
+            service: self.spec.services[service].name.clone(),
+            called: self.called(service),
+            feeds,
+            claims,
+            pause_ms: 50,
+        }
+    }
+
+    /// Returns what callers saw so far.
+    pub fn tally(&self) -> CallTally {
+        self.callers
+            .as_ref()
+            .map(CallersHandle::tally)
+            .unwrap_or_default()
+    }
+
+    /// Ends the callers and returns what they saw.
+    pub async fn finish(&self) -> CallTally {
+        match &self.callers {
+            Some(callers) => callers.finish().await,
+            None => CallTally::default(),
+        }
+    }
+
+    /// Returns the ids of all requests that backend servers ran.
+    pub fn ran(&self) -> Vec<String> {
+        let journals = self.journals.iter();
+        let mut ran: Vec<String> = journals
+            .flat_map(|journal| journal.borrow().ran.clone())
+            .collect();
+        ran.sort_unstable();
+        ran
+    }
+
+    /// Returns how many claims ran more than once.
+    pub fn doubled(&self) -> usize {
+        let ran = self.ran();
+        let claims: Vec<&String> = ran.iter().filter(|id| id.starts_with("claim")).collect();
+        claims.windows(2).filter(|pair| pair[0] == pair[1]).count()
+    }
+
+    /// Returns how many packets reached backend servers that nobody wrote so, or of other services.
+    pub fn strayed(&self) -> u64 {
+        let journals = self.journals.iter();
+        journals
+            .map(|journal| journal.borrow().forged + journal.borrow().foreign)
+            .sum()
+    }
+
+    /// Returns how many packets backend servers handed back.
+    pub fn returned(&self) -> u64 {
+        let journals = self.journals.iter();
+        journals.map(|journal| journal.borrow().returned).sum()
+    }
+
+    /// Returns a metric of a process, summed over its labels.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where the process does not answer.
+    pub async fn metric(&self, host: Ipv4Addr, name: &str) -> Result<f64> {
+        let address = SocketAddr::from((host, METRICS_PORT));
+        let answer = endivedyke::get(address, "/metrics", 2_000).await?;
+        let text = String::from_utf8_lossy(answer.body()).into_owned();
+        Ok(crate::http_text::metric(&text, name))
+    }
+}
--- /dev/null
+++ b/lab/src/opaque/store.rs
@@ -0,0 +1,228 @@
+//! A stand-in for the platform's store: items, pages, watches, and its ways to fail.
+
+use std::cell::RefCell;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use bytes::Bytes;
+use compio::net::TcpListener;
+use endivedyke::Result;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+
+use crate::http_text::text;
+
+const WATCH_POLL: Duration = Duration::from_millis(10);
+/// How many items a page holds; fewer than the platform's, so that tests meet several pages.
+const PAGE_ITEMS: usize = 8;
+
+/// How the store misbehaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreFault {
+    /// It answers nothing.
+    Silent,
+    /// It answers that it is busy.
+    Busy,
+    /// It answers that there are too many calls.
+    TooMany,
+    /// It answers with bytes that are no JSON.
+    Garbled,
+}
+
+#[derive(Debug, Clone)]
+struct Item {
+    key: String,
+    value: Option<String>,
+    revision: u64,
+}
+
+#[derive(Debug, Default)]
+struct Store {
+    items: Vec<Item>,
+    events: Vec<Item>,
+    revision: u64,
+    forgotten_revision: u64,
+    fault: Option<StoreFault>,
+    turned_away: Vec<Ipv4Addr>,
+    stale: Option<(Vec<Item>, u64)>,
+    calls: u64,
+}
+
+/// A running store, for whoever plays the operator.
+#[derive(Debug, Clone)]
+pub struct StoreHandle {
+    store: Rc<RefCell<Store>>,
+}
+
+type Answer = Response<Full<Bytes>>;
+
+impl StoreHandle {
+    /// Starts the store at an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where the address is taken.
+    pub async fn start(address: SocketAddr) -> Result<Self> {
+        let handle = Self {
+            store: Rc::default(),
+        };
+        let listener = TcpListener::bind(address).await?;
+        let served = handle.clone();
+        let serving = async move {
+            loop {
+                let Ok((stream, peer)) = listener.accept().await else {
+                    continue;
+                };
+                let served = served.clone();
+                let answer = move |request| served.clone().answer(peer.ip(), request);
+                compio::runtime::spawn(endivedyke::serve_connection(stream, answer)).detach();
+            }
+        };
+        compio::runtime::spawn(serving).detach();
+        Ok(handle)
+    }
+
+    /// Writes a value.
+    pub fn put(&self, key: &str, value: &Value) {
+        self.change(key, Some(value.to_string()));
+    }
+
+    /// Removes a value.
+    pub fn remove(&self, key: &str) {
+        self.change(key, None);
+    }
+
+    fn change(&self, key: &str, value: Option<String>) {
+        let mut store = self.store.borrow_mut();
+        store.revision += 1;
+        let item = Item {
+            key: key.to_owned(),
+            value: value.map(|value| BASE64_STANDARD.encode(value)),
+            revision: store.revision,
+        };
+        store.items.retain(|known| known.key != key);
+        if item.value.is_some() {
+            let at = store.items.partition_point(|known| known.key < item.key);
+            store.items.insert(at, item.clone());
+        }
+        store.events.push(item);
+    }
+
+    /// Starts or ends a fault for all hosts.
+    pub fn set_fault(&self, fault: Option<StoreFault>) {
+        self.store.borrow_mut().fault = fault;
+    }
+
+    /// Turns these hosts away, and serves the others.
+    pub fn turn_away(&self, hosts: &[Ipv4Addr]) {
+        self.store.borrow_mut().turned_away = hosts.to_vec();
+    }
+
+    /// Forgets the history of changes; waiting watches are told so.
+    pub fn forget_history(&self) {
+        let mut store = self.store.borrow_mut();
+        store.forgotten_revision = store.revision;
+        store.events.clear();
+    }
+
+    /// Lets stale reads show the present state from now on, or the newest again.
+    pub fn freeze_stale_reads(&self, frozen: bool) {
+        let mut store = self.store.borrow_mut();
+        store.stale = frozen.then(|| (store.items.clone(), store.revision));
+    }
+
+    /// Returns how many calls came in.
+    pub fn calls(&self) -> u64 {
+        self.store.borrow().calls
+    }
+
+    async fn answer(self, from: IpAddr, request: Request<Incoming>) -> Answer {
+        self.store.borrow_mut().calls += 1;
+        let query = request.uri().query().unwrap_or("").to_owned();
+        loop {
+            let (fault, turned_away) = {
+                let store = self.store.borrow();
+                let turned_away = store
+                    .turned_away
+                    .iter()
+                    .any(|host| from == IpAddr::V4(*host));
+                (store.fault, turned_away)
+            };
+            match fault {
+                _ if turned_away => return text(StatusCode::SERVICE_UNAVAILABLE, "{}"),
+                None => break,
+                Some(StoreFault::Silent) => compio::time::sleep(WATCH_POLL).await,
+                Some(StoreFault::Busy) => return text(StatusCode::SERVICE_UNAVAILABLE, "{}"),
+                Some(StoreFault::TooMany) => return text(StatusCode::TOO_MANY_REQUESTS, "{}"),
+                Some(StoreFault::Garbled) => return text(StatusCode::OK, "{\"items\":7"),
+            }
+        }
+        match request.uri().path() {
+            "/api/kv-range" => self.range(&query),
+            "/api/kv-watch" => self.watch(&query).await,
+            _ => text(StatusCode::NOT_FOUND, "{}"),
+        }
+    }
+
+    fn range(&self, query: &str) -> Answer {
+        let store = self.store.borrow();
+        let stale = parameter(query, "staleOk") == "1";
+        let (items, revision) = match &store.stale {
+            Some((items, revision)) if stale => (items, *revision),
+            _ => (&store.items, store.revision),
+        };
+        let (prefix, after) = (parameter(query, "prefix"), parameter(query, "after"));
+        let mut found = items
+            .iter()
+            .filter(|item| item.key.starts_with(prefix) && item.key.as_str() > after);
+        let page: Vec<Value> = found.by_ref().take(PAGE_ITEMS).map(event).collect();
+        let has_more = found.next().is_some();
+        let body = json!({"items": page, "hasMore": has_more, "storeRevision": revision});
+        text(StatusCode::OK, body.to_string())
+    }
+
+    async fn watch(&self, query: &str) -> Answer {
+        let after: u64 = parameter(query, "after").parse().unwrap_or(0);
+        let wait_ms: u64 = parameter(query, "waitMs").parse().unwrap_or(0);
+        let prefix = parameter(query, "prefix");
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            {
+                let store = self.store.borrow();
+                if after < store.forgotten_revision {
+                    return text(StatusCode::GONE, "{}");
+                }
+                let newer = store.events.iter();
+                let newer =
+                    newer.filter(|item| item.revision > after && item.key.starts_with(prefix));
+                let events: Vec<Value> = newer.map(event).collect();
+                if store.fault.is_none() && (!events.is_empty() || Instant::now() >= until) {
+                    let body = json!({"events": events, "storeRevision": store.revision});
+                    return text(StatusCode::OK, body.to_string());
+                }
+            }
+            compio::time::sleep(WATCH_POLL).await;
+        }
+    }
+}
+
+fn parameter<'a>(query: &'a str, name: &str) -> &'a str {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let mut found = pairs.filter(|(key, _)| *key == name);
+    found.next().map_or("", |(_, value)| value)
+}
+
+fn event(item: &Item) -> Value {
+    match &item.value {
+        Some(value) => json!({
+            "key": item.key, "value": value, "revision": item.revision, "createdRev": item.revision,
+            "lease": 0,
+        }),
+        None => json!({"key": item.key, "revision": item.revision, "removed": true}),
+    }
+}
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -35,10 +35,23 @@
     ///
     /// Returns code 5001 where it can't be started.
     pub fn start(program: &str, arguments: &[String]) -> Result<Process> {
+        Self::spawn(program, arguments, Stdio::null())
+    }
+
+    /// Starts such a program with a pipe as its standard output that nobody reads.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where it can't be started.
+    pub fn start_unread(program: &str, arguments: &[String]) -> Result<Process> {
+        Self::spawn(program, arguments, Stdio::piped())
+    }
+
+    fn spawn(program: &str, arguments: &[String], output: Stdio) -> Result<Process> {
         let child = Command::new(binary(program)?)
             .args(arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(output)
             .spawn()?;
         Ok(Process { child })
     }
@@ -75,6 +88,15 @@
         Ok(())
     }
 
+    /// Tells the process that its settings have changed.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where the process is gone.
+    pub fn hang_up(&self) -> Result<()> {
+        self.signal(Signal::HUP)
+    }
+
     /// Freezes the process.
     ///
     /// # Errors
--- a/src/control.rs
+++ b/src/control.rs
@@ -40,9 +40,8 @@
 }
 
 impl Control {
-    pub(crate) fn new(settings: Settings) -> Rc<Self> {
+    pub(crate) fn new(settings: Settings, metrics: Rc<Metrics>) -> Rc<Self> {
         let clock = Clock::start();
-        let metrics = Rc::new(Metrics::default());
         Rc::new(Self {
             clock,
             incarnation: clock::incarnation(),
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,7 +1,7 @@
 //! What the daemons do from their command line to their exit code.
 
 use std::future::Future;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 
@@ -14,11 +14,14 @@
 use crate::agent::Agent;
 use crate::control::Control;
 use crate::error::Result;
+use crate::metrics::Metrics;
 use crate::node_server::NodeHooks;
 use crate::opaque::{self, Adapter};
 use crate::platform_reader::ReaderDuty;
 use crate::settings::Settings;
-use crate::{balancer, http_server, logging, node_server, peer_service, platform_reader, relay};
+use crate::{
+    balancer, http_server, logging, node_server, peer_service, platform_reader, relay, reload,
+};
 
 /// The exit code for a command line or settings file that can't be used.
 pub const EXIT_USAGE: u8 = 2;
@@ -116,7 +119,7 @@
         println!("{}: settings are sound", path.display());
         return ExitCode::SUCCESS;
     }
-    match run_role(settings, role) {
+    match run_role(settings, &path, role) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(program, &error, 1),
     }
@@ -127,14 +130,18 @@
     ExitCode::from(exit_code)
 }
 
-fn run_role<F>(settings: Settings, role: impl FnOnce(Rc<Control>) -> F) -> Result<()>
+fn run_role<F>(settings: Settings, path: &Path, role: impl FnOnce(Rc<Control>) -> F) -> Result<()>
 where
     F: Future<Output = Result<()>>,
 {
-    logging::start(&settings)?;
+    let metrics = Rc::new(Metrics::default());
+    logging::start(&settings, &metrics.log_lines_dropped)?;
     let runtime = compio::runtime::Runtime::new()?;
     runtime.block_on(async {
-        let control = Control::new(settings);
+        let control = Control::new(settings, metrics);
+        let path = path.to_owned();
+        let reloaded = control.clone();
+        compio::runtime::spawn(async move { reload::run(reloaded, &path).await }).detach();
         log::info!("event=start host={}", control.settings.host);
         let result = role(control).await;
         log::info!("event=stop");
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -23,11 +23,14 @@
         let Ok((stream, _)) = listener.accept().await else {
             continue;
         };
-        compio::runtime::spawn(serve_connection(stream, answer.clone())).detach();
+        let answer = answer.clone();
+        let served = serve_connection(stream, move |request| answer(request));
+        compio::runtime::spawn(served).detach();
     }
 }
 
-async fn serve_connection<A, F, B>(stream: TcpStream, answer: Rc<A>)
+/// Serves one connection with `answer` until it closes.
+pub async fn serve_connection<A, F, B>(stream: TcpStream, answer: A)
 where
     A: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<B>> + 'static,
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -2,8 +2,11 @@
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use prometheus_client::metrics::counter::Counter;
+
 use crate::code::Code;
 use crate::error::{Error, Result};
+use crate::log_output::LogOutput;
 use crate::settings::Settings;
 
 /// Starts logging as the settings say.
@@ -11,7 +14,7 @@
 /// # Errors
 ///
 /// Returns code 5001 where the log file can't be opened or logging runs already.
-pub(crate) fn start(settings: &Settings) -> Result<()> {
+pub(crate) fn start(settings: &Settings, dropped: &Counter) -> Result<()> {
     let dispatch = fern::Dispatch::new()
         .level(log::LevelFilter::Error)
         .level_for("endivedyke", settings.log_level)
@@ -21,13 +24,21 @@
             out.finish(format_args!(
                 "time_ms={time_ms} level={} part={} {message}",
                 record.level(),
-                record.target()
+                part(record.target())
             ));
         });
     let dispatch = match &settings.log_file {
         Some(path) => dispatch.chain(fern::log_file(path)?),
-        None => dispatch.chain(std::io::stderr()),
+        None => {
+            let output = LogOutput::new(dropped);
+            dispatch.chain(fern::Output::call(move |record| output.write(record)))
+        }
     };
     let applied = dispatch.apply();
     applied.map_err(|error| Error::new(Code::Io, error.to_string()))
 }
+
+/// Shortens the path of a module to its last name.
+fn part(target: &str) -> &str {
+    target.rsplit("::").next().unwrap_or(target)
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::code::Code;
+use crate::opaque::OpaqueMetrics;
 
 /// The label of counters that are split by result code.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -26,6 +27,11 @@
         self.0.get_or_create(&CodeLabel { code }).inc();
     }
 
+    /// Returns the counters as they are registered.
+    pub(crate) fn family(&self) -> Family<CodeLabel, Counter<u64, AtomicU64>> {
+        self.0.clone()
+    }
+
     pub(crate) fn get(&self, code: Code) -> u64 {
         let code = u32::from(code.number());
         self.0.get_or_create(&CodeLabel { code }).get()
@@ -57,6 +63,8 @@
     pub(crate) config_revision: Gauge,
     pub(crate) pauses: Counter,
     pub(crate) services_open: Gauge,
+    pub(crate) log_lines_dropped: Counter,
+    pub(crate) opaque: OpaqueMetrics,
 }
 
 impl Metrics {
@@ -66,6 +74,7 @@
         self.register_packets(&mut registry);
         self.register_flows(&mut registry);
         self.register_control(&mut registry);
+        self.opaque.register(&mut registry);
         let mut text = String::new();
         match prometheus_client::encoding::text::encode(&mut text, &registry) {
             Ok(()) => text,
@@ -149,6 +158,11 @@
             "Pauses of this process that its clock showed",
             &self.pauses,
         );
+        counter(
+            "log_lines_dropped",
+            "Log lines over the budget, or that nobody read in time",
+            &self.log_lines_dropped,
+        );
         registry.register(
             "config_revision",
             "Highest revision in force",
--- a/src/opaque/entry.rs
+++ b/src/opaque/entry.rs
@@ -42,7 +42,11 @@
     let callers = udp::bind(listen)?;
     let ready = readiness::serve(&control).await?;
     let entry = Rc::new(Entry {
-        forwarder: RefCell::new(Forwarder::new(node.wire, control.settings.host)),
+        forwarder: RefCell::new(Forwarder::new(
+            node.wire,
+            control.settings.host,
+            &control.metrics.opaque,
+        )),
         node: node.clone(),
         ticking: Cell::new(false),
     });
--- /dev/null
+++ b/src/opaque/flow_book.rs
@@ -0,0 +1,239 @@
+//! What an agent knows of the flows of its backend server, and how much work they are.
+
+use std::net::Ipv4Addr;
+
+use crate::opaque::flow_map::FlowMap;
+use crate::opaque::metrics::OpaqueMetrics;
+use crate::opaque::segment::FlowKey;
+
+/// How many flows an agent remembers: eight times the connections of the largest backend servers.
+const MAX_FLOWS: usize = 16_384;
+/// How long a flow is remembered without a packet, in milliseconds: the longest life of a flow.
+const FLOW_MS: u64 = 60_000;
+/// How long a flow is remembered after its backend server has ended it, in milliseconds: for its last
+/// acknowledgements.
+const CLOSED_MS: u64 = 2_000;
+/// How long a taken opener counts as a request before its caller has sent one, in milliseconds.
+const EXPECTED_MS: u64 = 500;
+
+/// Where a flow is, as far as the agent knows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Holding {
+    /// The backend server was handed the opener; whether the flow opens here is the caller's choice.
+    Opening(Opening),
+    /// The backend server was handed a packet of it and may still return it.
+    Unconfirmed {
+        since_ms: u64,
+        asker: Option<Ipv4Addr>,
+    },
+    /// It is open here.
+    Open,
+    /// Another agent said that it holds it.
+    Elsewhere(Ipv4Addr),
+    /// It is not here, for certain.
+    Absent,
+}
+
+/// An opener that the backend server has.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Opening {
+    pub(crate) since_ms: u64,
+    pub(crate) packet: Vec<u8>,
+    pub(crate) balancer: Ipv4Addr,
+    pub(crate) hops: u8,
+    pub(crate) copy: u32,
+    pub(crate) answered: bool,
+    pub(crate) backend_sequence: u32,
+}
+
+/// A request that the backend server has not begun to answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Running {
+    /// The caller's name for it, where its packet showed one.
+    pub(crate) id: String,
+    pub(crate) since_ms: u64,
+}
+
+/// One flow.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Flow {
+    pub(crate) holding: Holding,
+    pub(crate) seen_ms: u64,
+    /// The next number that the caller expects, which a reset must fit.
+    pub(crate) caller_acknowledgement: u32,
+    pub(crate) running: Option<Running>,
+    pub(crate) closed: bool,
+    /// Whether the backend server showed that it holds the flow; silence shows nothing.
+    pub(crate) shown: bool,
+}
+
+impl Flow {
+    pub(crate) fn new(holding: Holding, now_ms: u64) -> Self {
+        Self {
+            holding,
+            seen_ms: now_ms,
+            caller_acknowledgement: 0,
+            running: None,
+            closed: false,
+            shown: false,
+        }
+    }
+
+    /// Tells whether the flow is open at the backend server.
+    fn is_open(&self) -> bool {
+        self.holding == Holding::Open && !self.closed
+    }
+
+    /// Tells whether it takes or will soon take a slot there.
+    fn is_busy(&self, now_ms: u64) -> bool {
+        match &self.holding {
+            Holding::Opening(opening) => now_ms < opening.since_ms + EXPECTED_MS,
+            _ => self.is_open() && self.running.is_some(),
+        }
+    }
+}
+
+/// A flow whose backend server has ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct EndedFlow {
+    pub(crate) key: FlowKey,
+    pub(crate) acknowledgement: u32,
+}
+
+/// What was left of a backend server that ended.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub(crate) struct Remains {
+    /// Flows that it had shown to hold.
+    pub(crate) flows: Vec<EndedFlow>,
+    /// Openers that it may not have answered.
+    pub(crate) openers: Vec<(FlowKey, Opening)>,
+}
+
+/// The flows of one agent, with counts of the open ones and of the requests that run.
+#[derive(Debug)]
+pub(crate) struct FlowBook {
+    flows: FlowMap<Flow>,
+    metrics: OpaqueMetrics,
+    open: u32,
+    busy: u32,
+}
+
+impl FlowBook {
+    pub(crate) fn new(metrics: &OpaqueMetrics) -> Self {
+        Self {
+            flows: FlowMap::new(MAX_FLOWS),
+            metrics: metrics.clone(),
+            open: 0,
+            busy: 0,
+        }
+    }
+
+    /// Returns the requests that run or wait at the backend server.
+    pub(crate) fn busy(&self) -> u32 {
+        self.busy
+    }
+
+    /// Returns the flows open there.
+    pub(crate) fn open(&self) -> u32 {
+        self.open
+    }
+
+    pub(crate) fn get(&self, key: &FlowKey) -> Option<&Flow> {
+        self.flows.get(key)
+    }
+
+    /// Inserts or replaces a flow; says whether there was room.
+    pub(crate) fn insert(&mut self, key: FlowKey, flow: Flow, now_ms: u64) -> bool {
+        self.remove(&key, now_ms);
+        let (open, busy) = (flow.is_open(), flow.is_busy(now_ms));
+        let inserted = self.flows.insert(key, flow);
+        if inserted {
+            self.count(open, busy, 1);
+        }
+        inserted
+    }
+
+    /// Changes a flow, if it is known, and returns what the change returns.
+    pub(crate) fn update<T>(
+        &mut self,
+        key: &FlowKey,
+        now_ms: u64,
+        change: impl FnOnce(&mut Flow) -> T,
+    ) -> Option<T> {
+        let flow = self.flows.get_mut(key)?;
+        let before = (flow.is_open(), flow.is_busy(now_ms));
+        let result = change(flow);
+        let after = (flow.is_open(), flow.is_busy(now_ms));
+        self.count(before.0, before.1, -1);
+        self.count(after.0, after.1, 1);
+        Some(result)
+    }
+
+    pub(crate) fn remove(&mut self, key: &FlowKey, now_ms: u64) -> Option<Flow> {
+        let flow = self.flows.remove(key)?;
+        self.count(flow.is_open(), flow.is_busy(now_ms), -1);
+        Some(flow)
+    }
+
+    /// Takes out everything that a backend server held which has ended.
+    pub(crate) fn take_remains(&mut self) -> Remains {
+        let mut remains = Remains::default();
+        self.flows.retain(|key, flow| {
+            match &flow.holding {
+                Holding::Elsewhere(_) | Holding::Absent => return true,
+                Holding::Opening(opening) if !flow.closed => {
+                    remains.openers.push((*key, opening.clone()));
+                }
+                // Another backend server may hold what this one never showed.
+                Holding::Open if flow.shown && !flow.closed => remains.flows.push(EndedFlow {
+                    key: *key,
+                    acknowledgement: flow.caller_acknowledgement,
+                }),
+                Holding::Open | Holding::Opening(_) | Holding::Unconfirmed { .. } => {}
+            }
+            if let Some(running) = &flow.running {
+                self.metrics.requests_lost.inc();
+                log::warn!(
+                    "event=request_lost request={} flow={key} ran_ms_since={} reason=backend_ended",
+                    running.id,
+                    running.since_ms
+                );
+            }
+            false
+        });
+        (self.open, self.busy) = (0, 0);
+        remains
+    }
+
+    /// Forgets flows of which nothing was heard for long, and counts anew.
+    pub(crate) fn expire(&mut self, now_ms: u64) {
+        let (mut open, mut busy) = (0, 0);
+        self.flows.retain(|key, flow| {
+            let kept_ms = if flow.closed { CLOSED_MS } else { FLOW_MS };
+            let keeps = now_ms < flow.seen_ms + kept_ms;
+            if keeps {
+                open += u32::from(flow.is_open());
+                busy += u32::from(flow.is_busy(now_ms));
+            } else if let Some(running) = &flow.running {
+                log::warn!(
+                    "event=request_unanswered request={} flow={key} waited_ms={}",
+                    running.id,
+                    now_ms.saturating_sub(running.since_ms)
+                );
+            }
+            keeps
+        });
+        (self.open, self.busy) = (open, busy);
+        self.show();
+    }
+
+    fn count(&mut self, open: bool, busy: bool, sign: i32) {
+        self.open = self.open.saturating_add_signed(i32::from(open) * sign);
+        self.busy = self.busy.saturating_add_signed(i32::from(busy) * sign);
+    }
+
+    fn show(&self) {
+        self.metrics.flows_open.set(i64::from(self.open));
+        self.metrics.requests_busy.set(i64::from(self.busy));
+    }
+}
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -13,6 +13,7 @@
 use crate::opaque::directory::Directory;
 use crate::opaque::flow_map::FlowMap;
 use crate::opaque::message::{Message, MessageKind};
+use crate::opaque::metrics::OpaqueMetrics;
 use crate::opaque::segment::{FLOW_KEY_BYTES, FlowKey, Segment, WireFormat};
 use crate::placement;
 use crate::suspicion::Suspicion;
@@ -48,16 +49,18 @@
 pub struct Forwarder {
     wire: WireFormat,
     host: Ipv4Addr,
+    metrics: OpaqueMetrics,
     hints: FlowMap<Hint>,
     watched: VecDeque<Watched>,
 }
 
 impl Forwarder {
     /// Makes the forwarder of the balancer on `host`.
-    pub fn new(wire: WireFormat, host: Ipv4Addr) -> Self {
+    pub fn new(wire: WireFormat, host: Ipv4Addr, metrics: &OpaqueMetrics) -> Self {
         Self {
             wire,
             host,
+            metrics: metrics.clone(),
             hints: FlowMap::new(MAX_HINTS),
             watched: VecDeque::new(),
         }
@@ -97,7 +100,11 @@
             host,
             seen_ms: now_ms,
         };
+        if self.hints.get(&flow).is_some_and(|held| held.host != host) {
+            self.metrics.hints_wrong.inc();
+        }
         self.hints.insert(flow, hint);
+        self.metrics.hints_held.set(self.hints.len() as i64);
     }
 
     /// Notes that an agent has an opener and looks for another that takes it.
@@ -131,6 +138,8 @@
                 continue;
             }
             suspicion.suspect(watched.host, now_ms);
+            self.metrics.openers_unanswered.inc();
+            self.metrics.hosts_suspected.inc();
             log::info!(
                 "event=opener_unanswered flow={} host={} waited_ms={TAKEN_TIMEOUT_MS} attempt={}",
                 watched.flow,
@@ -172,6 +181,7 @@
             Code::RouteUnknown.number(),
             segment.opens
         );
+        self.metrics.flows_reset.inc(Code::RouteUnknown);
         let reset = (self.wire.reset)(&flow, segment.acknowledgement);
         Ok(Action::ToCaller(flow.caller, reset))
     }
@@ -221,6 +231,7 @@
             && directory.is_current(hint.host)
         {
             hint.seen_ms = now_ms;
+            self.metrics.hints_right.inc();
             return Ok(hint.host);
         }
         self.opener_host(directory, suspicion, flow, 0, now_ms)
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -9,21 +9,15 @@
 use crate::error::Result;
 use crate::opaque::action::Action;
 use crate::opaque::directory::Directory;
-use crate::opaque::flow_map::FlowMap;
+use crate::opaque::flow_book::{Flow, FlowBook, Holding, Opening, Running};
 use crate::opaque::lookup::{Lookups, Verdict};
 use crate::opaque::message::{Message, MessageKind};
+use crate::opaque::metrics::OpaqueMetrics;
+use crate::opaque::opener_order::next_host;
 use crate::opaque::segment::{FlowKey, Segment, WireFormat};
-use crate::placement;
 use crate::service_id::ServiceId;
 use crate::suspicion::Suspicion;
 
-/// How many flows an agent remembers: eight times the connections of the largest backend servers.
-const MAX_FLOWS: usize = 16_384;
-/// How long a flow is remembered without a packet, in milliseconds: the longest life of a flow.
-const FLOW_MS: u64 = 60_000;
-/// How long a flow is remembered after its backend server has ended it, in milliseconds: for its last
-/// acknowledgements.
-const CLOSED_MS: u64 = 2_000;
 /// How long a backend server may take to answer an opener or to return a packet, in milliseconds:
 /// it does so in under one, and the agent itself may wait for its share of a core.
 const BACKEND_TIMEOUT_MS: u64 = 50;
@@ -35,55 +29,16 @@
 /// How long a backend server that is no longer published must have sent nothing before its agent, when
 /// it is stopped, takes its flows for gone, in milliseconds: some copies of a packet that waits.
 const STILL_MS: u64 = 500;
-/// By how many agents an opener may be passed on.
-const MAX_HOPS: u8 = 8;
 /// The requests for each slot, running or waiting, from which a backend server takes no opener: with
 /// one waiting behind each running one, what is taken still ends within about two service times.
 const CROWDED_PER_SLOT: u32 = 2;
-/// How long a taken opener counts as a request before its caller has sent one, in milliseconds.
-const EXPECTED_MS: u64 = 500;
 /// The number of the last copy that a caller sends of an opener.
 const LAST_COPY: u32 = 2;
-
-/// What the agent knows of one flow.
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum Holding {
-    /// The backend server was handed the opener; whether the flow opens here is the caller's choice.
-    Opening(Opening),
-    /// The backend server took a packet of it; `since_ms` while it may still return it.
-    Unconfirmed {
-        since_ms: u64,
-        asker: Option<Ipv4Addr>,
-    },
-    /// It is open here.
-    Open,
-    /// Another agent said that it holds it.
-    Elsewhere(Ipv4Addr),
-    /// It is not here, for certain.
-    Absent,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct Opening {
-    since_ms: u64,
-    packet: Vec<u8>,
-    balancer: Ipv4Addr,
-    hops: u8,
-    copy: u32,
-    answered: bool,
-    backend_sequence: u32,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct Flow {
-    holding: Holding,
-    seen_ms: u64,
-    caller_acknowledgement: u32,
-    busy: bool,
-    closed: bool,
-    /// Whether the backend server showed that it holds the flow; silence shows nothing.
-    shown: bool,
-}
+/// The time from which an answer is logged as slow, in milliseconds: above the latency that the users
+/// aim at for any kind of request today.
+const SLOW_MS: u64 = 500;
+/// The status from which an answer is logged.
+const FIRST_ERROR_STATUS: u16 = 400;
 
 /// What an agent looks at while it decides.
 pub struct Scene<'a> {
@@ -108,12 +63,24 @@
     pub service: ServiceId,
 }
 
+/// Why an agent does not take an opener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NotTaken {
+    Leaving,
+    BackendDown,
+    OtherService,
+    NotPublished,
+    Silent,
+    Crowded,
+}
+
 /// The flows of one agent, and what they ask of it.
 #[derive(Debug)]
 pub struct Keeper {
     wire: WireFormat,
     identity: KeeperIdentity,
-    flows: FlowMap<Flow>,
+    metrics: OpaqueMetrics,
+    flows: FlowBook,
     lookups: Lookups,
     pending: Vec<FlowKey>,
     knows_all: bool,
@@ -124,18 +91,22 @@
     refusing: bool,
     last_heard_ms: u64,
     last_probe_ms: u64,
-    busy: u32,
-    open_flows: u32,
 }
 
 impl Keeper {
     /// Makes the keeper of an agent; `knows_all` where no flow can be older than it.
-    pub fn new(wire: WireFormat, identity: KeeperIdentity, knows_all: bool) -> Self {
+    pub fn new(
+        wire: WireFormat,
+        identity: KeeperIdentity,
+        knows_all: bool,
+        metrics: &OpaqueMetrics,
+    ) -> Self {
         Self {
             wire,
             identity,
-            flows: FlowMap::new(MAX_FLOWS),
-            lookups: Lookups::default(),
+            metrics: metrics.clone(),
+            flows: FlowBook::new(metrics),
+            lookups: Lookups::new(metrics),
             pending: Vec::new(),
             knows_all,
             backend_up: true,
@@ -145,19 +116,17 @@
             refusing: false,
             last_heard_ms: 0,
             last_probe_ms: 0,
-            busy: 0,
-            open_flows: 0,
         }
     }
 
     /// Returns the requests that run or wait at the backend server.
     pub fn busy(&self) -> u32 {
-        self.busy
+        self.flows.busy()
     }
 
     /// Returns the flows open at the backend server.
     pub fn open_flows(&self) -> u32 {
-        self.open_flows
+        self.flows.open()
     }
 
     /// Tells whether this agent knows every flow of its backend server.
@@ -170,6 +139,11 @@
         self.knows_all = true;
     }
 
+    /// Tells whether the backend server is believed to be there.
+    pub fn backend_up(&self) -> bool {
+        self.backend_up
+    }
+
     /// Tells whether [`Keeper::tick`] has something to wait for.
     pub fn is_waiting(&self) -> bool {
         !self.pending.is_empty() || !self.lookups.is_empty()
@@ -201,8 +175,13 @@
                 let segment = (self.wire.decode)(payload)?;
                 self.find(scene, &segment, payload, from, &mut actions);
             }
-            MessageKind::Found | MessageKind::Absent => {
-                self.answered(scene, from, message, payload, &mut actions);
+            MessageKind::Found => self.found(scene, from, payload, &mut actions),
+            MessageKind::Absent => {
+                if let Some(key) = FlowKey::from_bytes(payload) {
+                    let revision = message.digest.highest;
+                    self.lookups.absent(&key, from, revision);
+                    self.conclude(scene, &key, &mut actions);
+                }
             }
             MessageKind::Holds | MessageKind::Beat | MessageKind::BeatReply => {}
         }
@@ -222,9 +201,10 @@
         self.last_heard_ms = scene.now_ms;
         let mut actions = Vec::new();
         if segment.returned {
+            self.metrics.packets_returned.inc();
             self.returned(scene, &segment, packet, &mut actions);
         } else {
-            self.answer(scene.now_ms, &segment);
+            self.answer(scene.now_ms, &segment, &packet);
             let flow = segment.flow_from_backend();
             actions.push(Action::ToCaller(flow.caller, packet));
         }
@@ -248,6 +228,13 @@
         self.backend_ended(scene)
     }
 
+    /// Notes that something listens at the backend server's address.
+    pub fn backend_listens(&mut self) {
+        self.backend_up = true;
+        self.refusing = false;
+        self.refused_since_ms = None;
+    }
+
     /// Notes that the process stops, and takes no new flow from now on.
     ///
     /// The agent of a backend server that has left is stopped after it, so that flows which still seem
@@ -256,8 +243,8 @@
         self.leaving = true;
         let own = scene.directory.own(self.identity.backend, scene.now_ms);
         let gone = own.is_some_and(|own| own.is_gone && !own.takes_flows);
-        let silent = scene.now_ms >= self.last_heard_ms + STILL_MS;
-        if gone && silent && self.refusing {
+        let still = scene.now_ms >= self.last_heard_ms + STILL_MS;
+        if gone && still && self.refusing {
             return self.backend_ended(scene);
         }
         Vec::new()
@@ -270,46 +257,30 @@
         if !std::mem::replace(&mut self.backend_up, false) {
             return Vec::new();
         }
-        let mut actions = Vec::new();
-        let mut ended = Vec::new();
-        let mut openers = Vec::new();
-        self.flows.retain(|key, flow| {
-            match &flow.holding {
-                _ if flow.closed => {}
-                Holding::Opening(opening) => openers.push((*key, opening.clone())),
-                Holding::Open if flow.shown => {
-                    ended.push((*key, flow.caller_acknowledgement));
-                }
-                // Another backend server may hold what this one never showed.
-                Holding::Open | Holding::Unconfirmed { .. } => {}
-                Holding::Elsewhere(_) | Holding::Absent => return true,
-            }
-            false
-        });
+        let remains = self.flows.take_remains();
+        self.pending.clear();
         log::info!(
-            "event=backend_ended flows={} openers={}",
-            ended.len(),
-            openers.len()
+            "event=backend_ended flows={} openers={} last_packet_ms_ago={} revision={}",
+            remains.flows.len(),
+            remains.openers.len(),
+            scene.now_ms.saturating_sub(self.last_heard_ms),
+            scene.revision
         );
-        self.pending.clear();
-        self.busy = 0;
-        self.open_flows = 0;
-        for (key, acknowledgement) in ended {
-            self.reset(&key, acknowledgement, Code::BackendGone, &mut actions);
-        }
-        for (key, opening) in openers {
+        let mut actions = Vec::new();
+        for ended in remains.flows {
+            self.reset(
+                &ended.key,
+                ended.acknowledgement,
+                Code::BackendGone,
+                &mut actions,
+            );
+        }
+        for (key, opening) in remains.openers {
             self.hand_on(scene, &key, opening, &mut actions);
         }
         actions
     }
 
-    /// Notes that something listens at the backend server's address.
-    pub fn backend_listens(&mut self) {
-        self.backend_up = true;
-        self.refusing = false;
-        self.refused_since_ms = None;
-    }
-
     /// Does what is due: openers without an answer, packets that were not returned, questions.
     pub fn tick(&mut self, scene: &mut Scene<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -328,21 +299,7 @@
 
     /// Forgets flows of which nothing was heard for as long as a flow lives.
     pub fn expire(&mut self, now_ms: u64) {
-        let (mut busy, mut open_flows) = (0, 0);
-        self.flows.retain(|_, flow| {
-            let kept_ms = if flow.closed { CLOSED_MS } else { FLOW_MS };
-            let keeps = now_ms < flow.seen_ms + kept_ms;
-            if let Holding::Opening(opening) = &flow.holding {
-                flow.busy &= now_ms < opening.since_ms + EXPECTED_MS;
-            }
-            if keeps && !flow.closed {
-                open_flows += u32::from(flow.holding == Holding::Open);
-                busy += u32::from(flow.busy);
-            }
-            keeps
-        });
-        self.busy = busy;
-        self.open_flows = open_flows;
+        self.flows.expire(now_ms);
     }
 
     /// Takes an opener, or passes it on.
@@ -355,6 +312,12 @@
         actions: &mut Vec<Action>,
     ) {
         let key = segment.flow_from_caller();
+        let known = self.flows.get(&key).map(|flow| &flow.holding);
+        if matches!(known, Some(Holding::Opening(_) | Holding::Open)) {
+            say_holds(&key, message.host, self.identity.host, actions);
+            actions.push(Action::ToBackend(packet.to_vec()));
+            return;
+        }
         let opening = Opening {
             since_ms: scene.now_ms,
             packet: packet.to_vec(),
@@ -364,65 +327,86 @@
             answered: false,
             backend_sequence: 0,
         };
-        let known = self.flows.get(&key).map(|flow| &flow.holding);
-        let is_copy = matches!(known, Some(Holding::Opening(_) | Holding::Open));
-        if !is_copy && !self.takes_opener(scene, &key) {
-            if message.kind == MessageKind::Deliver && !message.host.is_unspecified() {
-                let alive = Message::new(MessageKind::Absent);
-                actions.push(Action::ToPeer(message.host, alive, key.to_bytes().to_vec()));
+        match self.check_opener(scene, &key) {
+            Ok(()) => self.take_opener(scene, &key, opening, actions),
+            Err(reason) => {
+                log::info!(
+                    "event=opener_not_taken flow={key} reason={reason:?} copy={} hops={} busy={} \
+                     revision={}",
+                    opening.copy,
+                    opening.hops,
+                    self.flows.busy(),
+                    scene.revision
+                );
+                if message.kind == MessageKind::Deliver && !message.host.is_unspecified() {
+                    tell(MessageKind::Absent, &key, message.host, actions);
+                }
+                self.hand_on(scene, &key, opening, actions);
             }
-            self.hand_on(scene, &key, opening, actions);
-            return;
         }
-        if !is_copy {
-            let flow = Flow {
-                holding: Holding::Opening(opening),
-                seen_ms: scene.now_ms,
-                caller_acknowledgement: 0,
-                busy: true,
-                closed: false,
-                shown: false,
-            };
-            if !self.flows.insert(key, flow) {
-                return;
-            }
-            self.busy += 1;
-            self.lookups.forget(&key);
-            self.pending.push(key);
+    }
+
+    fn take_opener(
+        &mut self,
+        scene: &Scene<'_>,
+        key: &FlowKey,
+        opening: Opening,
+        actions: &mut Vec<Action>,
+    ) {
+        let (balancer, packet) = (opening.balancer, opening.packet.clone());
+        log::info!(
+            "event=opener_taken flow={key} copy={} hops={} busy={} open={} revision={}",
+            opening.copy,
+            opening.hops,
+            self.flows.busy(),
+            self.flows.open(),
+            scene.revision
+        );
+        let flow = Flow::new(Holding::Opening(opening), scene.now_ms);
+        if !self.flows.insert(*key, flow, scene.now_ms) {
+            return;
         }
-        self.say_holds(&key, message.host, self.identity.host, actions);
-        actions.push(Action::ToBackend(packet.to_vec()));
+        self.metrics.openers_taken.inc();
+        self.lookups.forget(key);
+        self.pending.push(*key);
+        say_holds(key, balancer, self.identity.host, actions);
+        actions.push(Action::ToBackend(packet));
     }
 
-    fn takes_opener(&mut self, scene: &Scene<'_>, key: &FlowKey) -> bool {
-        if self.leaving || !self.backend_up {
-            return false;
+    fn check_opener(&mut self, scene: &Scene<'_>, key: &FlowKey) -> Result<(), NotTaken> {
+        if self.leaving {
+            return Err(NotTaken::Leaving);
+        }
+        if !self.backend_up {
+            return Err(NotTaken::BackendDown);
         }
         let route = scene.directory.routes().get(key.called);
         let service = route.and_then(|route| route.service(key.hash()));
         if service != Some(self.identity.service) {
-            return false;
+            return Err(NotTaken::OtherService);
         }
         let own = scene.directory.own(self.identity.backend, scene.now_ms);
-        let published =
-            own.is_some_and(|own| own.takes_flows && own.service == self.identity.service);
-        if !published {
-            return false;
+        let published = own.filter(|own| own.service == self.identity.service);
+        if !published.is_some_and(|own| own.takes_flows) {
+            return Err(NotTaken::NotPublished);
         }
         if self.silent_since_ms.is_some() {
-            let due = scene.now_ms >= self.last_probe_ms + PROBE_MS;
-            if due {
-                self.last_probe_ms = scene.now_ms;
+            if scene.now_ms < self.last_probe_ms + PROBE_MS {
+                return Err(NotTaken::Silent);
             }
-            return due;
+            self.last_probe_ms = scene.now_ms;
+            return Ok(());
+        }
+        if self.is_crowded(scene) {
+            return Err(NotTaken::Crowded);
         }
-        !self.is_crowded(scene)
+        Ok(())
     }
 
     fn is_crowded(&self, scene: &Scene<'_>) -> bool {
         let table = scene.directory.table(self.identity.service);
         let row = table.and_then(|table| table.row_on(self.identity.host));
-        row.is_some_and(|row| self.busy >= row.slots * CROWDED_PER_SLOT)
+        row.is_some_and(|row| self.flows.busy() >= row.slots * CROWDED_PER_SLOT)
     }
 
     /// Passes an opener to the agent after this one in the flow's order, if there is one left.
@@ -431,44 +415,30 @@
     /// it told that nobody takes it, since it has but few attempts.
     fn hand_on(
         &mut self,
-        scene: &mut Scene<'_>,
+        scene: &Scene<'_>,
         key: &FlowKey,
         opening: Opening,
         actions: &mut Vec<Action>,
     ) {
-        let next = self.next_host(scene, key, opening.hops);
-        match next {
+        match next_host(scene, self.identity.host, key, opening.hops) {
             Some(host) => {
                 let mut message = Message::new(MessageKind::HandOn);
                 message.host = opening.balancer;
                 message.hops = opening.hops + 1;
-                log::debug!(
-                    "event=opener_handed_on flow={key} to={host} hops={}",
-                    message.hops
-                );
+                self.metrics.openers_handed_on.inc();
                 actions.push(Action::ToPeer(host, message, opening.packet));
             }
             None if opening.copy >= LAST_COPY => self.reset(key, 0, Code::NoRoom, actions),
-            None => log::debug!("event=opener_dropped flow={key} copy={}", opening.copy),
-        }
-    }
-
-    fn next_host(&self, scene: &Scene<'_>, key: &FlowKey, hops: u8) -> Option<Ipv4Addr> {
-        let route = scene.directory.routes().get(key.called)?;
-        let service = route.service(key.hash())?;
-        let table = scene.directory.table(service)?;
-        let me = self.identity.host;
-        let order = placement::ranked(table, key.hash(), |row| {
-            let trusted = !scene.suspicion.is_suspected(row.host, scene.now_ms);
-            row.host == me || (row.weight > 0 && trusted)
-        });
-        let others = order.iter().filter(|row| row.host != me).count();
-        if others == 0 || usize::from(hops) >= others.min(usize::from(MAX_HOPS)) {
-            return None;
+            None => {
+                self.metrics.openers_dropped.inc();
+                log::info!(
+                    "event=opener_dropped flow={key} copy={} hops={} revision={}",
+                    opening.copy,
+                    opening.hops,
+                    scene.revision
+                );
+            }
         }
-        let own = order.iter().position(|row| row.host == me);
-        let next = own.map_or(0, |own| (own + 1) % order.len());
-        Some(order[next].host)
     }
 
     /// Takes any other packet of a caller.
@@ -487,11 +457,11 @@
         let holding = self.flows.get(&key).map(|flow| flow.holding.clone());
         match holding {
             Some(Holding::Elsewhere(host)) if scene.directory.is_current(host) => {
-                if let Some(flow) = self.flows.get_mut(&key) {
-                    flow.seen_ms = scene.now_ms;
-                }
+                let now_ms = scene.now_ms;
+                self.flows
+                    .update(&key, now_ms, |flow| flow.seen_ms = now_ms);
                 let message = Message::new(MessageKind::Deliver);
-                self.say_holds(&key, balancer, host, actions);
+                say_holds(&key, balancer, host, actions);
                 actions.push(Action::ToPeer(host, message, packet.to_vec()));
             }
             None if !self.knows_all => self.try_backend(scene, segment, packet, None, actions),
@@ -508,37 +478,26 @@
         actions: &mut Vec<Action>,
     ) -> bool {
         let key = segment.flow_from_caller();
-        let Some(flow) = self.flows.get_mut(&key) else {
-            return false;
-        };
-        match &flow.holding {
-            Holding::Open | Holding::Unconfirmed { .. } => {}
-            Holding::Opening(opening) => {
-                // The caller opens the flow at the server whose number it acknowledges.
-                let chosen = segment
-                    .acknowledgement
-                    .wrapping_sub(opening.backend_sequence)
-                    <= 1;
-                if opening.answered && !chosen {
-                    flow.holding = Holding::Absent;
-                    self.busy = self.busy.saturating_sub(u32::from(flow.busy));
-                    flow.busy = false;
-                    return false;
-                }
-                flow.shown = opening.answered;
-                flow.holding = Holding::Open;
-                self.open_flows += 1;
+        let request_id = self.wire.request_id;
+        let held = self.flows.update(&key, now_ms, |flow| {
+            if !chosen_here(flow, segment) {
+                return false;
             }
-            Holding::Elsewhere(_) | Holding::Absent => return false,
-        }
-        flow.seen_ms = now_ms;
-        flow.caller_acknowledgement = segment.acknowledgement;
-        if segment.payload_bytes > 0 && !flow.busy {
-            flow.busy = true;
-            self.busy += 1;
+            flow.seen_ms = now_ms;
+            flow.caller_acknowledgement = segment.acknowledgement;
+            if segment.payload_bytes > 0 && flow.running.is_none() {
+                flow.running = Some(Running {
+                    id: request_id(packet).unwrap_or("unknown").to_owned(),
+                    since_ms: now_ms,
+                });
+            }
+            true
+        });
+        let held = held == Some(true);
+        if held {
+            actions.push(Action::ToBackend(packet.to_vec()));
         }
-        actions.push(Action::ToBackend(packet.to_vec()));
-        true
+        held
     }
 
     /// Hands a packet of an unknown flow to the backend server, which returns it if it must.
@@ -551,18 +510,13 @@
         actions: &mut Vec<Action>,
     ) {
         let key = segment.flow_from_caller();
-        let flow = Flow {
-            holding: Holding::Unconfirmed {
-                since_ms: scene.now_ms,
-                asker,
-            },
-            seen_ms: scene.now_ms,
-            caller_acknowledgement: segment.acknowledgement,
-            busy: false,
-            closed: false,
-            shown: false,
+        let holding = Holding::Unconfirmed {
+            since_ms: scene.now_ms,
+            asker,
         };
-        if self.flows.insert(key, flow) {
+        let mut flow = Flow::new(holding, scene.now_ms);
+        flow.caller_acknowledgement = segment.acknowledgement;
+        if self.flows.insert(key, flow, scene.now_ms) {
             self.pending.push(key);
         }
         actions.push(Action::ToBackend(packet.to_vec()));
@@ -571,35 +525,31 @@
     /// Asks all other agents who holds a flow.
     fn look_up(
         &mut self,
-        scene: &mut Scene<'_>,
+        scene: &Scene<'_>,
         segment: &Segment,
         packet: &[u8],
         balancer: Ipv4Addr,
         actions: &mut Vec<Action>,
     ) {
-        let key = segment.flow_from_caller();
         if segment.resets {
             return;
         }
-        let asked = self.lookups.start(
-            scene.directory,
-            self.identity.host,
-            segment,
-            packet,
-            balancer,
-            scene.now_ms,
-        );
+        let directory = scene.directory;
+        let own = self.identity.host;
+        let asked = self
+            .lookups
+            .start(directory, own, segment, packet, balancer, scene.now_ms);
         for host in asked {
             let message = Message::new(MessageKind::Find);
             actions.push(Action::ToPeer(host, message, packet.to_vec()));
         }
-        self.conclude(scene, &key, actions);
+        self.conclude(scene, &segment.flow_from_caller(), actions);
     }
 
     /// Answers whether a flow is held here, and delivers its packet if so.
     fn find(
         &mut self,
-        scene: &mut Scene<'_>,
+        scene: &Scene<'_>,
         segment: &Segment,
         packet: &[u8],
         asker: Ipv4Addr,
@@ -607,49 +557,34 @@
     ) {
         let key = segment.flow_from_caller();
         if self.deliver_held(scene.now_ms, segment, packet, actions) {
-            self.tell(MessageKind::Found, &key, asker, actions);
+            tell(MessageKind::Found, &key, asker, actions);
             return;
         }
         if self.flows.get(&key).is_none() && !self.knows_all && self.backend_up {
             self.try_backend(scene, segment, packet, Some(asker), actions);
         } else {
-            self.tell(MessageKind::Absent, &key, asker, actions);
+            tell(MessageKind::Absent, &key, asker, actions);
         }
     }
 
-    fn answered(
+    /// Takes the answer of the agent that holds a flow.
+    fn found(
         &mut self,
-        scene: &mut Scene<'_>,
+        scene: &Scene<'_>,
         from: Ipv4Addr,
-        message: &Message,
         payload: &[u8],
         actions: &mut Vec<Action>,
     ) {
         let Some(key) = FlowKey::from_bytes(payload) else {
             return;
         };
-        match message.kind {
-            MessageKind::Found => {
-                let Some(lookup) = self.lookups.found(&key) else {
-                    return;
-                };
-                log::debug!("event=flow_found flow={key} host={from}");
-                self.say_holds(&key, lookup.balancer, from, actions);
-                let flow = Flow {
-                    holding: Holding::Elsewhere(from),
-                    seen_ms: scene.now_ms,
-                    caller_acknowledgement: lookup.acknowledgement,
-                    busy: false,
-                    closed: false,
-                    shown: false,
-                };
-                self.flows.insert(key, flow);
-            }
-            _ => {
-                self.lookups.absent(&key, from, message.digest.highest);
-                self.conclude(scene, &key, actions);
-            }
-        }
+        let Some(lookup) = self.lookups.found(&key) else {
+            return;
+        };
+        log::info!("event=flow_found flow={key} host={from}");
+        say_holds(&key, lookup.balancer, from, actions);
+        let flow = Flow::new(Holding::Elsewhere(from), scene.now_ms);
+        self.flows.insert(key, flow, scene.now_ms);
     }
 
     /// Ends a flow of which it is proved that nobody holds it.
@@ -664,112 +599,114 @@
     /// Takes a packet that the backend server returned.
     fn returned(
         &mut self,
-        scene: &mut Scene<'_>,
+        scene: &Scene<'_>,
         segment: &Segment,
         mut packet: Vec<u8>,
         actions: &mut Vec<Action>,
     ) {
         (self.wire.restore)(&mut packet);
         let key = segment.flow_from_caller();
-        let Some(flow) = self.flows.get_mut(&key) else {
+        let Some(flow) = self.flows.get(&key) else {
             return;
         };
-        if segment.opens && !matches!(flow.holding, Holding::Opening(_)) {
-            // A late copy of an opener whose flow has opened already, here or elsewhere.
-            return;
-        }
-        let holding = std::mem::replace(&mut flow.holding, Holding::Absent);
-        let (was_busy, was_closed) = (flow.busy, flow.closed);
-        flow.busy = false;
-        match holding {
+        match flow.holding.clone() {
             Holding::Opening(opening) => {
-                self.flows.remove(&key);
-                self.busy = self.busy.saturating_sub(u32::from(was_busy));
+                self.flows.remove(&key, scene.now_ms);
                 self.hand_on(scene, &key, opening, actions);
             }
-            Holding::Unconfirmed {
-                asker: Some(asker), ..
-            } => self.tell(MessageKind::Absent, &key, asker, actions),
+            // A late copy of an opener whose flow has opened already, here or elsewhere.
+            _ if segment.opens => {}
             holding => {
-                if holding == Holding::Open && !was_closed {
-                    self.open_flows = self.open_flows.saturating_sub(1);
-                    self.busy = self.busy.saturating_sub(u32::from(was_busy));
+                let lost = self.flows.update(&key, scene.now_ms, |flow| {
+                    flow.holding = Holding::Absent;
+                    flow.running.take()
+                });
+                if let Some(running) = lost.flatten() {
+                    self.metrics.requests_lost.inc();
+                    let id = running.id;
+                    log::warn!("event=request_lost request={id} flow={key} reason=flow_not_held");
+                }
+                match holding {
+                    Holding::Unconfirmed {
+                        asker: Some(asker), ..
+                    } => tell(MessageKind::Absent, &key, asker, actions),
+                    _ => self.look_up(scene, segment, &packet, Ipv4Addr::UNSPECIFIED, actions),
                 }
-                self.look_up(scene, segment, &packet, Ipv4Addr::UNSPECIFIED, actions);
             }
         }
     }
 
     /// Notes what an answer of the backend server tells of its flow.
-    fn answer(&mut self, now_ms: u64, segment: &Segment) {
+    fn answer(&mut self, now_ms: u64, segment: &Segment, packet: &[u8]) {
         let key = segment.flow_from_backend();
-        let Some(flow) = self.flows.get_mut(&key) else {
+        if self.flows.get(&key).is_none() {
             if !segment.resets && !segment.accepts {
-                let flow = Flow {
-                    holding: Holding::Open,
-                    seen_ms: now_ms,
-                    caller_acknowledgement: segment.sequence,
-                    busy: false,
-                    closed: false,
-                    shown: true,
-                };
-                if self.flows.insert(key, flow) {
-                    self.open_flows += 1;
-                }
+                let mut flow = Flow::new(Holding::Open, now_ms);
+                flow.caller_acknowledgement = segment.sequence;
+                flow.shown = true;
+                self.flows.insert(key, flow, now_ms);
             }
             return;
-        };
-        flow.seen_ms = now_ms;
-        flow.shown |= !segment.accepts;
-        match &mut flow.holding {
-            Holding::Opening(opening) if segment.accepts => {
-                opening.answered = true;
-                opening.backend_sequence = segment.sequence;
-            }
-            Holding::Opening(_) | Holding::Open => {}
-            holding => {
-                *holding = Holding::Open;
-                self.open_flows += 1;
-            }
         }
-        if segment.payload_bytes > 0 && flow.busy {
-            flow.busy = false;
-            self.busy = self.busy.saturating_sub(1);
+        let answered = self.flows.update(&key, now_ms, |flow| {
+            flow.seen_ms = now_ms;
+            flow.shown |= !segment.accepts;
+            match &mut flow.holding {
+                Holding::Opening(opening) if segment.accepts => {
+                    opening.answered = true;
+                    opening.backend_sequence = segment.sequence;
+                }
+                Holding::Opening(_) | Holding::Open => {}
+                holding => *holding = Holding::Open,
+            }
+            flow.closed |= segment.ends || segment.resets;
+            let begins = segment.payload_bytes > 0 || flow.closed;
+            flow.running.take_if(|_| begins)
+        });
+        if let Some(running) = answered.flatten() {
+            self.note_answer(&key, &running, (self.wire.status)(packet), now_ms);
         }
-        if (segment.ends || segment.resets) && !flow.closed {
-            flow.closed = true;
-            self.open_flows = self.open_flows.saturating_sub(1);
-            self.busy = self.busy.saturating_sub(u32::from(flow.busy));
-            flow.busy = false;
+    }
+
+    fn note_answer(&self, key: &FlowKey, running: &Running, status: Option<u16>, now_ms: u64) {
+        let took_ms = now_ms.saturating_sub(running.since_ms);
+        self.metrics
+            .request_seconds
+            .observe(took_ms as f64 / 1_000.0);
+        let failed = status.is_none_or(|status| status >= FIRST_ERROR_STATUS);
+        if failed || took_ms >= SLOW_MS {
+            log::info!(
+                "event=request_answered request={} flow={key} status={} took_ms={took_ms} busy={}",
+                running.id,
+                status.unwrap_or(0),
+                self.flows.busy()
+            );
         }
     }
 
     /// Does what is due for one flow; says whether nothing more is awaited.
-    fn settle(&mut self, scene: &mut Scene<'_>, key: &FlowKey, actions: &mut Vec<Action>) -> bool {
-        let Some(flow) = self.flows.get_mut(key) else {
+    fn settle(&mut self, scene: &Scene<'_>, key: &FlowKey, actions: &mut Vec<Action>) -> bool {
+        let Some(flow) = self.flows.get(key) else {
             return true;
         };
-        match &mut flow.holding {
+        match flow.holding.clone() {
             Holding::Opening(opening) if !opening.answered => {
                 if scene.now_ms < opening.since_ms + BACKEND_TIMEOUT_MS {
                     return false;
                 }
-                let opening = opening.clone();
-                let first = self.silent_since_ms.replace(opening.since_ms).is_none();
-                if first {
+                if self.silent_since_ms.replace(opening.since_ms).is_none() {
                     log::warn!("event=backend_silent flow={key} waited_ms={BACKEND_TIMEOUT_MS}");
                 }
                 self.hand_on(scene, key, opening, actions);
             }
             Holding::Unconfirmed { since_ms, asker } => {
-                if scene.now_ms < *since_ms + BACKEND_TIMEOUT_MS {
+                if scene.now_ms < since_ms + BACKEND_TIMEOUT_MS {
                     return false;
                 }
-                let asker = *asker;
-                flow.holding = Holding::Open;
-                self.open_flows += 1;
+                self.flows
+                    .update(key, scene.now_ms, |flow| flow.holding = Holding::Open);
                 if let Some(asker) = asker {
-                    self.tell(MessageKind::Found, key, asker, actions);
+                    tell(MessageKind::Found, key, asker, actions);
                 }
             }
             _ => {}
@@ -778,29 +715,47 @@
     }
 
     fn reset(&self, key: &FlowKey, acknowledgement: u32, code: Code, actions: &mut Vec<Action>) {
+        self.metrics.flows_reset.inc(code);
         log::info!("event=flow_reset flow={key} code={}", code.number());
         let packet = (self.wire.reset)(key, acknowledgement);
         actions.push(Action::ToCaller(key.caller, packet));
     }
+}
 
-    fn tell(&self, kind: MessageKind, key: &FlowKey, host: Ipv4Addr, actions: &mut Vec<Action>) {
-        let message = Message::new(kind);
-        actions.push(Action::ToPeer(host, message, key.to_bytes().to_vec()));
+/// Tells whether a caller's packet belongs to a flow that is held here, and opens it if so.
+///
+/// The caller opens a flow at the backend server whose number it acknowledges first.
+fn chosen_here(flow: &mut Flow, segment: &Segment) -> bool {
+    match &flow.holding {
+        Holding::Open | Holding::Unconfirmed { .. } => true,
+        Holding::Elsewhere(_) | Holding::Absent => false,
+        Holding::Opening(opening) => {
+            let chosen = segment
+                .acknowledgement
+                .wrapping_sub(opening.backend_sequence)
+                <= 1;
+            if opening.answered && !chosen {
+                flow.holding = Holding::Absent;
+                return false;
+            }
+            flow.shown = opening.answered;
+            flow.holding = Holding::Open;
+            true
+        }
     }
+}
 
-    /// Tells a balancer who holds a flow, so that it spares the detour.
-    fn say_holds(
-        &self,
-        key: &FlowKey,
-        balancer: Ipv4Addr,
-        holder: Ipv4Addr,
-        actions: &mut Vec<Action>,
-    ) {
-        if balancer.is_unspecified() {
-            return;
-        }
-        let mut message = Message::new(MessageKind::Holds);
-        message.host = holder;
-        actions.push(Action::ToPeer(balancer, message, key.to_bytes().to_vec()));
+fn tell(kind: MessageKind, key: &FlowKey, host: Ipv4Addr, actions: &mut Vec<Action>) {
+    let message = Message::new(kind);
+    actions.push(Action::ToPeer(host, message, key.to_bytes().to_vec()));
+}
+
+/// Tells a balancer who holds a flow, so that it spares the detour.
+fn say_holds(key: &FlowKey, balancer: Ipv4Addr, holder: Ipv4Addr, actions: &mut Vec<Action>) {
+    if balancer.is_unspecified() {
+        return;
     }
+    let mut message = Message::new(MessageKind::Holds);
+    message.host = holder;
+    actions.push(Action::ToPeer(balancer, message, key.to_bytes().to_vec()));
 }
--- a/src/opaque/lookup.rs
+++ b/src/opaque/lookup.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 
 use crate::opaque::directory::Directory;
+use crate::opaque::metrics::OpaqueMetrics;
 use crate::opaque::segment::{FlowKey, Segment};
 
 /// How long an agent waits before it asks those again that did not answer, in milliseconds.
@@ -41,13 +42,23 @@
 }
 
 /// The questions of one agent, sorted by flow.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Lookups {
+    metrics: OpaqueMetrics,
     open: Vec<Lookup>,
     own_host: Option<Ipv4Addr>,
 }
 
 impl Lookups {
+    /// Makes an agent's questions, of which there are none yet.
+    pub fn new(metrics: &OpaqueMetrics) -> Self {
+        Self {
+            metrics: metrics.clone(),
+            open: Vec::new(),
+            own_host: None,
+        }
+    }
+
     /// Starts a question, or takes the newer packet into one that is open; returns whom to ask now.
     pub fn start(
         &mut self,
@@ -83,6 +94,7 @@
                     ask_ms: now_ms + ASK_AGAIN_MS,
                 };
                 let asked = unanswered(&lookup, directory, own_host);
+                self.metrics.lookups_started.inc();
                 self.open.insert(index, lookup);
                 asked
             }
@@ -103,13 +115,19 @@
 
     /// Ends a question whose answer is known, and returns it.
     pub(crate) fn found(&mut self, flow: &FlowKey) -> Option<Lookup> {
-        let index = self.position(flow).ok()?;
-        Some(self.open.remove(index))
+        let lookup = self.take(flow)?;
+        self.metrics.lookups_found.inc();
+        Some(lookup)
     }
 
     /// Drops a question.
     pub fn forget(&mut self, flow: &FlowKey) {
-        self.found(flow);
+        self.take(flow);
+    }
+
+    fn take(&mut self, flow: &FlowKey) -> Option<Lookup> {
+        let index = self.position(flow).ok()?;
+        Some(self.open.remove(index))
     }
 
     /// Tells whether no question is open.
@@ -136,8 +154,22 @@
 
     /// Returns whom to ask again with which packet, and drops questions that took too long.
     pub fn due(&mut self, directory: &Directory, now_ms: u64) -> Vec<(Ipv4Addr, Vec<u8>)> {
-        self.open
-            .retain(|lookup| now_ms < lookup.started_ms + GIVE_UP_MS);
+        self.open.retain(|lookup| {
+            let goes_on = now_ms < lookup.started_ms + GIVE_UP_MS;
+            if !goes_on {
+                self.metrics.lookups_given_up.inc();
+                let unanswered = directory
+                    .current_hosts()
+                    .len()
+                    .saturating_sub(lookup.absent_at.len() + 1);
+                log::warn!(
+                    "event=lookup_given_up flow={} unanswered={unanswered} newest_revision={}",
+                    lookup.flow,
+                    lookup.newest_revision
+                );
+            }
+            goes_on
+        });
         let Some(own_host) = self.own_host else {
             return Vec::new();
         };
--- /dev/null
+++ b/src/opaque/metrics.rs
@@ -0,0 +1,180 @@
+//! What a process counts of opaque flows; see docs/OPERATIONS.md, "Metrics".
+
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+use crate::metrics::CodeCounter;
+
+/// Bounds of times in seconds: from a millisecond, doubled to about eight seconds, the longest time
+/// limit of the users' requests.
+const FIRST_BOUND_S: f64 = 0.001;
+const BOUNDS: u16 = 14;
+
+/// Counters, gauges and histograms, shared by all who hold a clone.
+#[derive(Debug, Clone)]
+pub struct OpaqueMetrics {
+    pub(crate) openers_taken: Counter,
+    pub(crate) openers_handed_on: Counter,
+    pub(crate) openers_dropped: Counter,
+    pub(crate) openers_unanswered: Counter,
+    pub(crate) flows_reset: CodeCounter,
+    pub(crate) flows_open: Gauge,
+    pub(crate) requests_busy: Gauge,
+    pub(crate) request_seconds: Histogram,
+    pub(crate) requests_lost: Counter,
+    pub(crate) packets_returned: Counter,
+    pub(crate) lookups_started: Counter,
+    pub(crate) lookups_found: Counter,
+    pub(crate) lookups_given_up: Counter,
+    pub(crate) hints_right: Counter,
+    pub(crate) hints_wrong: Counter,
+    pub(crate) hints_held: Gauge,
+    pub(crate) values_age_seconds: Gauge<f64, AtomicU64>,
+    pub(crate) read_seconds: Histogram,
+    pub(crate) hosts_suspected: Counter,
+}
+
+impl Default for OpaqueMetrics {
+    fn default() -> Self {
+        let times = || Histogram::new(exponential_buckets(FIRST_BOUND_S, 2.0, BOUNDS));
+        Self {
+            openers_taken: Counter::default(),
+            openers_handed_on: Counter::default(),
+            openers_dropped: Counter::default(),
+            openers_unanswered: Counter::default(),
+            flows_reset: CodeCounter::default(),
+            flows_open: Gauge::default(),
+            requests_busy: Gauge::default(),
+            request_seconds: times(),
+            requests_lost: Counter::default(),
+            packets_returned: Counter::default(),
+            lookups_started: Counter::default(),
+            lookups_found: Counter::default(),
+            lookups_given_up: Counter::default(),
+            hints_right: Counter::default(),
+            hints_wrong: Counter::default(),
+            hints_held: Gauge::default(),
+            values_age_seconds: Gauge::default(),
+            read_seconds: times(),
+            hosts_suspected: Counter::default(),
+        }
+    }
+}
+
+impl OpaqueMetrics {
+    /// Names all of them in a registry.
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        for (name, help, counter) in self.counters() {
+            registry.register(name, help, counter.clone());
+        }
+        for (name, help, gauge) in self.gauges() {
+            registry.register(name, help, gauge.clone());
+        }
+        let reset = self.flows_reset.family();
+        registry.register("flows_reset", "Flows ended by this process, by code", reset);
+        registry.register(
+            "values_age_seconds",
+            "Age of the published values",
+            self.values_age_seconds.clone(),
+        );
+        registry.register(
+            "request_seconds",
+            "Time from a request to the first byte of its answer, at the backend server",
+            self.request_seconds.clone(),
+        );
+        registry.register(
+            "platform_read_seconds",
+            "Time of a read of the platform, waits for changes included",
+            self.read_seconds.clone(),
+        );
+    }
+
+    fn counters(&self) -> [(&'static str, &'static str, &Counter); 12] {
+        [
+            (
+                "openers_taken",
+                "Openers handed to the backend server",
+                &self.openers_taken,
+            ),
+            (
+                "openers_handed_on",
+                "Openers passed to another agent",
+                &self.openers_handed_on,
+            ),
+            (
+                "openers_dropped",
+                "Openers without room that may come again",
+                &self.openers_dropped,
+            ),
+            (
+                "openers_unanswered",
+                "Openers that no agent confirmed in time",
+                &self.openers_unanswered,
+            ),
+            (
+                "requests_lost",
+                "Requests whose backend server ended",
+                &self.requests_lost,
+            ),
+            (
+                "packets_returned",
+                "Packets that the backend server handed back",
+                &self.packets_returned,
+            ),
+            (
+                "lookups_started",
+                "Questions to all agents who holds a flow",
+                &self.lookups_started,
+            ),
+            (
+                "lookups_found",
+                "Such questions answered by the holder",
+                &self.lookups_found,
+            ),
+            (
+                "lookups_given_up",
+                "Such questions without all answers",
+                &self.lookups_given_up,
+            ),
+            (
+                "hints_right",
+                "Packets sent where a hint said",
+                &self.hints_right,
+            ),
+            (
+                "hints_wrong",
+                "Hints that an agent corrected",
+                &self.hints_wrong,
+            ),
+            (
+                "hosts_suspected",
+                "Hosts suspected for missed answers",
+                &self.hosts_suspected,
+            ),
+        ]
+    }
+
+    fn gauges(&self) -> [(&'static str, &'static str, &Gauge); 3] {
+        [
+            (
+                "opaque_flows_open",
+                "Flows open at the backend server",
+                &self.flows_open,
+            ),
+            (
+                "requests_busy",
+                "Requests that run or wait there",
+                &self.requests_busy,
+            ),
+            (
+                "hints_held",
+                "Flows whose holder a balancer remembers",
+                &self.hints_held,
+            ),
+        ]
+    }
+}
--- /dev/null
+++ b/src/opaque/opener_order.rs
@@ -0,0 +1,35 @@
+//! The order in which agents are offered an opener that one of them does not take.
+
+use std::net::Ipv4Addr;
+
+use crate::opaque::keeper::Scene;
+use crate::opaque::segment::FlowKey;
+use crate::placement;
+
+/// By how many agents an opener may be passed on.
+const MAX_HOPS: usize = 8;
+
+/// Returns the agent after `own` in the order of a flow, if one is left that was not offered it.
+///
+/// All agents with the same table walk the same circle, so that no list of those passed must travel.
+pub(crate) fn next_host(
+    scene: &Scene<'_>,
+    own: Ipv4Addr,
+    key: &FlowKey,
+    hops: u8,
+) -> Option<Ipv4Addr> {
+    let route = scene.directory.routes().get(key.called)?;
+    let service = route.service(key.hash())?;
+    let table = scene.directory.table(service)?;
+    let order = placement::ranked(table, key.hash(), |row| {
+        let trusted = !scene.suspicion.is_suspected(row.host, scene.now_ms);
+        row.host == own || (row.weight > 0 && trusted)
+    });
+    let others = order.iter().filter(|row| row.host != own).count();
+    if usize::from(hops) >= others.min(MAX_HOPS) {
+        return None;
+    }
+    let position = order.iter().position(|row| row.host == own);
+    let next = position.map_or(0, |position| (position + 1) % order.len());
+    Some(order[next].host)
+}
--- a/src/opaque/published.rs
+++ b/src/opaque/published.rs
@@ -148,7 +148,11 @@
 
     async fn read(&self, read: Read) -> Result<Batch> {
         self.control.metrics.platform_calls.inc();
+        let started_ms = self.control.now_ms();
         let result = (self.source.read)(read).await;
+        let took_ms = self.control.now_ms() - started_ms;
+        let metrics = &self.control.metrics.opaque;
+        metrics.read_seconds.observe(took_ms as f64 / 1_000.0);
         self.freshness.borrow_mut().set_failing(result.is_err());
         match &result {
             Ok(_) => {
@@ -232,6 +236,9 @@
     /// Returns whom to ask now, and suspects who did not answer before.
     pub(crate) fn beat(&self) -> Option<Ipv4Addr> {
         let now_ms = self.control.now_ms();
+        let age_ms = self.freshness.borrow().age_ms(now_ms);
+        let metrics = &self.control.metrics.opaque;
+        metrics.values_age_seconds.set(age_ms as f64 / 1_000.0);
         let parent = self.standing().parent?;
         let missed = match self.asked.get() {
             Some((host, missed)) if host == parent => missed + 1,
@@ -239,6 +246,7 @@
         };
         self.asked.set(Some((parent, missed)));
         if missed > MISSED_BEATS {
+            self.control.metrics.opaque.hosts_suspected.inc();
             log::info!("event=host_suspected host={parent} missed_beats={missed}");
             self.control.suspicion.borrow_mut().suspect(parent, now_ms);
             self.asked.set(None);
--- a/src/opaque/segment.rs
+++ b/src/opaque/segment.rs
@@ -106,6 +106,10 @@
     pub set_mark: fn(&mut [u8], u32),
     /// Takes out what a returned packet gained on its way, so that it is again as it was sent.
     pub restore: fn(&mut [u8]),
+    /// Reads the id of the request that begins in a packet, if it shows; for log lines only.
+    pub request_id: fn(&[u8]) -> Option<&str>,
+    /// Reads the status of the answer that begins in a packet, if it shows; for log lines only.
+    pub status: fn(&[u8]) -> Option<u16>,
     /// Makes the packet that ends a flow towards its caller.
     pub reset: fn(&FlowKey, u32) -> Vec<u8>,
 }
--- a/src/opaque/side.rs
+++ b/src/opaque/side.rs
@@ -52,7 +52,12 @@
     let ready = readiness::serve(&control).await?;
     let fresh = control.settings.opaque.fresh_site;
     let side = Rc::new(Side {
-        keeper: RefCell::new(Keeper::new(node.wire, identity, fresh)),
+        keeper: RefCell::new(Keeper::new(
+            node.wire,
+            identity,
+            fresh,
+            &control.metrics.opaque,
+        )),
         node: node.clone(),
         backend: identity.backend,
         backend_sender,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -70,7 +70,7 @@
 }
 
 /// The settings of the section `opaque`.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct OpaqueSettings {
     /// Where a balancer receives the packets of callers; answers go to the same port of theirs.
     pub listen: Option<SocketAddr>,
@@ -98,6 +98,22 @@
         Settings::parse(&text)
     }
 
+    /// Tells whether other settings than the level of log lines differ from those of `new`.
+    pub(crate) fn needs_restart(&self, new: &Settings) -> bool {
+        let identity = |settings: &Settings| {
+            (
+                (settings.host, settings.zone.clone(), settings.platform),
+                (
+                    settings.control_port,
+                    settings.datagram_port,
+                    settings.metrics_port,
+                ),
+                settings.opaque.clone(),
+            )
+        };
+        identity(self) != identity(new)
+    }
+
     /// Checks the text of a settings file.
     ///
     /// # Errors
