--- a/src/opaque/freshness.rs
+++ b/src/opaque/freshness.rs
@@ -24,6 +24,9 @@
 const PATIENCE_STEP_MS: u64 = 150;
 /// How much of it a process has once the one before it said that it can't read.
 const TURNED_AWAY_MS: u64 = 300;
+/// How much patience each next process has while no other process is known to ask, in milliseconds:
+/// all of them start with nothing then, and the first reads serve all.
+const ALONE_STEP_MS: u64 = 40;
 /// The greatest number of patience steps.
 const MAX_STEPS: u64 = 20;
 
@@ -104,12 +107,15 @@
     }
 
     /// Tells whether this process should read the platform now.
-    pub fn should_read(&self, rank: usize, now_ms: u64) -> bool {
-        if rank < READERS {
+    pub fn should_read(&self, standing: Standing, now_ms: u64) -> bool {
+        if standing.rank < READERS {
             return true;
         }
-        let steps = (rank - READERS) as u64;
+        let steps = (standing.rank - READERS) as u64;
         let age_ms = self.age_ms(now_ms);
+        if standing.parent.is_none() {
+            return age_ms > steps * ALONE_STEP_MS;
+        }
         let patience_ms = if self.parent_failing {
             TURNED_AWAY_MS
         } else {
--- a/src/opaque/published.rs
+++ b/src/opaque/published.rs
@@ -11,7 +11,7 @@
 use crate::error::{Error, Result};
 use crate::opaque::BACKEND_PREFIX;
 use crate::opaque::backend::GONE_TEXT;
-use crate::opaque::freshness::{self, BEAT_MS, Freshness, Standing, WATCH_WAIT_MS};
+use crate::opaque::freshness::{self, Freshness, Standing, WATCH_WAIT_MS};
 use crate::opaque::message::{Message, UNKNOWN_AGE_MS};
 use crate::opaque::source::{Batch, Read, Source};
 use crate::relay;
@@ -27,6 +27,8 @@
 const START_ASK_MS: u64 = 200;
 /// How often a starting process looks whether it has a configuration, in milliseconds.
 const START_LOOK_MS: u64 = 10;
+/// How often a process that does not read looks whether it should, in milliseconds.
+const LOOK_MS: u64 = 100;
 /// How long a reader waits after a change before it watches again, in milliseconds: changes that come
 /// in a row cost one call.
 const WATCH_PAUSE_MS: u64 = 150;
@@ -97,9 +99,9 @@
         let mut backoff_ms = MIN_BACKOFF_MS;
         loop {
             let now_ms = self.control.now_ms();
-            let rank = self.standing().rank;
-            if !self.freshness.borrow().should_read(rank, now_ms) {
-                compio::time::sleep(Duration::from_millis(BEAT_MS)).await;
+            let standing = self.standing();
+            if !self.freshness.borrow().should_read(standing, now_ms) {
+                compio::time::sleep(Duration::from_millis(LOOK_MS)).await;
                 continue;
             }
             if self.read_once(now_ms).await {
--- a/tests/opaque/freshness.rs
+++ b/tests/opaque/freshness.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 
 use endivedyke::HostList;
-use endivedyke::opaque::{Freshness, READERS, standing};
+use endivedyke::opaque::{Freshness, READERS, Standing, standing};
 
 fn hosts(count: u32) -> HostList {
     let mut text = String::from("host,zone,role,state\n");
@@ -78,14 +78,28 @@
 fn patience_ends_in_turn_and_sooner_when_the_readers_are_turned_away() {
     let mut freshness = Freshness::default();
     freshness.confirm(10_000);
-    assert!(!freshness.should_read(2, 11_500));
-    assert!(freshness.should_read(2, 12_001));
-    assert!(!freshness.should_read(5, 12_001));
-    assert!(freshness.should_read(5, 12_500));
+    assert!(!freshness.should_read(at(2), 11_500));
+    assert!(freshness.should_read(at(2), 12_001));
+    assert!(!freshness.should_read(at(5), 12_001));
+    assert!(freshness.should_read(at(5), 12_500));
     freshness.set_parent_failing(true);
-    assert!(freshness.should_read(2, 10_400));
-    assert!(!freshness.should_read(5, 10_400));
-    assert!(freshness.should_read(0, 10_000), "readers always read");
+    assert!(freshness.should_read(at(2), 10_400));
+    assert!(!freshness.should_read(at(5), 10_400));
+    assert!(freshness.should_read(at(0), 10_000), "readers always read");
+}
+
+#[test]
+fn one_that_knows_nobody_to_ask_reads_within_a_moment() {
+    let me = Ipv4Addr::new(10, 9, 0, 1);
+    let alone = standing(&hosts(0), me, |_| true);
+    assert!(Freshness::default().should_read(alone, 400));
+}
+
+fn at(rank: usize) -> Standing {
+    Standing {
+        rank,
+        parent: Some(Ipv4Addr::new(10, 0, 0, 1)),
+    }
 }
 
 #[test]
