--- a/lab/src/opaque/site.rs
+++ b/lab/src/opaque/site.rs
@@ -25,6 +25,7 @@
 const METRICS_PORT: u16 = 9_102;
 const FIRST_CALLED_PORT: u16 = 443;
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
+const ADDRESS_TIMEOUT: Duration = Duration::from_secs(5);
 const POLL: Duration = Duration::from_millis(20);
 
 const BALANCER_TEMPLATE: &str = include_str!("../../../deploy/balancer.ini");
@@ -252,12 +253,27 @@
             queue: 4 * spec.slots,
             work_ms: spec.work_ms,
         };
-        let backend = BackendHandle::start(&spec, &self.journals[index]).await?;
+        let backend = self.start_at_free_address(&spec, index).await?;
         self.backends[index] = Some(backend);
         self.register(index, "ready");
         Ok(())
     }
 
+    /// Starts a server once the one before it has let go of its address.
+    async fn start_at_free_address(
+        &self,
+        spec: &BackendSpec,
+        index: usize,
+    ) -> Result<BackendHandle> {
+        let until = Instant::now() + ADDRESS_TIMEOUT;
+        loop {
+            match BackendHandle::start(spec, &self.journals[index]).await {
+                Err(_) if Instant::now() < until => compio::time::sleep(POLL).await,
+                result => return result,
+            }
+        }
+    }
+
     fn called_of(&self, service: usize) -> Vec<SocketAddrV4> {
         let routed = self.routed.iter().enumerate();
         let own = routed.filter(|(_, routed)| **routed == service);
--- /dev/null
+++ b/lab/tests/opaque_site.rs
@@ -0,0 +1,343 @@
+//! Opaque flows end to end: real balancers and agents, stand-ins for the platform.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{run, sleep_ms};
+use endivedyke_lab::opaque::{CallTally, OpaqueSite, OpaqueSiteBuilder, StoreFault};
+
+const END_TIMEOUT: Duration = Duration::from_secs(20);
+
+async fn site(targets: usize) -> OpaqueSite {
+    let builder = OpaqueSiteBuilder::new(3).service("panel-front", targets, 4, 5);
+    builder.start().await.expect("the site starts")
+}
+
+/// Returns the counts of a tally without its list.
+fn summary(tally: &CallTally) -> String {
+    let counts = CallTally {
+        claims: Vec::new(),
+        ..tally.clone()
+    };
+    format!("{counts:?}")
+}
+
+/// Asserts what holds in every run, whatever fails.
+fn assert_promises(site: &OpaqueSite, tally: &CallTally) {
+    assert!(tally.answered > 0, "{}", summary(tally));
+    assert_eq!(tally.wrong, 0, "{}", summary(tally));
+    assert_eq!(site.doubled(), 0, "claims ran twice");
+    assert_eq!(
+        site.strayed(),
+        0,
+        "packets reached servers they were not for"
+    );
+    let ran = site.ran();
+    let lost = tally
+        .claims
+        .iter()
+        .filter(|id| ran.binary_search(id).is_err());
+    assert_eq!(lost.count(), 0, "claims were answered and did not run");
+}
+
+/// Asserts that no caller noticed anything.
+fn assert_unnoticed(site: &OpaqueSite, tally: &CallTally) {
+    assert_promises(site, tally);
+    let seen = (tally.answered, tally.failed, tally.reset);
+    assert_eq!(seen, (tally.requests, 0, 0), "{}", summary(tally));
+}
+
+#[test]
+fn a_calm_site_answers_everything() {
+    run(async {
+        let mut site = site(3).await;
+        site.call(&[site.plan(0, 10, 6)]).expect("callers");
+        sleep_ms(2_000).await;
+        let tally = site.finish().await;
+        assert_unnoticed(&site, &tally);
+    });
+}
+
+#[test]
+fn feeds_survive_the_restart_of_every_balancer() {
+    run(async {
+        let mut site = site(3).await;
+        site.call(&[site.plan(0, 12, 6)]).expect("callers");
+        for index in 0..3 {
+            sleep_ms(500).await;
+            let balancer = site.balancer(index).expect("runs");
+            balancer.terminate().expect("runs");
+            balancer.wait(END_TIMEOUT).await.expect("stops");
+            site.start_balancer(index).expect("starts");
+            site.wait_ready().await.expect("ready");
+        }
+        let tally = site.finish().await;
+        assert_unnoticed(&site, &tally);
+    });
+}
+
+#[test]
+fn flows_survive_a_killed_balancer_and_a_killed_agent() {
+    run(async {
+        let mut site = site(3).await;
+        site.call(&[site.plan(0, 12, 0)]).expect("callers");
+        sleep_ms(500).await;
+        let balancer = site.balancer(0).expect("runs");
+        balancer.kill().expect("runs");
+        site.start_balancer(0).expect("starts");
+        let agent = site.agent(0).expect("runs");
+        agent.kill().expect("runs");
+        site.start_agent(0).expect("starts");
+        site.wait_ready().await.expect("ready");
+        sleep_ms(1_500).await;
+        let tally = site.finish().await;
+        assert_promises(&site, &tally);
+        assert_eq!((tally.failed, tally.reset), (0, 0), "{}", summary(&tally));
+    });
+}
+
+#[test]
+fn a_dead_agent_costs_an_opener_a_moment() {
+    run(async {
+        let mut site = site(3).await;
+        site.agent(0).expect("runs").kill().expect("runs");
+        site.call(&[site.plan(0, 0, 8)]).expect("callers");
+        sleep_ms(2_000).await;
+        let tally = site.finish().await;
+        assert_unnoticed(&site, &tally);
+    });
+}
+
+#[test]
+fn callers_of_a_crashed_backend_server_are_told_at_once() {
+    run(async {
+        let mut site = site(3).await;
+        site.call(&[site.plan(0, 12, 0)]).expect("callers");
+        sleep_ms(800).await;
+        assert!(site.open_flows(0) > 0);
+        let id = site.crash_backend(0).expect("runs");
+        sleep_ms(1_000).await;
+        site.expire_entry(&id);
+        sleep_ms(500).await;
+        let tally = site.finish().await;
+        assert_promises(&site, &tally);
+        assert!(tally.reset > 0, "{}", summary(&tally));
+        assert_eq!(tally.failed, 0, "{}", summary(&tally));
+    });
+}
+
+#[test]
+fn a_restarted_backend_server_s_old_flows_are_reset() {
+    run(async {
+        let mut site = site(1).await;
+        site.call(&[site.plan(0, 6, 0)]).expect("callers");
+        sleep_ms(800).await;
+        let id = site.crash_backend(0).expect("runs");
+        site.start_backend(0, 0).await.expect("starts");
+        site.expire_entry(&id);
+        sleep_ms(1_500).await;
+        let tally = site.finish().await;
+        assert_promises(&site, &tally);
+        assert!(tally.reset > 0, "{}", summary(&tally));
+        assert_eq!(tally.failed, 0, "{}", summary(&tally));
+    });
+}
+
+#[test]
+fn a_draining_backend_server_gets_no_new_flow_and_loses_none() {
+    run(async {
+        let mut site = site(2).await;
+        site.call(&[site.plan(0, 8, 4)]).expect("callers");
+        sleep_ms(800).await;
+        site.drain_backend(0);
+        sleep_ms(1_500).await;
+        assert_eq!(site.open_flows(0), 0);
+        let tally = site.finish().await;
+        assert_unnoticed(&site, &tally);
+    });
+}
+
+#[test]
+fn an_address_that_another_service_took_over_gets_no_packet_of_the_old_one() {
+    run(async {
+        let builder = OpaqueSiteBuilder::new(2)
+            .service("panel-front", 2, 4, 5)
+            .service("study-intake", 1, 4, 5);
+        let mut site = builder.start().await.expect("the site starts");
+        site.call(&[site.plan(0, 8, 4), site.plan(1, 4, 2)])
+            .expect("callers");
+        sleep_ms(800).await;
+        let id = site.crash_backend(0).expect("runs");
+        site.agent(0).expect("runs").kill().expect("runs");
+        site.start_backend(0, 1).await.expect("starts");
+        site.start_agent(0).expect("starts");
+        sleep_ms(1_000).await;
+        site.expire_entry(&id);
+        sleep_ms(1_000).await;
+        let tally = site.finish().await;
+        assert_promises(&site, &tally);
+    });
+}
+
+#[test]
+fn a_silent_store_stops_no_service_and_a_change_is_taken_when_it_returns() {
+    run(async {
+        let builder = OpaqueSiteBuilder::new(2)
+            .service("panel-front", 2, 4, 5)
+            .service("study-intake", 1, 4, 5);
+        let mut site = builder.start().await.expect("the site starts");
+        for fault in [
+            StoreFault::Silent,
+            StoreFault::Busy,
+            StoreFault::TooMany,
+            StoreFault::Garbled,
+        ] {
+            site.store().set_fault(Some(fault));
+            sleep_ms(700).await;
+        }
+        site.call(&[site.plan(0, 6, 3)]).expect("callers");
+        sleep_ms(1_000).await;
+        site.store().forget_history();
+        site.store().set_fault(None);
+        site.unroute_last();
+        sleep_ms(3_000).await;
+        for index in 0..2 {
+            let host = site.balancer_host(index);
+            let revision = site.metric(host, "config_revision").await.expect("answers");
+            assert!(revision >= 4.0, "balancer {index} stands at {revision}");
+        }
+        let tally = site.finish().await;
+        assert_unnoticed(&site, &tally);
+    });
+}
+
+#[test]
+fn a_change_reaches_hosts_that_the_store_turns_away() {
+    run(async {
+        let mut site = site(6).await;
+        let turned_away: Vec<_> = (0..4).map(|index| site.agent_host(index)).collect();
+        site.store().turn_away(&turned_away);
+        sleep_ms(500).await;
+        site.drain_backend(5);
+        sleep_ms(3_000).await;
+        let mut revisions = Vec::new();
+        for index in 0..6 {
+            let host = site.agent_host(index);
+            revisions.push(site.metric(host, "config_revision").await.expect("answers"));
+        }
+        assert!(
+            revisions.iter().all(|revision| *revision == revisions[5]),
+            "{revisions:?}"
+        );
+    });
+}
+
+#[test]
+fn a_site_that_starts_while_the_store_is_silent_serves_soon_after_its_return() {
+    run(async {
+        let builder = OpaqueSiteBuilder::new(2).service("panel-front", 2, 4, 5);
+        let mut site = builder.start_stand_ins().await.expect("stand-ins start");
+        site.store().set_fault(Some(StoreFault::Busy));
+        for index in 0..2 {
+            site.start_balancer(index).expect("starts");
+            site.start_agent(index).expect("starts");
+        }
+        sleep_ms(800).await;
+        let hosts = [site.balancer_host(0), site.balancer_host(1)];
+        assert!(
+            !site.all_ready(&hosts).await,
+            "ready without a configuration"
+        );
+        site.store().set_fault(None);
+        site.wait_ready().await.expect("ready");
+        site.call(&[site.plan(0, 4, 2)]).expect("callers");
+        sleep_ms(800).await;
+        let tally = site.finish().await;
+        assert_unnoticed(&site, &tally);
+    });
+}
+
+#[test]
+fn few_processes_read_the_store() {
+    run(async {
+        let site = site(6).await;
+        sleep_ms(2_500).await;
+        let before = site.store().calls();
+        sleep_ms(3_200).await;
+        let calls = site.store().calls() - before;
+        // Two readers with waits of a second and a half each.
+        assert!(calls <= 8, "{calls} calls by nine processes");
+    });
+}
+
+#[test]
+fn hangups_and_bad_settings_end_nothing() {
+    run(async {
+        let mut site = site(2).await;
+        let host = site.balancer_host(0);
+        std::fs::write(site.settings_path(host), "[nonsense").expect("written");
+        site.call(&[site.plan(0, 4, 2)]).expect("callers");
+        for _ in 0..5 {
+            site.balancer(0).expect("runs").hang_up().expect("runs");
+            site.agent(0).expect("runs").hang_up().expect("runs");
+            sleep_ms(100).await;
+        }
+        let tally = site.finish().await;
+        assert_unnoticed(&site, &tally);
+        assert!(site.all_ready(&[host, site.agent_host(0)]).await);
+    });
+}
+
+#[test]
+fn strangers_bytes_break_nothing() {
+    run(async {
+        let mut site = site(2).await;
+        site.call(&[site.plan(0, 4, 2)]).expect("callers");
+        let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("socket");
+        for host in [site.balancer_host(0), site.agent_host(0)] {
+            for address in site.datagram_addresses(host) {
+                for length in [0_usize, 1, 31, 32, 36, 68, 1_300, 2_000] {
+                    let bytes: Vec<u8> = (0..length).map(|_| rand::random()).collect();
+                    // Where nothing listens the bytes go nowhere, which is as well.
+                    let _ = socket.send_to(&bytes, address);
+                    let _ = socket.send_to(&vec![1; length], address);
+                }
+            }
+        }
+        sleep_ms(1_000).await;
+        let tally = site.finish().await;
+        assert_unnoticed(&site, &tally);
+    });
+}
+
+#[test]
+fn a_stalled_reader_of_log_lines_costs_lines_not_packets() {
+    run(async {
+        let builder = OpaqueSiteBuilder::new(1)
+            .service("panel-front", 1, 4, 1)
+            .unread_logs();
+        let mut site = builder.start().await.expect("the site starts");
+        site.call(&[site.plan(0, 0, 7)]).expect("callers");
+        let agent = site.agent_host(0);
+        // A pipe holds 64 KiB; the budget would let the lines through.
+        for _ in 0..100 {
+            sleep_ms(200).await;
+            if site
+                .metric(agent, "log_lines_dropped_total")
+                .await
+                .expect("answers")
+                > 0.0
+            {
+                break;
+            }
+        }
+        let dropped = site
+            .metric(agent, "log_lines_dropped_total")
+            .await
+            .expect("answers");
+        assert!(dropped > 0.0);
+        let tally = site.finish().await;
+        assert_unnoticed(&site, &tally);
+    });
+}
--- /dev/null
+++ b/tests/log_budget.rs
@@ -0,0 +1,21 @@
+//! How many log lines a process writes.
+
+use endivedyke::LogBudget;
+
+#[test]
+fn a_flood_is_cut_to_the_budget_and_counted() {
+    let mut budget = LogBudget::new(0);
+    let written = (0..10_000).filter(|_| budget.take(false, 0)).count();
+    assert!((300..=500).contains(&written), "{written}");
+    assert_eq!(budget.take_dropped(), 10_000 - written as u64);
+    assert_eq!(budget.take_dropped(), 0);
+}
+
+#[test]
+fn warnings_get_through_a_flood_and_time_refills_the_budget() {
+    let mut budget = LogBudget::new(0);
+    while budget.take(false, 0) {}
+    assert!(budget.take(true, 0));
+    let later = (0..10_000).filter(|_| budget.take(false, 10_000)).count();
+    assert!((300..=450).contains(&later), "{later}");
+}
