--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -14,6 +14,7 @@
 use crate::experiments::{self, ExperimentOptions};
 use crate::load::{self, LoadPlan};
 use crate::load_report;
+use crate::opaque::{OpaqueLoadPlan, run_opaque_load, run_opaque_quickstart};
 use crate::quickstart::run_quickstart;
 use crate::{config_service, fabric};
 
@@ -30,13 +31,15 @@
 #[derive(Debug, Options)]
 enum Command {
     #[options(help = "run a small site end to end")]
-    Quickstart(NoOptions),
+    Quickstart(QuickstartOptions),
     #[options(
         help = "experiment imbalance, relay (deterministic runs), datagrams or control (processes)"
     )]
     Experiment(ExperimentOptions),
     #[options(help = "load a site of today's size and report what it does and costs")]
     Load(LoadOptions),
+    #[options(help = "load on opaque flows, as on the users' platform")]
+    OpaqueLoad(OpaqueLoadOptions),
     #[options(help = "stand in for the fabric")]
     Fabric(FabricOptions),
     #[options(help = "stand in for the platform's configuration service")]
@@ -48,9 +51,31 @@
 }
 
 #[derive(Debug, Options)]
-struct NoOptions {
+struct QuickstartOptions {
     #[options(help = "print this help and exit")]
     help: bool,
+    #[options(no_short, help = "opaque flows, as on the users' platform")]
+    opaque: bool,
+}
+
+#[derive(Debug, Options)]
+struct OpaqueLoadOptions {
+    #[options(help = "print this help and exit")]
+    help: bool,
+    #[options(no_short, help = "panelwerk or jadepeak", default = "panelwerk")]
+    deployment: String,
+    #[options(no_short, help = "callers that keep a feed open", default = "40")]
+    feeds: usize,
+    #[options(no_short, help = "callers that send claims", default = "8")]
+    claims: usize,
+    #[options(no_short, help = "for how long", default = "10")]
+    seconds: u64,
+    #[options(
+        no_short,
+        help = "what happens at half time: none, restart-balancer, kill-balancer, kill-agent, crash-backend, drain-agent or silence-platform",
+        default = "none"
+    )]
+    event: String,
 }
 
 #[derive(Debug, Options)]
@@ -167,7 +192,9 @@
         return ExitCode::SUCCESS;
     }
     let result = match options.command {
+        Some(Command::Quickstart(options)) if options.opaque => opaque_quickstart(),
         Some(Command::Quickstart(_)) => quickstart(),
+        Some(Command::OpaqueLoad(options)) => opaque_load(&options),
         Some(Command::Experiment(options)) => experiments::run(&options),
         Some(Command::Load(options)) => run_load(&options),
         Some(Command::Fabric(options)) => run_fabric(&options),
@@ -221,6 +248,30 @@
     Err(Error::new(Code::OutcomeUnknown, message))
 }
 
+fn opaque_quickstart() -> Result<()> {
+    let (line, clean) = run_opaque_quickstart(|step| println!("{step}"))?;
+    println!("{line}");
+    if clean {
+        return Ok(());
+    }
+    Err(Error::new(
+        Code::OutcomeUnknown,
+        "a caller or server saw a fault",
+    ))
+}
+
+fn opaque_load(options: &OpaqueLoadOptions) -> Result<()> {
+    let plan = OpaqueLoadPlan {
+        deployment: options.deployment.clone(),
+        feeds: options.feeds,
+        claims: options.claims,
+        seconds: options.seconds,
+        event: options.event.clone(),
+    };
+    println!("{}", block_on(run_opaque_load(&plan))?);
+    Ok(())
+}
+
 fn run_load(options: &LoadOptions) -> Result<()> {
     let plan = LoadPlan {
         deployment: options.deployment.parse()?,
--- a/lab/src/opaque/backend.rs
+++ b/lab/src/opaque/backend.rs
@@ -237,7 +237,7 @@
         });
     }
 
-    fn hand_back(&mut self, bytes: &[u8]) {
+    fn hand_back(&self, bytes: &[u8]) {
         self.journal.borrow_mut().returned += 1;
         let mut bytes = bytes.to_vec();
         bytes[0] |= BOUNCED;
--- a/lab/src/opaque/mod.rs
+++ b/lab/src/opaque/mod.rs
@@ -4,12 +4,15 @@
 mod backend;
 mod callers;
 mod flow_end;
+mod load;
 mod packet;
 mod quickstart;
 mod routers;
 mod site;
 mod store;
 
+pub(crate) use crate::opaque::load::{OpaqueLoadPlan, run as run_opaque_load};
+
 pub use crate::opaque::callers::{CallPlan, CallTally};
 pub use crate::opaque::quickstart::run_opaque_quickstart;
 pub use crate::opaque::site::{OpaqueSite, OpaqueSiteBuilder};
--- a/lab/src/opaque/routers.rs
+++ b/lab/src/opaque/routers.rs
@@ -48,9 +48,9 @@
             socket: Rc::new(socket),
             packet_port,
         };
-        for index in 0..hosts.len() {
+        for (index, host) in hosts.iter().enumerate() {
             let routers = routers.clone();
-            let address = SocketAddr::from((hosts[index], ready_port));
+            let address = SocketAddr::from((*host, ready_port));
             compio::runtime::spawn(async move { routers.probe(index, address).await }).detach();
         }
         Ok(routers)
@@ -60,17 +60,16 @@
         loop {
             let answer = endivedyke::get(address, "/api/readiness", PROBE_TIMEOUT_MS).await;
             let ready = answer.is_ok_and(|answer| answer.status().is_success());
-            let mut balancers = self.balancers.borrow_mut();
-            balancers[index].misses = if ready {
-                0
-            } else {
-                balancers[index].misses + 1
-            };
-            drop(balancers);
+            self.note(index, ready);
             compio::time::sleep(PROBE_PERIOD).await;
         }
     }
 
+    fn note(&self, index: usize, ready: bool) {
+        let misses = &mut self.balancers.borrow_mut()[index].misses;
+        *misses = if ready { 0 } else { *misses + 1 };
+    }
+
     /// Returns how many balancers are in rotation.
     pub(crate) fn ready(&self) -> usize {
         let balancers = self.balancers.borrow();
--- a/lab/src/opaque/site.rs
+++ b/lab/src/opaque/site.rs
@@ -381,6 +381,7 @@
             ("listen.outbound", format!("{host}:{OUTBOUND_PORT}")),
             ("app", format!("{host}:{APP_PORT}")),
             ("service", service.to_owned()),
+            ("bounds.maxFlowS", "60".to_owned()),
             ("bootstrap", "false".to_owned()),
             ("platform.address", format!("{}:{STORE_PORT}", self.ip(2))),
             ("seeds", seeds.join(",")),
@@ -392,6 +393,12 @@
             })
     }
 
+    /// Returns the ids of all processes of the product.
+    pub fn process_ids(&self) -> Vec<u32> {
+        let processes = self.balancers.iter().chain(&self.agents).flatten();
+        processes.map(Process::id).collect()
+    }
+
     /// Returns a balancer's process.
     pub fn balancer(&mut self, index: usize) -> Option<&mut Process> {
         self.balancers[index].as_mut()
--- a/lab/tests/opaque_site.rs
+++ b/lab/tests/opaque_site.rs
@@ -215,7 +215,7 @@
 #[test]
 fn a_change_reaches_hosts_that_the_store_turns_away() {
     run(async {
-        let mut site = site(6).await;
+        let site = site(6).await;
         let turned_away: Vec<_> = (0..4).map(|index| site.agent_host(index)).collect();
         site.store().turn_away(&turned_away);
         sleep_ms(500).await;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -68,7 +68,7 @@
         "endivedyke-platform-balancer",
         variable,
         |control| async move {
-            let hooks = balancer::hooks(&control);
+            let hooks = opaque::hooks(&control, "balancer");
             let adapter = adapt(&control.settings);
             listen(&control, hooks).await?;
             opaque::run_entry(control, adapter, stop_signal()).await
@@ -85,7 +85,7 @@
         "endivedyke-platform-agent",
         variable,
         |control| async move {
-            let hooks = balancer::hooks(&control);
+            let hooks = opaque::hooks(&control, "agent");
             let adapter = adapt(&control.settings);
             listen(&control, hooks).await?;
             opaque::run_side(control, adapter, stop_signal()).await
--- a/src/opaque/entry.rs
+++ b/src/opaque/entry.rs
@@ -23,6 +23,7 @@
 const TICK: Duration = Duration::from_millis(20);
 /// How often hints are tidied, in milliseconds.
 const TIDY_MS: u64 = 5_000;
+const MS_PER_S: u64 = 1_000;
 
 struct Entry {
     node: Rc<Node>,
@@ -45,6 +46,7 @@
         forwarder: RefCell::new(Forwarder::new(
             node.wire,
             control.settings.host,
+            control.settings.opaque.flow_lifetime_s * MS_PER_S,
             &control.metrics.opaque,
         )),
         node: node.clone(),
--- a/src/opaque/flow_book.rs
+++ b/src/opaque/flow_book.rs
@@ -8,8 +8,6 @@
 
 /// How many flows an agent remembers: eight times the connections of the largest backend servers.
 const MAX_FLOWS: usize = 16_384;
-/// How long a flow is remembered without a packet, in milliseconds: the longest life of a flow.
-const FLOW_MS: u64 = 60_000;
 /// How long a flow is remembered after its backend server has ended it, in milliseconds: for its last
 /// acknowledgements.
 const CLOSED_MS: u64 = 2_000;
@@ -114,15 +112,18 @@
 pub(crate) struct FlowBook {
     flows: FlowMap<Flow>,
     metrics: OpaqueMetrics,
+    lifetime_ms: u64,
     open: u32,
     busy: u32,
 }
 
 impl FlowBook {
-    pub(crate) fn new(metrics: &OpaqueMetrics) -> Self {
+    /// Makes a book without flows; one without a packet for `lifetime_ms` is forgotten.
+    pub(crate) fn new(metrics: &OpaqueMetrics, lifetime_ms: u64) -> Self {
         Self {
             flows: FlowMap::new(MAX_FLOWS),
             metrics: metrics.clone(),
+            lifetime_ms,
             open: 0,
             busy: 0,
         }
@@ -208,8 +209,9 @@
     /// Forgets flows of which nothing was heard for long, and counts anew.
     pub(crate) fn expire(&mut self, now_ms: u64) {
         let (mut open, mut busy) = (0, 0);
+        let lifetime_ms = self.lifetime_ms;
         self.flows.retain(|key, flow| {
-            let kept_ms = if flow.closed { CLOSED_MS } else { FLOW_MS };
+            let kept_ms = if flow.closed { CLOSED_MS } else { lifetime_ms };
             let keeps = now_ms < flow.seen_ms + kept_ms;
             if keeps {
                 open += u32::from(flow.is_open());
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -20,8 +20,6 @@
 
 /// How many hints a balancer keeps; the brief speaks of hundreds of thousands of flows for each.
 const MAX_HINTS: usize = 262_144;
-/// How long a hint lives without a packet, in milliseconds: the longest life of a flow.
-const HINT_MS: u64 = 60_000;
 /// How long an agent may take to say that it has an opener, in milliseconds: several round trips
 /// between availability zones, and half of the wait after which callers send a copy.
 const TAKEN_TIMEOUT_MS: u64 = 100;
@@ -50,17 +48,26 @@
     wire: WireFormat,
     host: Ipv4Addr,
     metrics: OpaqueMetrics,
+    flow_lifetime_ms: u64,
     hints: FlowMap<Hint>,
     watched: VecDeque<Watched>,
 }
 
 impl Forwarder {
     /// Makes the forwarder of the balancer on `host`.
-    pub fn new(wire: WireFormat, host: Ipv4Addr, metrics: &OpaqueMetrics) -> Self {
+    ///
+    /// Hints live as long as a flow may, `flow_lifetime_ms` after its last packet.
+    pub fn new(
+        wire: WireFormat,
+        host: Ipv4Addr,
+        flow_lifetime_ms: u64,
+        metrics: &OpaqueMetrics,
+    ) -> Self {
         Self {
             wire,
             host,
             metrics: metrics.clone(),
+            flow_lifetime_ms,
             hints: FlowMap::new(MAX_HINTS),
             watched: VecDeque::new(),
         }
@@ -159,7 +166,9 @@
 
     /// Forgets flows of which nothing was heard for as long as a flow lives.
     pub fn expire(&mut self, now_ms: u64) {
-        self.hints.retain(|_, hint| now_ms < hint.seen_ms + HINT_MS);
+        let lifetime_ms = self.flow_lifetime_ms;
+        self.hints
+            .retain(|_, hint| now_ms < hint.seen_ms + lifetime_ms);
     }
 
     /// Returns the number of hints.
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -3,17 +3,19 @@
 //! Nothing is proof but the backend server itself, which returns each packet of a flow that it does
 //! not hold. What the agent remembers saves asking it. See docs/OPAQUE.md, "Finding a flow".
 
+mod answers;
+mod openers;
+
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use crate::code::Code;
 use crate::error::Result;
 use crate::opaque::action::Action;
 use crate::opaque::directory::Directory;
-use crate::opaque::flow_book::{Flow, FlowBook, Holding, Opening, Running};
+use crate::opaque::flow_book::{Flow, FlowBook, Holding, Running};
 use crate::opaque::lookup::{Lookups, Verdict};
 use crate::opaque::message::{Message, MessageKind};
 use crate::opaque::metrics::OpaqueMetrics;
-use crate::opaque::opener_order::next_host;
 use crate::opaque::segment::{FlowKey, Segment, WireFormat};
 use crate::service_id::ServiceId;
 use crate::suspicion::Suspicion;
@@ -21,31 +23,19 @@
 /// How long a backend server may take to answer an opener or to return a packet, in milliseconds:
 /// it does so in under one, and the agent itself may wait for its share of a core.
 const BACKEND_TIMEOUT_MS: u64 = 50;
-/// How often a silent backend server is tried with an opener, in milliseconds.
-const PROBE_MS: u64 = 200;
 /// How long nothing must listen at the backend server's address, and no packet come from there, before
 /// its process counts as ended, in milliseconds: the connection attempt is repeated meanwhile.
 const REFUSED_MS: u64 = 150;
 /// How long a backend server that is no longer published must have sent nothing before its agent, when
 /// it is stopped, takes its flows for gone, in milliseconds: some copies of a packet that waits.
 const STILL_MS: u64 = 500;
-/// The requests for each slot, running or waiting, from which a backend server takes no opener: with
-/// one waiting behind each running one, what is taken still ends within about two service times.
-const CROWDED_PER_SLOT: u32 = 2;
-/// The number of the last copy that a caller sends of an opener.
-const LAST_COPY: u32 = 2;
-/// The time from which an answer is logged as slow, in milliseconds: above the latency that the users
-/// aim at for any kind of request today.
-const SLOW_MS: u64 = 500;
-/// The status from which an answer is logged.
-const FIRST_ERROR_STATUS: u16 = 400;
 
 /// What an agent looks at while it decides.
 pub struct Scene<'a> {
     /// The published backend servers and routes.
     pub directory: &'a Directory,
     /// Who is believed to be dead.
-    pub suspicion: &'a mut Suspicion,
+    pub suspicion: &'a Suspicion,
     /// The highest revision in force here.
     pub revision: u64,
     /// The time, in milliseconds.
@@ -61,17 +51,8 @@
     pub backend: SocketAddrV4,
     /// The service for which the backend server was set up.
     pub service: ServiceId,
-}
-
-/// Why an agent does not take an opener.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum NotTaken {
-    Leaving,
-    BackendDown,
-    OtherService,
-    NotPublished,
-    Silent,
-    Crowded,
+    /// The longest life of a flow, in milliseconds.
+    pub flow_lifetime_ms: u64,
 }
 
 /// The flows of one agent, and what they ask of it.
@@ -105,7 +86,7 @@
             wire,
             identity,
             metrics: metrics.clone(),
-            flows: FlowBook::new(metrics),
+            flows: FlowBook::new(metrics, identity.flow_lifetime_ms),
             lookups: Lookups::new(metrics),
             pending: Vec::new(),
             knows_all,
@@ -156,7 +137,7 @@
     /// Returns the code for which the packet in it is dropped.
     pub fn peer_says(
         &mut self,
-        scene: &mut Scene<'_>,
+        scene: &Scene<'_>,
         from: Ipv4Addr,
         message: &Message,
         payload: &[u8],
@@ -193,7 +174,7 @@
     /// # Errors
     ///
     /// Returns the code for which the packet is dropped.
-    pub fn backend_says(&mut self, scene: &mut Scene<'_>, packet: Vec<u8>) -> Result<Vec<Action>> {
+    pub fn backend_says(&mut self, scene: &Scene<'_>, packet: Vec<u8>) -> Result<Vec<Action>> {
         let segment = (self.wire.decode)(&packet)?;
         self.backend_up = true;
         self.silent_since_ms = None;
@@ -215,7 +196,7 @@
     ///
     /// One that drains stops listening long before it has ended its flows, so that this is proof only
     /// of one that should be there.
-    pub fn backend_refuses(&mut self, scene: &mut Scene<'_>) -> Vec<Action> {
+    pub fn backend_refuses(&mut self, scene: &Scene<'_>) -> Vec<Action> {
         self.refusing = true;
         let own = scene.directory.own(self.identity.backend, scene.now_ms);
         if own.is_some_and(|own| !own.takes_flows) {
@@ -239,7 +220,7 @@
     ///
     /// The agent of a backend server that has left is stopped after it, so that flows which still seem
     /// open there are gone.
-    pub fn leave(&mut self, scene: &mut Scene<'_>) -> Vec<Action> {
+    pub fn leave(&mut self, scene: &Scene<'_>) -> Vec<Action> {
         self.leaving = true;
         let own = scene.directory.own(self.identity.backend, scene.now_ms);
         let gone = own.is_some_and(|own| own.is_gone && !own.takes_flows);
@@ -252,7 +233,7 @@
 
     /// Ends all flows of a backend server whose process is gone at once, so that their callers open
     /// new ones instead of waiting.
-    fn backend_ended(&mut self, scene: &mut Scene<'_>) -> Vec<Action> {
+    fn backend_ended(&mut self, scene: &Scene<'_>) -> Vec<Action> {
         self.knows_all = true;
         if !std::mem::replace(&mut self.backend_up, false) {
             return Vec::new();
@@ -282,7 +263,7 @@
     }
 
     /// Does what is due: openers without an answer, packets that were not returned, questions.
-    pub fn tick(&mut self, scene: &mut Scene<'_>) -> Vec<Action> {
+    pub fn tick(&mut self, scene: &Scene<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
         let pending = std::mem::take(&mut self.pending);
         for key in pending {
@@ -290,6 +271,9 @@
                 self.pending.push(key);
             }
         }
+        for key in self.lookups.flows() {
+            self.conclude(scene, &key, &mut actions);
+        }
         for (host, packet) in self.lookups.due(scene.directory, scene.now_ms) {
             let message = Message::new(MessageKind::Find);
             actions.push(Action::ToPeer(host, message, packet));
@@ -302,149 +286,10 @@
         self.flows.expire(now_ms);
     }
 
-    /// Takes an opener, or passes it on.
-    fn opener(
-        &mut self,
-        scene: &mut Scene<'_>,
-        segment: &Segment,
-        packet: &[u8],
-        message: &Message,
-        actions: &mut Vec<Action>,
-    ) {
-        let key = segment.flow_from_caller();
-        let known = self.flows.get(&key).map(|flow| &flow.holding);
-        if matches!(known, Some(Holding::Opening(_) | Holding::Open)) {
-            say_holds(&key, message.host, self.identity.host, actions);
-            actions.push(Action::ToBackend(packet.to_vec()));
-            return;
-        }
-        let opening = Opening {
-            since_ms: scene.now_ms,
-            packet: packet.to_vec(),
-            balancer: message.host,
-            hops: message.hops,
-            copy: segment.acknowledgement,
-            answered: false,
-            backend_sequence: 0,
-        };
-        match self.check_opener(scene, &key) {
-            Ok(()) => self.take_opener(scene, &key, opening, actions),
-            Err(reason) => {
-                log::info!(
-                    "event=opener_not_taken flow={key} reason={reason:?} copy={} hops={} busy={} \
-                     revision={}",
-                    opening.copy,
-                    opening.hops,
-                    self.flows.busy(),
-                    scene.revision
-                );
-                if message.kind == MessageKind::Deliver && !message.host.is_unspecified() {
-                    tell(MessageKind::Absent, &key, message.host, actions);
-                }
-                self.hand_on(scene, &key, opening, actions);
-            }
-        }
-    }
-
-    fn take_opener(
-        &mut self,
-        scene: &Scene<'_>,
-        key: &FlowKey,
-        opening: Opening,
-        actions: &mut Vec<Action>,
-    ) {
-        let (balancer, packet) = (opening.balancer, opening.packet.clone());
-        log::info!(
-            "event=opener_taken flow={key} copy={} hops={} busy={} open={} revision={}",
-            opening.copy,
-            opening.hops,
-            self.flows.busy(),
-            self.flows.open(),
-            scene.revision
-        );
-        let flow = Flow::new(Holding::Opening(opening), scene.now_ms);
-        if !self.flows.insert(*key, flow, scene.now_ms) {
-            return;
-        }
-        self.metrics.openers_taken.inc();
-        self.lookups.forget(key);
-        self.pending.push(*key);
-        say_holds(key, balancer, self.identity.host, actions);
-        actions.push(Action::ToBackend(packet));
-    }
-
-    fn check_opener(&mut self, scene: &Scene<'_>, key: &FlowKey) -> Result<(), NotTaken> {
-        if self.leaving {
-            return Err(NotTaken::Leaving);
-        }
-        if !self.backend_up {
-            return Err(NotTaken::BackendDown);
-        }
-        let route = scene.directory.routes().get(key.called);
-        let service = route.and_then(|route| route.service(key.hash()));
-        if service != Some(self.identity.service) {
-            return Err(NotTaken::OtherService);
-        }
-        let own = scene.directory.own(self.identity.backend, scene.now_ms);
-        let published = own.filter(|own| own.service == self.identity.service);
-        if !published.is_some_and(|own| own.takes_flows) {
-            return Err(NotTaken::NotPublished);
-        }
-        if self.silent_since_ms.is_some() {
-            if scene.now_ms < self.last_probe_ms + PROBE_MS {
-                return Err(NotTaken::Silent);
-            }
-            self.last_probe_ms = scene.now_ms;
-            return Ok(());
-        }
-        if self.is_crowded(scene) {
-            return Err(NotTaken::Crowded);
-        }
-        Ok(())
-    }
-
-    fn is_crowded(&self, scene: &Scene<'_>) -> bool {
-        let table = scene.directory.table(self.identity.service);
-        let row = table.and_then(|table| table.row_on(self.identity.host));
-        row.is_some_and(|row| self.flows.busy() >= row.slots * CROWDED_PER_SLOT)
-    }
-
-    /// Passes an opener to the agent after this one in the flow's order, if there is one left.
-    ///
-    /// Otherwise its caller sends another copy, for which there may be room; only of the last copy is
-    /// it told that nobody takes it, since it has but few attempts.
-    fn hand_on(
-        &mut self,
-        scene: &Scene<'_>,
-        key: &FlowKey,
-        opening: Opening,
-        actions: &mut Vec<Action>,
-    ) {
-        match next_host(scene, self.identity.host, key, opening.hops) {
-            Some(host) => {
-                let mut message = Message::new(MessageKind::HandOn);
-                message.host = opening.balancer;
-                message.hops = opening.hops + 1;
-                self.metrics.openers_handed_on.inc();
-                actions.push(Action::ToPeer(host, message, opening.packet));
-            }
-            None if opening.copy >= LAST_COPY => self.reset(key, 0, Code::NoRoom, actions),
-            None => {
-                self.metrics.openers_dropped.inc();
-                log::info!(
-                    "event=opener_dropped flow={key} copy={} hops={} revision={}",
-                    opening.copy,
-                    opening.hops,
-                    scene.revision
-                );
-            }
-        }
-    }
-
     /// Takes any other packet of a caller.
     fn packet(
         &mut self,
-        scene: &mut Scene<'_>,
+        scene: &Scene<'_>,
         segment: &Segment,
         packet: &[u8],
         balancer: Ipv4Addr,
@@ -516,7 +361,7 @@
         };
         let mut flow = Flow::new(holding, scene.now_ms);
         flow.caller_acknowledgement = segment.acknowledgement;
-        if self.flows.insert(key, flow, scene.now_ms) {
+        if self.remember(key, flow, scene.now_ms) {
             self.pending.push(key);
         }
         actions.push(Action::ToBackend(packet.to_vec()));
@@ -584,7 +429,7 @@
         log::info!("event=flow_found flow={key} host={from}");
         say_holds(&key, lookup.balancer, from, actions);
         let flow = Flow::new(Holding::Elsewhere(from), scene.now_ms);
-        self.flows.insert(key, flow, scene.now_ms);
+        self.remember(key, flow, scene.now_ms);
     }
 
     /// Ends a flow of which it is proved that nobody holds it.
@@ -596,122 +441,14 @@
         }
     }
 
-    /// Takes a packet that the backend server returned.
-    fn returned(
-        &mut self,
-        scene: &Scene<'_>,
-        segment: &Segment,
-        mut packet: Vec<u8>,
-        actions: &mut Vec<Action>,
-    ) {
-        (self.wire.restore)(&mut packet);
-        let key = segment.flow_from_caller();
-        let Some(flow) = self.flows.get(&key) else {
-            return;
-        };
-        match flow.holding.clone() {
-            Holding::Opening(opening) => {
-                self.flows.remove(&key, scene.now_ms);
-                self.hand_on(scene, &key, opening, actions);
-            }
-            // A late copy of an opener whose flow has opened already, here or elsewhere.
-            _ if segment.opens => {}
-            holding => {
-                let lost = self.flows.update(&key, scene.now_ms, |flow| {
-                    flow.holding = Holding::Absent;
-                    flow.running.take()
-                });
-                if let Some(running) = lost.flatten() {
-                    self.metrics.requests_lost.inc();
-                    let id = running.id;
-                    log::warn!("event=request_lost request={id} flow={key} reason=flow_not_held");
-                }
-                match holding {
-                    Holding::Unconfirmed {
-                        asker: Some(asker), ..
-                    } => tell(MessageKind::Absent, &key, asker, actions),
-                    _ => self.look_up(scene, segment, &packet, Ipv4Addr::UNSPECIFIED, actions),
-                }
-            }
-        }
-    }
-
-    /// Notes what an answer of the backend server tells of its flow.
-    fn answer(&mut self, now_ms: u64, segment: &Segment, packet: &[u8]) {
-        let key = segment.flow_from_backend();
-        if self.flows.get(&key).is_none() {
-            if !segment.resets && !segment.accepts {
-                let mut flow = Flow::new(Holding::Open, now_ms);
-                flow.caller_acknowledgement = segment.sequence;
-                flow.shown = true;
-                self.flows.insert(key, flow, now_ms);
-            }
-            return;
-        }
-        let answered = self.flows.update(&key, now_ms, |flow| {
-            flow.seen_ms = now_ms;
-            flow.shown |= !segment.accepts;
-            match &mut flow.holding {
-                Holding::Opening(opening) if segment.accepts => {
-                    opening.answered = true;
-                    opening.backend_sequence = segment.sequence;
-                }
-                Holding::Opening(_) | Holding::Open => {}
-                holding => *holding = Holding::Open,
-            }
-            flow.closed |= segment.ends || segment.resets;
-            let begins = segment.payload_bytes > 0 || flow.closed;
-            flow.running.take_if(|_| begins)
-        });
-        if let Some(running) = answered.flatten() {
-            self.note_answer(&key, &running, (self.wire.status)(packet), now_ms);
-        }
-    }
-
-    fn note_answer(&self, key: &FlowKey, running: &Running, status: Option<u16>, now_ms: u64) {
-        let took_ms = now_ms.saturating_sub(running.since_ms);
-        self.metrics
-            .request_seconds
-            .observe(took_ms as f64 / 1_000.0);
-        let failed = status.is_none_or(|status| status >= FIRST_ERROR_STATUS);
-        if failed || took_ms >= SLOW_MS {
-            log::info!(
-                "event=request_answered request={} flow={key} status={} took_ms={took_ms} busy={}",
-                running.id,
-                status.unwrap_or(0),
-                self.flows.busy()
-            );
-        }
-    }
-
-    /// Does what is due for one flow; says whether nothing more is awaited.
-    fn settle(&mut self, scene: &Scene<'_>, key: &FlowKey, actions: &mut Vec<Action>) -> bool {
-        let Some(flow) = self.flows.get(key) else {
-            return true;
-        };
-        match flow.holding.clone() {
-            Holding::Opening(opening) if !opening.answered => {
-                if scene.now_ms < opening.since_ms + BACKEND_TIMEOUT_MS {
-                    return false;
-                }
-                if self.silent_since_ms.replace(opening.since_ms).is_none() {
-                    log::warn!("event=backend_silent flow={key} waited_ms={BACKEND_TIMEOUT_MS}");
-                }
-                self.hand_on(scene, key, opening, actions);
-            }
-            Holding::Unconfirmed { since_ms, asker } => {
-                if scene.now_ms < since_ms + BACKEND_TIMEOUT_MS {
-                    return false;
-                }
-                self.flows
-                    .update(key, scene.now_ms, |flow| flow.holding = Holding::Open);
-                if let Some(asker) = asker {
-                    tell(MessageKind::Found, key, asker, actions);
-                }
-            }
-            _ => {}
+    /// Notes a flow; without room for it, what is not noted is no longer known to be absent.
+    fn remember(&mut self, key: FlowKey, flow: Flow, now_ms: u64) -> bool {
+        let remembered = self.flows.insert(key, flow, now_ms);
+        if !remembered {
+            self.knows_all = false;
+            log::warn!("event=flows_full flow={key} open={}", self.flows.open());
         }
-        true
+        remembered
     }
 
     fn reset(&self, key: &FlowKey, acknowledgement: u32, code: Code, actions: &mut Vec<Action>) {
--- /dev/null
+++ b/src/opaque/keeper/answers.rs
@@ -0,0 +1,140 @@
+//! What the backend server sends, and what its silence means.
+
+use std::net::Ipv4Addr;
+
+use crate::opaque::action::Action;
+use crate::opaque::flow_book::{Flow, Holding, Running};
+use crate::opaque::keeper::{BACKEND_TIMEOUT_MS, Keeper, Scene, tell};
+use crate::opaque::message::MessageKind;
+use crate::opaque::segment::{FlowKey, Segment};
+
+/// The time from which an answer is logged as slow, in milliseconds: above the latency that the users
+/// aim at for any kind of request today.
+const SLOW_MS: u64 = 500;
+/// The status from which an answer is logged.
+const FIRST_ERROR_STATUS: u16 = 400;
+
+impl Keeper {
+    /// Takes a packet that the backend server returned.
+    pub(super) fn returned(
+        &mut self,
+        scene: &Scene<'_>,
+        segment: &Segment,
+        mut packet: Vec<u8>,
+        actions: &mut Vec<Action>,
+    ) {
+        (self.wire.restore)(&mut packet);
+        let key = segment.flow_from_caller();
+        let Some(flow) = self.flows.get(&key) else {
+            return;
+        };
+        match flow.holding.clone() {
+            Holding::Opening(opening) => {
+                self.flows.remove(&key, scene.now_ms);
+                self.hand_on(scene, &key, opening, actions);
+            }
+            // A late copy of an opener whose flow has opened already, here or elsewhere.
+            _ if segment.opens => {}
+            holding => {
+                let lost = self.flows.update(&key, scene.now_ms, |flow| {
+                    flow.holding = Holding::Absent;
+                    flow.running.take()
+                });
+                if let Some(running) = lost.flatten() {
+                    self.metrics.requests_lost.inc();
+                    let id = running.id;
+                    log::warn!("event=request_lost request={id} flow={key} reason=flow_not_held");
+                }
+                match holding {
+                    Holding::Unconfirmed {
+                        asker: Some(asker), ..
+                    } => tell(MessageKind::Absent, &key, asker, actions),
+                    _ => self.look_up(scene, segment, &packet, Ipv4Addr::UNSPECIFIED, actions),
+                }
+            }
+        }
+    }
+
+    /// Notes what an answer of the backend server tells of its flow.
+    pub(super) fn answer(&mut self, now_ms: u64, segment: &Segment, packet: &[u8]) {
+        let key = segment.flow_from_backend();
+        if self.flows.get(&key).is_none() {
+            if !segment.resets && !segment.accepts {
+                let mut flow = Flow::new(Holding::Open, now_ms);
+                flow.caller_acknowledgement = segment.sequence;
+                flow.shown = true;
+                self.remember(key, flow, now_ms);
+            }
+            return;
+        }
+        let answered = self.flows.update(&key, now_ms, |flow| {
+            flow.seen_ms = now_ms;
+            flow.shown |= !segment.accepts;
+            match &mut flow.holding {
+                Holding::Opening(opening) if segment.accepts => {
+                    opening.answered = true;
+                    opening.backend_sequence = segment.sequence;
+                }
+                Holding::Opening(_) | Holding::Open => {}
+                holding => *holding = Holding::Open,
+            }
+            flow.closed |= segment.ends || segment.resets;
+            let begins = segment.payload_bytes > 0 || flow.closed;
+            flow.running.take_if(|_| begins)
+        });
+        if let Some(running) = answered.flatten() {
+            self.note_answer(&key, &running, (self.wire.status)(packet), now_ms);
+        }
+    }
+
+    fn note_answer(&self, key: &FlowKey, running: &Running, status: Option<u16>, now_ms: u64) {
+        let took_ms = now_ms.saturating_sub(running.since_ms);
+        self.metrics
+            .request_seconds
+            .observe(took_ms as f64 / 1_000.0);
+        let failed = status.is_none_or(|status| status >= FIRST_ERROR_STATUS);
+        if failed || took_ms >= SLOW_MS {
+            log::info!(
+                "event=request_answered request={} flow={key} status={} took_ms={took_ms} busy={}",
+                running.id,
+                status.unwrap_or(0),
+                self.flows.busy()
+            );
+        }
+    }
+
+    /// Does what is due for one flow; says whether nothing more is awaited.
+    pub(super) fn settle(
+        &mut self,
+        scene: &Scene<'_>,
+        key: &FlowKey,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(flow) = self.flows.get(key) else {
+            return true;
+        };
+        match flow.holding.clone() {
+            Holding::Opening(opening) if !opening.answered => {
+                if scene.now_ms < opening.since_ms + BACKEND_TIMEOUT_MS {
+                    return false;
+                }
+                if self.silent_since_ms.replace(opening.since_ms).is_none() {
+                    log::warn!("event=backend_silent flow={key} waited_ms={BACKEND_TIMEOUT_MS}");
+                }
+                self.hand_on(scene, key, opening, actions);
+            }
+            Holding::Unconfirmed { since_ms, asker } => {
+                if scene.now_ms < since_ms + BACKEND_TIMEOUT_MS {
+                    return false;
+                }
+                self.flows
+                    .update(key, scene.now_ms, |flow| flow.holding = Holding::Open);
+                if let Some(asker) = asker {
+                    tell(MessageKind::Found, key, asker, actions);
+                }
+            }
+            _ => {}
+        }
+        true
+    }
+}
--- /dev/null
+++ b/src/opaque/keeper/openers.rs
@@ -0,0 +1,183 @@
+//! Openers: which the agent takes, and where the others go.
+
+use crate::code::Code;
+use crate::opaque::action::Action;
+use crate::opaque::flow_book::{Flow, Holding, Opening};
+use crate::opaque::keeper::{Keeper, Scene, say_holds, tell};
+use crate::opaque::message::{Message, MessageKind};
+use crate::opaque::opener_order::next_host;
+use crate::opaque::segment::{FlowKey, Segment};
+
+/// How often a silent backend server is tried with an opener, in milliseconds.
+const PROBE_MS: u64 = 200;
+/// The requests for each slot, running or waiting, from which a backend server takes no opener: with
+/// one waiting behind each running one, what is taken still ends within about two service times.
+const CROWDED_PER_SLOT: u32 = 2;
+/// The number of the last copy that a caller sends of an opener.
+const LAST_COPY: u32 = 2;
+
+/// Why an agent does not take an opener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NotTaken {
+    Leaving,
+    BackendDown,
+    OtherService,
+    NotPublished,
+    Silent,
+    Crowded,
+    /// Who handed the opener over knows a newer configuration, by which it may belong here.
+    Behind,
+}
+
+impl Keeper {
+    /// Takes an opener, or passes it on.
+    pub(super) fn opener(
+        &mut self,
+        scene: &Scene<'_>,
+        segment: &Segment,
+        packet: &[u8],
+        message: &Message,
+        actions: &mut Vec<Action>,
+    ) {
+        let key = segment.flow_from_caller();
+        let known = self.flows.get(&key).map(|flow| &flow.holding);
+        if matches!(known, Some(Holding::Opening(_) | Holding::Open)) {
+            say_holds(&key, message.host, self.identity.host, actions);
+            actions.push(Action::ToBackend(packet.to_vec()));
+            return;
+        }
+        let opening = Opening {
+            since_ms: scene.now_ms,
+            packet: packet.to_vec(),
+            balancer: message.host,
+            hops: message.hops,
+            copy: segment.acknowledgement,
+            answered: false,
+            backend_sequence: 0,
+        };
+        let checked = self.check_opener(scene, &key);
+        let behind = message.digest.highest > scene.revision;
+        match checked {
+            // Handed on by the older configuration it would run at a service that the newer one has
+            // taken off the route. Its caller sends a copy, and the newer one is on its way.
+            Err(NotTaken::OtherService) if behind => {
+                let reason = NotTaken::Behind;
+                self.log_not_taken(scene, &key, &opening, reason);
+                self.metrics.openers_dropped.inc();
+            }
+            Ok(()) => self.take_opener(scene, &key, opening, actions),
+            Err(reason) => {
+                self.log_not_taken(scene, &key, &opening, reason);
+                if message.kind == MessageKind::Deliver && !message.host.is_unspecified() {
+                    tell(MessageKind::Absent, &key, message.host, actions);
+                }
+                self.hand_on(scene, &key, opening, actions);
+            }
+        }
+    }
+
+    fn log_not_taken(&self, scene: &Scene<'_>, key: &FlowKey, opening: &Opening, reason: NotTaken) {
+        log::info!(
+            "event=opener_not_taken flow={key} reason={reason:?} copy={} hops={} busy={} revision={}",
+            opening.copy,
+            opening.hops,
+            self.flows.busy(),
+            scene.revision
+        );
+    }
+
+    fn take_opener(
+        &mut self,
+        scene: &Scene<'_>,
+        key: &FlowKey,
+        opening: Opening,
+        actions: &mut Vec<Action>,
+    ) {
+        let (balancer, packet) = (opening.balancer, opening.packet.clone());
+        log::info!(
+            "event=opener_taken flow={key} copy={} hops={} busy={} open={} revision={}",
+            opening.copy,
+            opening.hops,
+            self.flows.busy(),
+            self.flows.open(),
+            scene.revision
+        );
+        let flow = Flow::new(Holding::Opening(opening), scene.now_ms);
+        if !self.remember(*key, flow, scene.now_ms) {
+            return;
+        }
+        self.metrics.openers_taken.inc();
+        self.lookups.forget(key);
+        self.pending.push(*key);
+        say_holds(key, balancer, self.identity.host, actions);
+        actions.push(Action::ToBackend(packet));
+    }
+
+    fn check_opener(&mut self, scene: &Scene<'_>, key: &FlowKey) -> Result<(), NotTaken> {
+        if self.leaving {
+            return Err(NotTaken::Leaving);
+        }
+        if !self.backend_up {
+            return Err(NotTaken::BackendDown);
+        }
+        let route = scene.directory.routes().get(key.called);
+        let service = route.and_then(|route| route.service(key.hash()));
+        if service != Some(self.identity.service) {
+            return Err(NotTaken::OtherService);
+        }
+        let own = scene.directory.own(self.identity.backend, scene.now_ms);
+        let published = own.filter(|own| own.service == self.identity.service);
+        if !published.is_some_and(|own| own.takes_flows) {
+            return Err(NotTaken::NotPublished);
+        }
+        if self.silent_since_ms.is_some() {
+            if scene.now_ms < self.last_probe_ms + PROBE_MS {
+                return Err(NotTaken::Silent);
+            }
+            self.last_probe_ms = scene.now_ms;
+            return Ok(());
+        }
+        if self.is_crowded(scene) {
+            return Err(NotTaken::Crowded);
+        }
+        Ok(())
+    }
+
+    fn is_crowded(&self, scene: &Scene<'_>) -> bool {
+        let table = scene.directory.table(self.identity.service);
+        let row = table.and_then(|table| table.row_on(self.identity.host));
+        row.is_some_and(|row| self.flows.busy() >= row.slots * CROWDED_PER_SLOT)
+    }
+
+    /// Passes an opener to the agent after this one in the flow's order, if there is one left.
+    ///
+    /// Otherwise its caller sends another copy, for which there may be room; only of the last copy is
+    /// it told that nobody takes it, since it has but few attempts.
+    pub(super) fn hand_on(
+        &self,
+        scene: &Scene<'_>,
+        key: &FlowKey,
+        opening: Opening,
+        actions: &mut Vec<Action>,
+    ) {
+        match next_host(scene, self.identity.host, key, opening.hops) {
+            Some(host) => {
+                let mut message = Message::new(MessageKind::HandOn);
+                message.host = opening.balancer;
+                message.hops = opening.hops + 1;
+                self.metrics.openers_handed_on.inc();
+                actions.push(Action::ToPeer(host, message, opening.packet));
+            }
+            None if opening.copy >= LAST_COPY => self.reset(key, 0, Code::NoRoom, actions),
+            None => {
+                self.metrics.openers_dropped.inc();
+                log::info!(
+                    "event=opener_dropped flow={key} copy={} hops={} revision={}",
+                    opening.copy,
+                    opening.hops,
+                    scene.revision
+                );
+            }
+        }
+    }
+}
--- a/src/opaque/lookup.rs
+++ b/src/opaque/lookup.rs
@@ -130,6 +130,11 @@
         Some(self.open.remove(index))
     }
 
+    /// Returns the flows about which a question is open.
+    pub(crate) fn flows(&self) -> Vec<FlowKey> {
+        self.open.iter().map(|lookup| lookup.flow).collect()
+    }
+
     /// Tells whether no question is open.
     pub fn is_empty(&self) -> bool {
         self.open.is_empty()
--- a/src/opaque/mod.rs
+++ b/src/opaque/mod.rs
@@ -25,6 +25,7 @@
 mod segment;
 mod side;
 mod source;
+mod state;
 
 pub use crate::opaque::action::Action;
 pub use crate::opaque::backend::{Backend, BackendState, GONE_TEXT, backend_text};
@@ -57,3 +58,4 @@
 
 pub(crate) use crate::opaque::entry::run as run_entry;
 pub(crate) use crate::opaque::side::run as run_side;
+pub(crate) use crate::opaque::state::hooks;
--- a/src/opaque/node.rs
+++ b/src/opaque/node.rs
@@ -133,7 +133,10 @@
                 continue;
             };
             match Message::split(&buffer) {
-                Ok((payload, message)) => take(*from.ip(), &message, payload),
+                Ok((payload, message)) => {
+                    self.values.noticed(*from.ip(), message.digest);
+                    take(*from.ip(), &message, payload);
+                }
                 Err(error) => self.drop_packet(&error),
             }
         }
--- a/src/opaque/published.rs
+++ b/src/opaque/published.rs
@@ -275,6 +275,14 @@
         self.pull(from);
     }
 
+    /// Notes what the sender of a packet holds, which may be newer: so a change travels with the
+    /// traffic that it is about.
+    pub(crate) fn noticed(self: &Rc<Self>, from: Ipv4Addr, digest: Digest) {
+        if digest.highest > self.control.store.borrow().digest().highest && self.has_routes() {
+            self.pull(from);
+        }
+    }
+
     /// Asks a host that holds other revisions for what is newer there, one ask at a time.
     fn pull(self: &Rc<Self>, host: Ipv4Addr) {
         if self.pulling.replace(true) {
--- a/src/opaque/side.rs
+++ b/src/opaque/side.rs
@@ -26,8 +26,7 @@
 const TICK: Duration = Duration::from_millis(20);
 /// How often flows are tidied, in milliseconds.
 const TIDY_MS: u64 = 1_000;
-/// The age from which an agent has seen every flow open, in milliseconds: the longest life of one.
-const SEEN_ALL_MS: u64 = 60_000;
+const MS_PER_S: u64 = 1_000;
 
 struct Side {
     node: Rc<Node>,
@@ -87,9 +86,14 @@
         host: control.settings.host,
         backend: settings.backend.ok_or_else(|| missing("backend"))?,
         service: ServiceId::of(service.ok_or_else(|| missing("service"))?),
+        flow_lifetime_ms: flow_lifetime_ms(control),
     })
 }
 
+fn flow_lifetime_ms(control: &Control) -> u64 {
+    control.settings.opaque.flow_lifetime_s * MS_PER_S
+}
+
 impl Side {
     fn receive(self: Rc<Self>, from_backend: UdpSocket) {
         let side = self.clone();
@@ -106,11 +110,12 @@
     fn subscribe(self: &Rc<Self>) {
         self.node.subscribe();
         let side = self.clone();
+        let lifetime_ms = flow_lifetime_ms(&self.node.control);
         self.node.control.timers.every(TIDY_MS, move || {
             let now_ms = side.node.control.now_ms();
             let mut keeper = side.keeper.borrow_mut();
             keeper.expire(now_ms);
-            if now_ms > SEEN_ALL_MS {
+            if now_ms > lifetime_ms {
                 keeper.set_knows_all();
             }
         });
@@ -157,19 +162,19 @@
     /// Lets the keeper decide and does what it asks.
     fn decide(
         self: &Rc<Self>,
-        decision: impl FnOnce(&mut Keeper, &mut Scene<'_>) -> Result<Vec<Action>>,
+        decision: impl FnOnce(&mut Keeper, &Scene<'_>) -> Result<Vec<Action>>,
     ) {
         let control = &self.node.control;
         let result = {
             let directory = self.node.directory.borrow();
-            let mut suspicion = control.suspicion.borrow_mut();
-            let mut scene = Scene {
+            let suspicion = control.suspicion.borrow();
+            let scene = Scene {
                 directory: &directory,
-                suspicion: &mut suspicion,
+                suspicion: &suspicion,
                 revision: control.store.borrow().digest().highest,
                 now_ms: control.now_ms(),
             };
-            decision(&mut self.keeper.borrow_mut(), &mut scene)
+            decision(&mut self.keeper.borrow_mut(), &scene)
         };
         match result {
             Ok(actions) => self.node.perform(actions, |packet| {
--- /dev/null
+++ b/src/opaque/state.rs
@@ -0,0 +1,35 @@
+//! The state dump of processes that carry opaque flows.
+
+use std::rc::Rc;
+
+use serde_json::{Value, json};
+
+use crate::balancer::packet_counts;
+use crate::control::Control;
+use crate::node_server::{self, NodeHooks};
+
+/// Returns what a process in this role answers on control links.
+pub(crate) fn hooks(control: &Rc<Control>, role: &'static str) -> NodeHooks {
+    let control = control.clone();
+    node_server::hooks_without_flows(move || state(&control, role))
+}
+
+fn state(control: &Control, role: &str) -> Value {
+    let metrics = &control.metrics;
+    let opaque = &metrics.opaque;
+    let mut state = control.state(role);
+    state["packets"] = packet_counts(metrics);
+    state["opaque"] = json!({
+        "flows_open": opaque.flows_open.get(),
+        "requests_busy": opaque.requests_busy.get(),
+        "hints_held": opaque.hints_held.get(),
+        "hints_wrong": opaque.hints_wrong.get(),
+        "openers_taken": opaque.openers_taken.get(),
+        "openers_handed_on": opaque.openers_handed_on.get(),
+        "openers_dropped": opaque.openers_dropped.get(),
+        "lookups_started": opaque.lookups_started.get(),
+        "lookups_given_up": opaque.lookups_given_up.get(),
+        "values_age_ms": (opaque.values_age_seconds.get() * 1_000.0) as u64,
+    });
+    state
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -23,6 +23,7 @@
     ("network", "datagram_port"),
     ("network", "metrics_port"),
     ("opaque", "backend"),
+    ("opaque", "flow_lifetime_s"),
     ("opaque", "fresh_site"),
     ("opaque", "listen"),
     ("opaque", "outbound"),
@@ -82,6 +83,8 @@
     pub outbound: Option<SocketAddrV4>,
     /// The service for which that backend server was set up.
     pub service: Option<String>,
+    /// The longest life of a flow, after which what is known of it may be forgotten, in seconds.
+    pub flow_lifetime_s: u64,
     /// Whether the whole site starts for the first time, so that no flow is older than this process.
     pub fresh_site: bool,
 }
@@ -249,6 +252,7 @@
             backend: self.optional("opaque", "backend", address)?,
             outbound: self.optional("opaque", "outbound", address)?,
             service: self.optional("opaque", "service", "a name")?,
+            flow_lifetime_s: self.number("opaque", "flow_lifetime_s", 60, 1..=86_400)?,
             fresh_site: self
                 .optional("opaque", "fresh_site", flag)?
                 .unwrap_or(false),
--- a/tests/opaque/builder.rs
+++ b/tests/opaque/builder.rs
@@ -13,6 +13,8 @@
 pub(crate) const SERVICE: &str = "queue-desk";
 /// The address that callers call.
 pub(crate) const CALLED: &str = "192.0.2.1:443";
+/// The longest life of a flow, in milliseconds.
+pub(crate) const FLOW_LIFETIME_MS: u64 = 60_000;
 /// The balancer through which packets come in.
 pub(crate) const BALANCER: Ipv4Addr = Ipv4Addr::new(10, 9, 0, 1);
 
@@ -196,7 +198,21 @@
 }
 
 pub(crate) fn forwarder() -> Forwarder {
-    Forwarder::new(WIRE, BALANCER, &OpaqueMetrics::default())
+    Forwarder::new(WIRE, BALANCER, FLOW_LIFETIME_MS, &OpaqueMetrics::default())
+}
+
+fn identity() -> KeeperIdentity {
+    KeeperIdentity {
+        host: host(1),
+        backend: backend_address(1),
+        service: ServiceId::of(SERVICE),
+        flow_lifetime_ms: FLOW_LIFETIME_MS,
+    }
+}
+
+/// Returns the keeper of an agent that knows all flows.
+pub(crate) fn keeper(identity: KeeperIdentity) -> Keeper {
+    Keeper::new(WIRE, identity, true, &OpaqueMetrics::default())
 }
 
 /// An agent with what it sees.
@@ -211,13 +227,8 @@
 impl AgentUnderTest {
     /// Returns the agent on host 1 of a site with this many hosts.
     pub(crate) fn new(count: u8, knows_all: bool) -> Self {
-        let identity = KeeperIdentity {
-            host: host(1),
-            backend: backend_address(1),
-            service: ServiceId::of(SERVICE),
-        };
         Self {
-            keeper: Keeper::new(WIRE, identity, knows_all, &OpaqueMetrics::default()),
+            keeper: Keeper::new(WIRE, identity(), knows_all, &OpaqueMetrics::default()),
             directory: directory(count),
             suspicion: Suspicion::default(),
             revision: u64::from(count),
@@ -225,14 +236,27 @@
         }
     }
 
-    fn with<T>(&mut self, decide: impl FnOnce(&mut Keeper, &mut Scene<'_>) -> T) -> T {
-        let mut scene = Scene {
+    pub(crate) fn identity(&self) -> KeeperIdentity {
+        identity()
+    }
+
+    /// Hands over a packet of the backend server on a flow that was never seen.
+    pub(crate) fn answer_from_backend(&mut self, key: &FlowKey) {
+        let spec = PacketSpec {
+            flags: ACK,
+            ..PacketSpec::default()
+        };
+        self.backend(from_backend(key, spec));
+    }
+
+    fn with<T>(&mut self, decide: impl FnOnce(&mut Keeper, &Scene<'_>) -> T) -> T {
+        let scene = Scene {
             directory: &self.directory,
-            suspicion: &mut self.suspicion,
+            suspicion: &self.suspicion,
             revision: self.revision,
             now_ms: self.now_ms,
         };
-        decide(&mut self.keeper, &mut scene)
+        decide(&mut self.keeper, &scene)
     }
 
     /// Hands over a datagram of another process.
--- a/tests/opaque/keeper.rs
+++ b/tests/opaque/keeper.rs
@@ -1,6 +1,7 @@
 //! What an agent does with packets.
 
-use endivedyke::opaque::{BackendState, MessageKind};
+use endivedyke::ServiceId;
+use endivedyke::opaque::{BackendState, KeeperIdentity, Message, MessageKind};
 
 use crate::builder::{self, host};
 use crate::builder::{
@@ -154,7 +155,7 @@
     let mut agent = AgentUnderTest::new(2, false);
     let asked = agent.hear(
         host(2),
-        endivedyke::opaque::Message::new(MessageKind::Find),
+        Message::new(MessageKind::Find),
         &request(&flow(1), 7),
     );
     assert!(reaches_backend(&asked));
@@ -164,7 +165,7 @@
     // A second question is answered from memory, so that the packet reaches the server once.
     let again = agent.hear(
         host(2),
-        endivedyke::opaque::Message::new(MessageKind::Find),
+        Message::new(MessageKind::Find),
         &request(&flow(1), 7),
     );
     assert!(!reaches_backend(&again));
@@ -175,7 +176,7 @@
     let mut agent = AgentUnderTest::new(2, false);
     agent.hear(
         host(2),
-        endivedyke::opaque::Message::new(MessageKind::Find),
+        Message::new(MessageKind::Find),
         &request(&flow(1), 7),
     );
     let settled = agent.tick_at(1_060);
@@ -307,3 +308,48 @@
     agent.now_ms += 200;
     assert!(resets(&agent.refuse()).is_empty());
 }
+
+#[test]
+fn an_agent_behind_its_balancer_does_not_hand_openers_to_the_old_service() {
+    let mut agent = AgentUnderTest::new(2, true);
+    let text = state_text(1, BackendState::Ready).replace(builder::SERVICE, "scene-intake");
+    publish(&mut agent.directory, 1, &text, 9, 0);
+    let own = KeeperIdentity {
+        service: ServiceId::of("scene-intake"),
+        ..agent.identity()
+    };
+    agent.keeper = builder::keeper(own);
+    for (newer, handed_on) in [(0, 1), (1, 0)] {
+        let mut message = Message::new(MessageKind::Deliver);
+        message.host = BALANCER;
+        message.digest.highest = agent.revision + newer;
+        let actions = agent.hear(BALANCER, message, &opener(&flow(1), 0));
+        assert!(!reaches_backend(&actions));
+        assert_eq!(hosts_told(&actions, MessageKind::HandOn).len(), handed_on);
+    }
+}
+
+#[test]
+fn an_agent_without_room_in_its_book_no_longer_says_absent() {
+    let mut agent = AgentUnderTest::new(2, true);
+    for port in 0..20_000 {
+        let mut key = flow(1);
+        key.caller.set_port(port);
+        agent.answer_from_backend(&key);
+    }
+    let find = Message::new(MessageKind::Find);
+    let asked = agent.hear(host(2), find, &request(&flow(40_000), 7));
+    assert!(hosts_told(&asked, MessageKind::Absent).is_empty());
+    assert!(reaches_backend(&asked));
+}
+
+#[test]
+fn an_agent_that_caught_up_concludes_from_the_answers_it_has() {
+    let mut agent = AgentUnderTest::new(2, true);
+    agent.deliver(&request(&flow(1), 7));
+    let newer = agent.revision + 5;
+    agent.answer_at(MessageKind::Absent, host(2), &flow(1), newer);
+    assert!(resets(&agent.tick_at(1_050)).is_empty());
+    agent.revision = newer;
+    assert_eq!(resets(&agent.tick_at(1_100)), [flow(1)]);
+}
--- a/tests/opaque/model.rs
+++ b/tests/opaque/model.rs
@@ -10,8 +10,8 @@
 use proptest::prelude::*;
 
 use crate::builder::{
-    BALANCER, SERVICE, WIRE, acceptance, backend_address, bounced, directory, flow, host, opener,
-    request,
+    BALANCER, FLOW_LIFETIME_MS, SERVICE, WIRE, acceptance, backend_address, bounced, directory,
+    flow, host, opener, request,
 };
 
 const HOSTS: u8 = 4;
@@ -95,6 +95,7 @@
         host: host(index),
         backend: backend_address(index),
         service: ServiceId::of(SERVICE),
+        flow_lifetime_ms: FLOW_LIFETIME_MS,
     };
     Keeper::new(WIRE, identity, knows_all, &OpaqueMetrics::default())
 }
@@ -111,7 +112,7 @@
         });
         Self {
             agents: agents.collect(),
-            balancer: Forwarder::new(WIRE, BALANCER, &OpaqueMetrics::default()),
+            balancer: Forwarder::new(WIRE, BALANCER, FLOW_LIFETIME_MS, &OpaqueMetrics::default()),
             in_flight: Vec::new(),
             now_ms: 1_000,
             first_opener_ms: Vec::new(),
@@ -142,7 +143,8 @@
                 }
             }
             Event::RestartBalancer => {
-                self.balancer = Forwarder::new(WIRE, BALANCER, &OpaqueMetrics::default())
+                self.balancer =
+                    Forwarder::new(WIRE, BALANCER, FLOW_LIFETIME_MS, &OpaqueMetrics::default())
             }
             Event::RestartAgent(index) => {
                 self.agents[usize::from(*index) - 1].keeper = keeper(*index, false);
@@ -173,7 +175,7 @@
             self.first_opener_ms.push((*key, first_ms));
         }
         if self.now_ms <= first_ms + LAST_COPY_MS && !self.in_use.contains(key) {
-            self.from_caller(opener(key, 0));
+            self.caller_sends(opener(key, 0));
         }
     }
 
@@ -183,11 +185,11 @@
         if let Some((_, sequence)) = accepted {
             let packet = request(key, sequence + 1);
             self.in_use.push(*key);
-            self.from_caller(packet);
+            self.caller_sends(packet);
         }
     }
 
-    fn from_caller(&mut self, packet: Vec<u8>) {
+    fn caller_sends(&mut self, packet: Vec<u8>) {
         let mut suspicion = Suspicion::default();
         let action = self
             .balancer
@@ -220,20 +222,16 @@
         });
     }
 
-    fn decide(
-        &mut self,
-        index: u8,
-        decide: impl FnOnce(&mut Keeper, &mut Scene<'_>) -> Vec<Action>,
-    ) {
+    fn decide(&mut self, index: u8, decide: impl FnOnce(&mut Keeper, &Scene<'_>) -> Vec<Action>) {
         let directory = directory(HOSTS);
         let agent = &mut self.agents[usize::from(index) - 1];
-        let mut scene = Scene {
+        let scene = Scene {
             directory: &directory,
-            suspicion: &mut agent.suspicion,
+            suspicion: &agent.suspicion,
             revision: REVISION,
             now_ms: self.now_ms,
         };
-        let actions = decide(&mut agent.keeper, &mut scene);
+        let actions = decide(&mut agent.keeper, &scene);
         self.perform(host(index), actions);
     }
 
