Serve fresh openers first while there is not room for all; pass on less for want of room

Ruled out: slow starts (all ready within 0.5 s of the first). Change: room for copies 0, 1, 2 is 2, 1.5 and 1 requests a slot; three hops for want of room; suspicion after two openers in a row without an answer; dropped lines are told once a second.

--- a/src/log_budget.rs
+++ b/src/log_budget.rs
@@ -16,6 +16,7 @@
     millilines: u64,
     filled_ms: u64,
     dropped: u64,
+    told_ms: u64,
 }
 
 impl LogBudget {
@@ -25,6 +26,7 @@
             millilines: (BURST_LINES + RESERVED_LINES) * MS_PER_S,
             filled_ms: now_ms,
             dropped: 0,
+            told_ms: now_ms,
         }
     }
 
@@ -48,8 +50,12 @@
         self.dropped += 1;
     }
 
-    /// Returns how many lines were dropped since this was last asked.
-    pub fn take_dropped(&mut self) -> u64 {
+    /// Returns how many lines were dropped since they were last told, once a second.
+    pub fn take_dropped(&mut self, now_ms: u64) -> u64 {
+        if now_ms < self.told_ms + MS_PER_S {
+            return 0;
+        }
+        self.told_ms = now_ms;
         std::mem::take(&mut self.dropped)
     }
 }
--- a/src/log_output.rs
+++ b/src/log_output.rs
@@ -42,7 +42,7 @@
             self.dropped.inc();
             return;
         }
-        let dropped = budget.take_dropped();
+        let dropped = budget.take_dropped(now_ms);
         let mut line = String::new();
         if dropped > 0 {
             line = format!("event=lines_dropped count={dropped}\n");
--- a/src/opaque/entry.rs
+++ b/src/opaque/entry.rs
@@ -115,6 +115,7 @@
         }
         let now_ms = self.node.control.now_ms();
         self.node.control.suspicion.borrow_mut().answered(from);
+        self.forwarder.borrow_mut().heard(from);
         let Some(flow) = named_flow(payload) else {
             return;
         };
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -23,6 +23,8 @@
 /// How long an agent may take to say that it has an opener, in milliseconds: several round trips
 /// between availability zones, and half of the wait after which callers send a copy.
 const TAKEN_TIMEOUT_MS: u64 = 100;
+/// After how many openers in a row without an answer an agent is suspected: one may be lost or late.
+const SUSPECT_AFTER: u32 = 2;
 /// How many openers are watched for their agents' answers at once.
 const MAX_WATCHED: usize = 4_096;
 
@@ -51,6 +53,7 @@
     flow_lifetime_ms: u64,
     hints: FlowMap<Hint>,
     watched: VecDeque<Watched>,
+    unanswered: Vec<(Ipv4Addr, u32)>,
 }
 
 impl Forwarder {
@@ -70,6 +73,7 @@
             flow_lifetime_ms,
             hints: FlowMap::new(MAX_HINTS),
             watched: VecDeque::new(),
+            unanswered: Vec::new(),
         }
     }
 
@@ -101,6 +105,29 @@
         Ok(self.deliver(host, packet))
     }
 
+    /// Notes that an agent said something, whatever it was.
+    pub fn heard(&mut self, host: Ipv4Addr) {
+        if let Ok(index) = self
+            .unanswered
+            .binary_search_by_key(&host, |(host, _)| *host)
+        {
+            self.unanswered.remove(index);
+        }
+    }
+
+    /// Counts an opener without an answer; returns how many there were in a row.
+    fn miss(&mut self, host: Ipv4Addr) -> u32 {
+        let found = self
+            .unanswered
+            .binary_search_by_key(&host, |(host, _)| *host);
+        let index = found.unwrap_or_else(|index| {
+            self.unanswered.insert(index, (host, 0));
+            index
+        });
+        self.unanswered[index].1 += 1;
+        self.unanswered[index].1
+    }
+
     /// Notes who holds a flow.
     pub fn holds(&mut self, flow: FlowKey, host: Ipv4Addr, now_ms: u64) {
         let hint = Hint {
@@ -144,9 +171,11 @@
             if self.hints.get(&watched.flow).is_some() {
                 continue;
             }
-            suspicion.suspect(watched.host, now_ms);
             self.metrics.openers_unanswered.inc();
-            self.metrics.hosts_suspected.inc();
+            if self.miss(watched.host) >= SUSPECT_AFTER {
+                suspicion.suspect(watched.host, now_ms);
+                self.metrics.hosts_suspected.inc();
+            }
             log::info!(
                 "event=opener_unanswered flow={} host={} waited_ms={TAKEN_TIMEOUT_MS} attempt={}",
                 watched.flow,
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -10,9 +10,18 @@
 
 /// How often a silent backend server is tried with an opener, in milliseconds.
 const PROBE_MS: u64 = 200;
-/// The requests for each slot, running or waiting, from which a backend server takes no opener: with
-/// one waiting behind each running one, what is taken still ends within about two service times.
-const CROWDED_PER_SLOT: u32 = 2;
+/// The requests for each slot, running or waiting, from which a backend server takes no opener, for
+/// each copy that a caller sends of it.
+///
+/// With one waiting behind each running one, what is taken still ends within about two service times.
+/// Later copies come from callers that have waited 200 or 600 ms already, most of their aim or more:
+/// while there is not room for all, those that can still be served in time go first.
+const CROWDED_PER_SLOT: [f64; 3] = [2.0, 1.5, 1.0];
+/// By how many agents an opener may be passed on.
+const MAX_HOPS: usize = 8;
+/// By how many agents it may be passed on for want of room: four draws find room where there is some,
+/// and where there is none, each further hop costs the agents time that they don't have then.
+const CROWDED_HOPS: usize = 3;
 /// The number of the last copy that a caller sends of an opener.
 const LAST_COPY: u32 = 2;
 
@@ -55,7 +64,7 @@
             answered: false,
             backend_sequence: 0,
         };
-        let checked = self.check_opener(scene, &key);
+        let checked = self.check_opener(scene, &key, opening.copy);
         let behind = message.digest.highest > scene.revision;
         match checked {
             // Handed on by the older configuration it would run at a service that the newer one has
@@ -71,7 +80,11 @@
                 if message.kind == MessageKind::Deliver && !message.host.is_unspecified() {
                     tell(MessageKind::Absent, &key, message.host, actions);
                 }
-                self.hand_on(scene, &key, opening, actions);
+                let hops = match reason {
+                    NotTaken::Crowded => CROWDED_HOPS,
+                    _ => MAX_HOPS,
+                };
+                self.hand_on_within(scene, &key, opening, hops, actions);
             }
         }
     }
@@ -113,7 +126,12 @@
         actions.push(Action::ToBackend(packet));
     }
 
-    fn check_opener(&mut self, scene: &Scene<'_>, key: &FlowKey) -> Result<(), NotTaken> {
+    fn check_opener(
+        &mut self,
+        scene: &Scene<'_>,
+        key: &FlowKey,
+        copy: u32,
+    ) -> Result<(), NotTaken> {
         if self.leaving {
             return Err(NotTaken::Leaving);
         }
@@ -137,16 +155,17 @@
             self.last_probe_ms = scene.now_ms;
             return Ok(());
         }
-        if self.is_crowded(scene) {
+        if self.is_crowded(scene, copy) {
             return Err(NotTaken::Crowded);
         }
         Ok(())
     }
 
-    fn is_crowded(&self, scene: &Scene<'_>) -> bool {
+    fn is_crowded(&self, scene: &Scene<'_>, copy: u32) -> bool {
         let table = scene.directory.table(self.identity.service);
         let row = table.and_then(|table| table.row_on(self.identity.host));
-        row.is_some_and(|row| self.flows.busy() >= row.slots * CROWDED_PER_SLOT)
+        let per_slot = CROWDED_PER_SLOT[copy.min(LAST_COPY) as usize];
+        row.is_some_and(|row| f64::from(self.flows.busy()) >= f64::from(row.slots) * per_slot)
     }
 
     /// Passes an opener to the agent after this one in the flow's order, if there is one left.
@@ -160,7 +179,18 @@
         opening: Opening,
         actions: &mut Vec<Action>,
     ) {
-        match next_host(scene, self.identity.host, key, opening.hops) {
+        self.hand_on_within(scene, key, opening, MAX_HOPS, actions);
+    }
+
+    fn hand_on_within(
+        &self,
+        scene: &Scene<'_>,
+        key: &FlowKey,
+        opening: Opening,
+        max_hops: usize,
+        actions: &mut Vec<Action>,
+    ) {
+        match next_host(scene, self.identity.host, key, opening.hops, max_hops) {
             Some(host) => {
                 let mut message = Message::new(MessageKind::HandOn);
                 message.host = opening.balancer;
--- a/src/opaque/opener_order.rs
+++ b/src/opaque/opener_order.rs
@@ -6,10 +6,8 @@
 use crate::opaque::segment::FlowKey;
 use crate::placement;
 
-/// By how many agents an opener may be passed on.
-const MAX_HOPS: usize = 8;
-
-/// Returns the agent after `own` in the order of a flow, if one is left that was not offered it.
+/// Returns the agent after `own` in the order of a flow, if one is left that was not offered it
+/// and fewer than `max_hops` were.
 ///
 /// All agents with the same table walk the same circle, so that no list of those passed must travel.
 pub(crate) fn next_host(
@@ -17,6 +15,7 @@
     own: Ipv4Addr,
     key: &FlowKey,
     hops: u8,
+    max_hops: usize,
 ) -> Option<Ipv4Addr> {
     let route = scene.directory.routes().get(key.called)?;
     let service = route.service(key.hash())?;
@@ -26,7 +25,7 @@
         row.host == own || (row.weight > 0 && trusted)
     });
     let others = order.iter().filter(|row| row.host != own).count();
-    if usize::from(hops) >= others.min(MAX_HOPS) {
+    if usize::from(hops) >= others.min(max_hops) {
         return None;
     }
     let position = order.iter().position(|row| row.host == own);
--- a/tests/opaque/keeper.rs
+++ b/tests/opaque/keeper.rs
@@ -353,3 +353,22 @@
     agent.revision = newer;
     assert_eq!(resets(&agent.tick_at(1_100)), [flow(1)]);
 }
+
+#[test]
+fn while_there_is_not_room_for_all_fresh_openers_go_first() {
+    // Four slots: eight requests for a first copy, six for the second, four for the last.
+    for (busy, taken) in [
+        (3, [true, true, true]),
+        (5, [true, true, false]),
+        (7, [true, false, false]),
+    ] {
+        for (copy, taken) in taken.into_iter().enumerate() {
+            let mut agent = AgentUnderTest::new(3, true);
+            for port in 100..100 + busy {
+                agent.deliver(&opener(&flow(port), 0));
+            }
+            let actions = agent.deliver(&opener(&flow(1), copy as u32));
+            assert_eq!(reaches_backend(&actions), taken, "{busy} busy, copy {copy}");
+        }
+    }
+}
