Let the clearly lighter of two candidates take an opener

Cause: openers were placed by hash alone and moved only when a server was crowded, so slow, cold or unlucky servers took their full share until two requests a slot stood there. Change: messages carry the mean load of the sender's server over a second; a balancer sends a first copy to the second target of the hash where that is lower by a quarter of a slot.

--- a/src/opaque/entry.rs
+++ b/src/opaque/entry.rs
@@ -110,12 +110,15 @@
     }
 
     fn peer_says(self: &Rc<Self>, from: Ipv4Addr, message: &Message, payload: &[u8]) {
+        let now_ms = self.node.control.now_ms();
+        self.node.control.suspicion.borrow_mut().answered(from);
+        let load_permille = message.load_permille;
+        self.forwarder
+            .borrow_mut()
+            .heard(from, load_permille, now_ms);
         if self.node.take_beat(from, message) {
             return;
         }
-        let now_ms = self.node.control.now_ms();
-        self.node.control.suspicion.borrow_mut().answered(from);
-        self.forwarder.borrow_mut().heard(from);
         let Some(flow) = named_flow(payload) else {
             return;
         };
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -12,6 +12,7 @@
 use crate::opaque::action::Action;
 use crate::opaque::directory::Directory;
 use crate::opaque::flow_map::FlowMap;
+use crate::opaque::known_loads::KnownLoads;
 use crate::opaque::message::{Message, MessageKind};
 use crate::opaque::metrics::OpaqueMetrics;
 use crate::opaque::segment::{FLOW_KEY_BYTES, FlowKey, Segment, WireFormat};
@@ -54,6 +55,7 @@
     hints: FlowMap<Hint>,
     watched: VecDeque<Watched>,
     unanswered: Vec<(Ipv4Addr, u32)>,
+    loads: KnownLoads,
 }
 
 impl Forwarder {
@@ -74,6 +76,7 @@
             hints: FlowMap::new(MAX_HINTS),
             watched: VecDeque::new(),
             unanswered: Vec::new(),
+            loads: KnownLoads::default(),
         }
     }
 
@@ -96,7 +99,10 @@
         }
         let host = if segment.opens {
             let attempt = segment.acknowledgement as usize;
-            let host = self.opener_host(directory, suspicion, &flow, attempt, now_ms)?;
+            let host = match attempt {
+                0 => self.lighter_host(directory, suspicion, &flow, now_ms)?,
+                attempt => self.opener_host(directory, suspicion, &flow, attempt, now_ms)?,
+            };
             self.watch(flow, host, attempt, packet.clone(), now_ms);
             host
         } else {
@@ -105,8 +111,9 @@
         Ok(self.deliver(host, packet))
     }
 
-    /// Notes that an agent said something, whatever it was.
-    pub fn heard(&mut self, host: Ipv4Addr) {
+    /// Notes that an agent said something, whatever it was, and the load that it told.
+    pub fn heard(&mut self, host: Ipv4Addr, load_permille: u16, now_ms: u64) {
+        self.loads.heard(host, load_permille, now_ms);
         if let Ok(index) = self
             .unanswered
             .binary_search_by_key(&host, |(host, _)| *host)
@@ -195,6 +202,7 @@
 
     /// Forgets flows of which nothing was heard for as long as a flow lives.
     pub fn expire(&mut self, now_ms: u64) {
+        self.loads.expire(now_ms);
         let lifetime_ms = self.flow_lifetime_ms;
         self.hints
             .retain(|_, hint| now_ms < hint.seen_ms + lifetime_ms);
@@ -251,10 +259,29 @@
         } else {
             trusted
         };
-        let index = attempt.checked_rem(ranked.len());
-        let row = index.map(|index| ranked[index]);
-        row.map(|row| row.host)
-            .ok_or_else(|| Error::new(Code::HostUnknown, flow.called.to_string()))
+        let none = || Error::new(Code::HostUnknown, flow.called.to_string());
+        let index = attempt.checked_rem(ranked.len()).ok_or_else(none)?;
+        Ok(ranked[index].host)
+    }
+
+    /// Returns the agent for the first copy of an opener: of the two best by hash the one whose
+    /// backend server has clearly less to do.
+    ///
+    /// Bounded by two, so that balancers which heard different loads send one flow to two agents at
+    /// most; imbalance of a rush falls as with any choice of two.
+    fn lighter_host(
+        &self,
+        directory: &Directory,
+        suspicion: &Suspicion,
+        flow: &FlowKey,
+        now_ms: u64,
+    ) -> Result<Ipv4Addr> {
+        let first = self.opener_host(directory, suspicion, flow, 0, now_ms)?;
+        let second = self.opener_host(directory, suspicion, flow, 1, now_ms)?;
+        if self.loads.prefers(second, first, now_ms) {
+            return Ok(second);
+        }
+        Ok(first)
     }
 
     /// Returns the agent for any other packet: the holder, or one that can find it.
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -14,7 +14,8 @@
 use crate::opaque::directory::Directory;
 use crate::opaque::flow_book::{Flow, FlowBook, Holding, Running};
 use crate::opaque::lookup::{Lookups, Verdict};
-use crate::opaque::message::{Message, MessageKind};
+use crate::opaque::mean_load::MeanLoad;
+use crate::opaque::message::{Message, MessageKind, UNKNOWN_LOAD};
 use crate::opaque::metrics::OpaqueMetrics;
 use crate::opaque::segment::{FlowKey, Segment, WireFormat};
 use crate::service_id::ServiceId;
@@ -62,6 +63,7 @@
     identity: KeeperIdentity,
     metrics: OpaqueMetrics,
     flows: FlowBook,
+    load: MeanLoad,
     lookups: Lookups,
     pending: Vec<FlowKey>,
     knows_all: bool,
@@ -87,6 +89,7 @@
             identity,
             metrics: metrics.clone(),
             flows: FlowBook::new(metrics, identity.flow_lifetime_ms),
+            load: MeanLoad::default(),
             lookups: Lookups::new(metrics),
             pending: Vec::new(),
             knows_all,
@@ -105,6 +108,14 @@
         self.flows.busy()
     }
 
+    /// Returns the mean load of the backend server, for balancers to choose by.
+    pub fn load_permille(&mut self, scene: &Scene<'_>) -> u16 {
+        self.load.changed(self.flows.busy(), scene.now_ms);
+        let table = scene.directory.table(self.identity.service);
+        let row = table.and_then(|table| table.row_on(self.identity.host));
+        row.map_or(UNKNOWN_LOAD, |row| self.load.permille(row.slots))
+    }
+
     /// Returns the flows open at the backend server.
     pub fn open_flows(&self) -> u32 {
         self.flows.open()
--- a/src/opaque/message.rs
+++ b/src/opaque/message.rs
@@ -12,7 +12,7 @@
 
 const VERSION: u8 = 1;
 /// The bytes that [`Message::append`] adds.
-pub(crate) const TRAILER_BYTES: usize = 36;
+pub(crate) const TRAILER_BYTES: usize = 30;
 
 /// What a datagram between two processes asks or says.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,17 +50,17 @@
     /// How long ago the sender's revisions were known to be the newest, in milliseconds;
     /// [`UNKNOWN_AGE_MS`] while it can't find out.
     pub age_ms: u32,
-    /// The requests that run or wait at the sender's backend server.
-    pub busy: u16,
-    /// The flows open there.
-    pub open_flows: u16,
-    /// The part of its share that the sender's backend server takes, in thousandths.
-    pub share_permille: u16,
+    /// The requests for each slot of the sender's backend server, over the last second, in
+    /// thousandths; [`UNKNOWN_LOAD`] from a process without one.
+    pub load_permille: u16,
 }
 
 /// The age that says that the sender has lost touch with the configuration service.
 pub const UNKNOWN_AGE_MS: u32 = u32::MAX;
 
+/// The load of a process that has no backend server beside it.
+pub const UNKNOWN_LOAD: u16 = u16::MAX;
+
 impl Message {
     /// Makes a message without a host and without load.
     pub fn new(kind: MessageKind) -> Self {
@@ -70,9 +70,7 @@
             host: Ipv4Addr::UNSPECIFIED,
             digest: Digest::default(),
             age_ms: UNKNOWN_AGE_MS,
-            busy: 0,
-            open_flows: 0,
-            share_permille: 0,
+            load_permille: UNKNOWN_LOAD,
         }
     }
 
@@ -83,10 +81,7 @@
         payload.extend_from_slice(&self.digest.highest.to_be_bytes());
         payload.extend_from_slice(&self.digest.hash.to_be_bytes());
         payload.extend_from_slice(&self.age_ms.to_be_bytes());
-        payload.extend_from_slice(&self.busy.to_be_bytes());
-        payload.extend_from_slice(&self.open_flows.to_be_bytes());
-        payload.extend_from_slice(&self.share_permille.to_be_bytes());
-        payload.extend_from_slice(&[0, 0]);
+        payload.extend_from_slice(&self.load_permille.to_be_bytes());
     }
 
     /// Splits a datagram into its payload and its trailer.
@@ -112,9 +107,7 @@
                     hash: word(16),
                 },
                 age_ms: (u32::from(half(24)) << 16) | u32::from(half(26)),
-                busy: half(28),
-                open_flows: half(30),
-                share_permille: half(32),
+                load_permille: half(28),
             },
         ))
     }
--- a/src/opaque/node.rs
+++ b/src/opaque/node.rs
@@ -1,6 +1,6 @@
 //! What balancers and agents of opaque flows share: the directory, messages, beats.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 
@@ -14,7 +14,7 @@
 use crate::opaque::backend::Backend;
 use crate::opaque::directory::Directory;
 use crate::opaque::freshness::BEAT_MS;
-use crate::opaque::message::{Message, MessageKind};
+use crate::opaque::message::{Message, MessageKind, UNKNOWN_LOAD};
 use crate::opaque::published::PublishedValues;
 use crate::opaque::route_table::RouteTable;
 use crate::opaque::segment::WireFormat;
@@ -37,6 +37,8 @@
     receiver: UdpSocket,
     sender: std::net::UdpSocket,
     askers: RefCell<Vec<(Ipv4Addr, u64)>>,
+    /// The load that messages tell of the backend server beside this process.
+    pub(crate) load_permille: Cell<u16>,
 }
 
 impl Node {
@@ -52,6 +54,7 @@
             receiver,
             sender,
             askers: RefCell::default(),
+            load_permille: Cell::new(UNKNOWN_LOAD),
         });
         control.tells_peers.set(false);
         let changed = node.clone();
@@ -183,6 +186,7 @@
     /// Sends a message to the process on another host.
     pub(crate) fn send(&self, host: Ipv4Addr, mut message: Message, mut payload: Vec<u8>) {
         self.values.sign(&mut message);
+        message.load_permille = self.load_permille.get();
         message.append(&mut payload);
         let address = SocketAddrV4::new(host, self.control.settings.datagram_port);
         self.send_datagram(&self.sender, address, &payload);
--- a/src/opaque/side.rs
+++ b/src/opaque/side.rs
@@ -174,7 +174,10 @@
                 revision: control.store.borrow().digest().highest,
                 now_ms: control.now_ms(),
             };
-            decision(&mut self.keeper.borrow_mut(), &scene)
+            let mut keeper = self.keeper.borrow_mut();
+            let result = decision(&mut keeper, &scene);
+            self.node.load_permille.set(keeper.load_permille(&scene));
+            result
         };
         match result {
             Ok(actions) => self.node.perform(actions, |packet| {
--- a/tests/opaque/forwarder.rs
+++ b/tests/opaque/forwarder.rs
@@ -1,6 +1,6 @@
 //! What a balancer does with packets.
 
-use endivedyke::opaque::{Action, BackendState, Forwarder, MessageKind};
+use endivedyke::opaque::{Action, BackendState, Forwarder, MessageKind, UNKNOWN_LOAD};
 use endivedyke::{Code, Suspicion};
 
 use crate::builder::{
@@ -79,7 +79,7 @@
                 .expect("forwarded");
             balancer.tick(&site, &mut suspicion, now_ms + 100);
             if heard {
-                balancer.heard(host(1));
+                balancer.heard(host(1), UNKNOWN_LOAD, now_ms);
             }
         }
         assert_eq!(suspicion.is_suspected(host(1), 1_300), !heard);
@@ -172,3 +172,36 @@
         );
     }
 }
+
+#[test]
+fn of_two_candidates_the_clearly_lighter_one_takes_the_opener() {
+    let first = host_of(&send(&mut forwarder(), opener(&flow(1), 0)));
+    let second = host_of(&send(&mut forwarder(), opener(&flow(1), 1)));
+    let cases = [
+        (1_000, 100, second),
+        (1_000, 900, first),
+        (100, 1_000, first),
+    ];
+    for (first_load, second_load, chosen) in cases {
+        let mut balancer = forwarder();
+        balancer.heard(first, first_load, 900);
+        balancer.heard(second, second_load, 900);
+        let host = host_of(&send(&mut balancer, opener(&flow(1), 0)));
+        assert_eq!(host, chosen, "{first_load} and {second_load}");
+    }
+}
+
+#[test]
+fn loads_that_are_old_or_unknown_change_nothing() {
+    let first = host_of(&send(&mut forwarder(), opener(&flow(1), 0)));
+    let second = host_of(&send(&mut forwarder(), opener(&flow(1), 1)));
+    for (load, heard_ms) in [(2_000, 0), (UNKNOWN_LOAD, 900)] {
+        let mut balancer = forwarder();
+        balancer.heard(first, load, heard_ms);
+        balancer.heard(second, 0, heard_ms);
+        let mut suspicion = Suspicion::default();
+        let packet = opener(&flow(1), 0);
+        let action = balancer.handle(&directory(5), &mut suspicion, packet, 2_500);
+        assert_eq!(host_of(&action.expect("forwarded")), first);
+    }
+}
--- a/tests/opaque/message.rs
+++ b/tests/opaque/message.rs
@@ -6,12 +6,12 @@
 
 proptest! {
     #[test]
-    fn what_is_sent_is_read(payload: Vec<u8>, highest: u64, hash: u64, age_ms: u32, hops: u8, busy: u16) {
+    fn what_is_sent_is_read(payload: Vec<u8>, highest: u64, hash: u64, age_ms: u32, hops: u8, load_permille: u16) {
         let mut message = Message::new(MessageKind::Find);
         message.digest = Digest { highest, hash };
         message.age_ms = age_ms;
         message.hops = hops;
-        message.busy = busy;
+        message.load_permille = load_permille;
         let mut datagram = payload.clone();
         message.append(&mut datagram);
         prop_assert_eq!(Message::split(&datagram), Ok((payload.as_slice(), message)));
