Take nothing for gone after a start that found the platform away; a soak of the real processes

Change: a process whose first read failed proves nothing by questions for 2.5 s, in which lapsed entries are back; messages carry how long that goes on, and who hears it waits too. endivedyke-lab soak: kills, stops, freezes, crashes, drains, lapses and faults of the store, in series and overlapping.

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -14,7 +14,7 @@
 use crate::experiments::{self, ExperimentOptions};
 use crate::load::{self, LoadPlan};
 use crate::load_report;
-use crate::opaque::{OpaqueLoadPlan, run_opaque_load, run_opaque_quickstart};
+use crate::opaque::{OpaqueLoadPlan, run_opaque_load, run_opaque_quickstart, run_soak};
 use crate::quickstart::run_quickstart;
 use crate::{config_service, fabric};
 
@@ -40,6 +40,8 @@
     Load(LoadOptions),
     #[options(help = "load on opaque flows, as on the users' platform")]
     OpaqueLoad(OpaqueLoadOptions),
+    #[options(help = "random faults on opaque flows, and the promises checked")]
+    Soak(SoakOptions),
     #[options(help = "stand in for the fabric")]
     Fabric(FabricOptions),
     #[options(help = "stand in for the platform's configuration service")]
@@ -58,6 +60,24 @@
     opaque: bool,
 }
 
+#[derive(Debug, Options)]
+struct SoakOptions {
+    #[options(help = "print this help and exit")]
+    help: bool,
+    #[options(no_short, help = "the first seed", default = "1")]
+    seed: u64,
+    #[options(
+        no_short,
+        help = "how many seeds to run, one after another",
+        default = "1"
+    )]
+    count: u64,
+    #[options(no_short, help = "for how long faults go on in each", default = "8")]
+    seconds: u64,
+    #[options(no_short, help = "an existing folder for log lines", meta = "FOLDER")]
+    logs: Option<PathBuf>,
+}
+
 #[derive(Debug, Options)]
 struct OpaqueLoadOptions {
     #[options(help = "print this help and exit")]
@@ -68,6 +88,12 @@
     feeds: usize,
     #[options(no_short, help = "callers that send claims", default = "8")]
     claims: usize,
+    #[options(
+        no_short,
+        help = "the mean pause of a caller, in milliseconds",
+        default = "250"
+    )]
+    pause_ms: u64,
     #[options(no_short, help = "for how long", default = "10")]
     seconds: u64,
     #[options(
@@ -194,6 +220,7 @@
     let result = match options.command {
         Some(Command::Quickstart(options)) if options.opaque => opaque_quickstart(),
         Some(Command::Quickstart(_)) => quickstart(),
+        Some(Command::Soak(options)) => soak(&options),
         Some(Command::OpaqueLoad(options)) => opaque_load(&options),
         Some(Command::Experiment(options)) => experiments::run(&options),
         Some(Command::Load(options)) => run_load(&options),
@@ -260,11 +287,31 @@
     ))
 }
 
+/// Runs all seeds, also after one that broke something, and fails if any did.
+fn soak(options: &SoakOptions) -> Result<()> {
+    let mut broken = Vec::new();
+    for seed in options.seed..options.seed + options.count {
+        match block_on(run_soak(seed, options.seconds, options.logs.as_deref())) {
+            Ok(line) => println!("{line}"),
+            Err(error) => {
+                println!("{}", error.message);
+                broken.push(seed.to_string());
+            }
+        }
+    }
+    if broken.is_empty() {
+        return Ok(());
+    }
+    let message = format!("seeds {} broke a promise", broken.join(", "));
+    Err(Error::new(Code::OutcomeUnknown, message))
+}
+
 fn opaque_load(options: &OpaqueLoadOptions) -> Result<()> {
     let plan = OpaqueLoadPlan {
         deployment: options.deployment.clone(),
         feeds: options.feeds,
         claims: options.claims,
+        pause_ms: options.pause_ms,
         seconds: options.seconds,
         event: options.event.clone(),
     };
--- a/lab/src/opaque/backend.rs
+++ b/lab/src/opaque/backend.rs
@@ -30,6 +30,9 @@
     pub(crate) returned: u64,
 }
 
+/// The flows that backend servers hold open, by caller and called address, for whoever judges resets.
+pub(crate) type OpenFlows = Rc<RefCell<Vec<(SocketAddrV4, SocketAddrV4)>>>;
+
 /// Settings of a backend server.
 #[derive(Debug, Clone)]
 pub(crate) struct BackendSpec {
@@ -73,6 +76,16 @@
     next_sequence: u32,
     draining: bool,
     journal: Rc<RefCell<BackendJournal>>,
+    open_flows: OpenFlows,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        let mut open = self.open_flows.borrow_mut();
+        for flow in &self.flows {
+            open.retain(|known| *known != (flow.caller, flow.called));
+        }
+    }
 }
 
 /// A running backend server; it ends, and its flows with it, when this is dropped.
@@ -89,6 +102,7 @@
     pub(crate) async fn start(
         spec: &BackendSpec,
         journal: &Rc<RefCell<BackendJournal>>,
+        open_flows: &OpenFlows,
     ) -> Result<Self> {
         let socket = UdpSocket::bind(spec.address)?;
         socket.set_nonblocking(true)?;
@@ -102,6 +116,7 @@
             next_sequence: rand::random(),
             draining: false,
             journal: journal.clone(),
+            open_flows: open_flows.clone(),
         }));
         let listener = TcpListener::bind(spec.address).await?;
         let serving = server.clone();
@@ -131,6 +146,11 @@
         self.server.borrow_mut().draining = true;
     }
 
+    /// Tells whether the server leaves.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.server.borrow().draining
+    }
+
     /// Returns the number of open flows.
     pub(crate) fn open_flows(&self) -> usize {
         self.server.borrow().flows.len()
@@ -229,6 +249,9 @@
         let sequence = half.sequence.wrapping_add(1);
         let mut end = FlowEnd::new(half.called, half.caller, sequence, half.expected);
         end.take_packet(packet, now_ms);
+        self.open_flows
+            .borrow_mut()
+            .push((half.caller, half.called));
         self.flows.push(ServerFlow {
             caller: half.caller,
             called: half.called,
@@ -303,14 +326,17 @@
             }
         }
         let ended = &mut self.ended;
+        let mut open = self.open_flows.borrow_mut();
         self.flows.retain(|flow| {
             let done = flow.end.remote_ended() && flow.work.is_none();
             let keeps = !done && flow.end.repeats <= MAX_REPEATS;
             if !keeps {
                 ended.push((flow.caller, flow.called));
+                open.retain(|known| *known != (flow.caller, flow.called));
             }
             keeps
         });
+        drop(open);
         for packet in packets {
             self.send(&packet.encode());
         }
--- a/lab/src/opaque/callers.rs
+++ b/lab/src/opaque/callers.rs
@@ -7,7 +7,7 @@
 
 use endivedyke::Result;
 
-use crate::opaque::backend::{answer, header};
+use crate::opaque::backend::{OpenFlows, answer, header};
 use crate::opaque::flow_end::FlowEnd;
 use crate::opaque::packet::{ACK, Packet, RST, Received, SYN};
 use crate::opaque::routers::Routers;
@@ -18,6 +18,8 @@
 const COPIES_MS: [u64; 2] = [200, 600];
 /// How long an opener may stay without an answer, in milliseconds.
 const OPEN_TIMEOUT_MS: u64 = 1_400;
+/// How far from the next expected number a reset of an open flow may be.
+const RESET_WINDOW: u32 = 76_800;
 /// How often a request is tried again.
 const RETRIES: u32 = 2;
 /// How long a request may take with all its tries, in milliseconds.
@@ -49,8 +51,12 @@
     pub failed: u64,
     /// Answers that were not their request's, and packets that nobody wrote so.
     pub wrong: u64,
-    /// Flows reset by the system.
+    /// Open flows reset by the system.
     pub reset: u64,
+    /// Openers that the system refused.
+    pub refused: u64,
+    /// Flows reset by the system while a backend server held them.
+    pub wrongly_reset: u64,
     /// Refusals by a server that did not run the request.
     pub shed: u64,
     /// Claims that were answered, by their ids.
@@ -96,6 +102,7 @@
     next_id: u64,
     stopping: bool,
     tally: CallTally,
+    open_flows: OpenFlows,
 }
 
 /// Running callers.
@@ -110,6 +117,7 @@
         packet_port: u16,
         routers: &Routers,
         plans: &[CallPlan],
+        open_flows: &OpenFlows,
     ) -> Result<Self> {
         let socket = UdpSocket::bind((host, packet_port))?;
         socket.set_nonblocking(true)?;
@@ -124,6 +132,7 @@
             next_id: 0,
             stopping: false,
             tally: CallTally::default(),
+            open_flows: open_flows.clone(),
         }));
         callers.borrow_mut().populate();
         let running = callers.clone();
@@ -211,7 +220,15 @@
             return;
         }
         if packet.has(RST) {
-            self.tally.reset += u64::from(by_system);
+            if by_system && self.ignores_reset(index, &packet) {
+                return;
+            }
+            let flow = (packet.destination, packet.source);
+            let held = self.open_flows.borrow().contains(&flow);
+            let open = matches!(self.callers[index].stage, Stage::Open(_));
+            self.tally.reset += u64::from(by_system && open);
+            self.tally.refused += u64::from(by_system && !open);
+            self.tally.wrongly_reset += u64::from(by_system && open && held);
             self.flow_ended(index);
             return;
         }
@@ -234,6 +251,15 @@
         }
     }
 
+    /// Tells whether a reset is too far from what the caller expects to end an open flow.
+    fn ignores_reset(&self, index: usize, packet: &Packet) -> bool {
+        let Stage::Open(end) = &self.callers[index].stage else {
+            return false;
+        };
+        let ahead = packet.sequence.wrapping_sub(end.expected());
+        ahead.min(ahead.wrapping_neg()) > RESET_WINDOW
+    }
+
     fn send_request(&mut self, index: usize) {
         let caller = &mut self.callers[index];
         if let (Stage::Open(end), Some(request)) = (&mut caller.stage, &caller.request) {
--- a/lab/src/opaque/flow_end.rs
+++ b/lab/src/opaque/flow_end.rs
@@ -66,6 +66,11 @@
         self.ends = true;
     }
 
+    /// Returns the number of the next byte that is expected.
+    pub(crate) fn expected(&self) -> u32 {
+        self.expected
+    }
+
     /// Returns what was received and not yet taken.
     pub(crate) fn received(&self) -> &[u8] {
         &self.received
--- a/lab/src/opaque/load.rs
+++ b/lab/src/opaque/load.rs
@@ -4,7 +4,7 @@
 
 use endivedyke::{Code, Error, Result};
 
-use crate::opaque::callers::CallTally;
+use crate::opaque::callers::{CallPlan, CallTally};
 use crate::opaque::site::{OpaqueSite, OpaqueSiteBuilder};
 use crate::proc_stat;
 
@@ -17,6 +17,7 @@
     pub(crate) deployment: String,
     pub(crate) feeds: usize,
     pub(crate) claims: usize,
+    pub(crate) pause_ms: u64,
     pub(crate) seconds: u64,
     pub(crate) event: String,
 }
@@ -38,10 +39,15 @@
     }
     let mut site = builder.start().await?;
     let before = cpu_ms(&site)?;
-    site.call(&[
-        site.plan(0, plan.feeds, plan.claims),
-        site.plan(1, plan.feeds / 4, plan.claims / 4),
-    ])?;
+    let paused = |service, feeds, claims| CallPlan {
+        pause_ms: plan.pause_ms,
+        ..site.plan(service, feeds, claims)
+    };
+    let plans = [
+        paused(0, plan.feeds, plan.claims),
+        paused(1, plan.feeds / 4, plan.claims / 4),
+    ];
+    site.call(&plans)?;
     let targets = services[0].1;
     let mut imbalance = Imbalance::default();
     for second in 0..plan.seconds {
@@ -146,7 +152,7 @@
     let samples = f64::from(imbalance.samples.max(1));
     format!(
         "opaque load: {} requests, {} answered, {} wrong, {} doubled, {} flows broken\n\
-         {} failed, {} shed, slowest answer {} ms, {} packets handed back\n\
+         {} failed, {} openers refused, {} shed, slowest answer {} ms, {} packets handed back\n\
          {service}: imbalance of open flows {:.1} % in the mean, {:.1} % in the worst second\n\
          processor time of all processes: {:.2} ms a request; event {}",
         tally.requests,
@@ -155,6 +161,7 @@
         site.doubled(),
         tally.reset,
         tally.failed,
+        tally.refused,
         tally.shed,
         tally.slowest_ms,
         site.returned(),
--- a/lab/src/opaque/mod.rs
+++ b/lab/src/opaque/mod.rs
@@ -9,6 +9,7 @@
 mod quickstart;
 mod routers;
 mod site;
+mod soak;
 mod store;
 
 pub(crate) use crate::opaque::load::{OpaqueLoadPlan, run as run_opaque_load};
@@ -16,4 +17,5 @@
 pub use crate::opaque::callers::{CallPlan, CallTally};
 pub use crate::opaque::quickstart::run_opaque_quickstart;
 pub use crate::opaque::site::{OpaqueSite, OpaqueSiteBuilder};
+pub use crate::opaque::soak::run_soak;
 pub use crate::opaque::store::{StoreFault, StoreHandle};
--- a/lab/src/opaque/site.rs
+++ b/lab/src/opaque/site.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -10,7 +10,7 @@
 use serde_json::json;
 use tempfile::TempDir;
 
-use crate::opaque::backend::{BackendHandle, BackendJournal, BackendSpec};
+use crate::opaque::backend::{BackendHandle, BackendJournal, BackendSpec, OpenFlows};
 use crate::opaque::callers::{CallPlan, CallTally, CallersHandle};
 use crate::opaque::routers::Routers;
 use crate::opaque::store::StoreHandle;
@@ -45,6 +45,7 @@
     balancers: usize,
     services: Vec<ServiceSpec>,
     log_to_pipe: bool,
+    log_folder: Option<PathBuf>,
 }
 
 impl OpaqueSiteBuilder {
@@ -54,6 +55,7 @@
             balancers,
             services: Vec::new(),
             log_to_pipe: false,
+            log_folder: None,
         }
     }
 
@@ -74,6 +76,12 @@
         self
     }
 
+    /// Lets processes append their log lines to a file for each host in a folder.
+    pub fn logs_to(mut self, folder: &Path) -> Self {
+        self.log_folder = Some(folder.to_owned());
+        self
+    }
+
     /// Starts everything and waits until all balancers are in rotation.
     ///
     /// # Errors
@@ -111,6 +119,8 @@
             agents: Vec::new(),
             backends: Vec::new(),
             journals: Vec::new(),
+            open_flows: OpenFlows::default(),
+            service_of: Vec::new(),
             routed: (0..self.services.len()).collect(),
             version: 0,
             callers: None,
@@ -137,6 +147,9 @@
     agents: Vec<Option<Process>>,
     backends: Vec<Option<BackendHandle>>,
     journals: Vec<Rc<RefCell<BackendJournal>>>,
+    open_flows: OpenFlows,
+    /// The service of each backend server's host.
+    service_of: Vec<usize>,
     /// The service behind each called address.
     routed: Vec<usize>,
     version: u64,
@@ -232,6 +245,7 @@
         self.journals.push(Rc::default());
         self.backends.push(None);
         self.agents.push(None);
+        self.service_of.push(service);
         self.start_backend(index, service).await?;
         Ok(index)
     }
@@ -255,6 +269,7 @@
         };
         let backend = self.start_at_free_address(&spec, index).await?;
         self.backends[index] = Some(backend);
+        self.service_of[index] = service;
         self.register(index, "ready");
         Ok(())
     }
@@ -267,7 +282,7 @@
     ) -> Result<BackendHandle> {
         let until = Instant::now() + ADDRESS_TIMEOUT;
         loop {
-            match BackendHandle::start(spec, &self.journals[index]).await {
+            match BackendHandle::start(spec, &self.journals[index], &self.open_flows).await {
                 Err(_) if Instant::now() < until => compio::time::sleep(POLL).await,
                 result => return result,
             }
@@ -315,6 +330,41 @@
         self.store.remove(&format!("servers/{id}"));
     }
 
+    /// Takes a backend server's entry away while the server lives, as a store that was away does.
+    pub fn lapse(&self, index: usize) {
+        if let Some(backend) = &self.backends[index] {
+            self.expire_entry(&backend.id);
+        }
+    }
+
+    /// Publishes a backend server's entry again, if the server lives.
+    pub fn register_again(&self, index: usize) {
+        let draining = self.backends[index]
+            .as_ref()
+            .is_some_and(BackendHandle::is_draining);
+        self.register(index, if draining { "draining" } else { "ready" });
+    }
+
+    /// Starts a balancer anew, and ends the process before it if it is still there.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where it can't be started.
+    pub fn restart_balancer(&mut self, index: usize) -> Result<()> {
+        self.balancers[index] = None;
+        self.start_balancer(index)
+    }
+
+    /// Starts an agent anew, and ends the process before it if it is still there.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where it can't be started.
+    pub fn restart_agent(&mut self, index: usize) -> Result<()> {
+        self.agents[index] = None;
+        self.start_agent(index)
+    }
+
     /// Returns the number of flows open at a backend server.
     pub fn open_flows(&self, index: usize) -> usize {
         self.backends[index]
@@ -342,9 +392,7 @@
     /// Returns code 5001 where it can't be started.
     pub fn start_agent(&mut self, index: usize) -> Result<()> {
         let host = self.agent_host(index);
-        let service = self.backends[index]
-            .as_ref()
-            .map_or("unknown", |backend| &backend.spec.service);
+        let service = &self.spec.services[self.service_of[index]].name;
         let settings = self.settings(AGENT_TEMPLATE, host, service);
         let process = self.spawn("endivedyke-platform-agent", host, &settings)?;
         self.agents[index] = Some(process);
@@ -386,11 +434,15 @@
             ("platform.address", format!("{}:{STORE_PORT}", self.ip(2))),
             ("seeds", seeds.join(",")),
         ];
-        values
-            .iter()
-            .fold(template.to_owned(), |text, (name, value)| {
-                text.replace(&format!("{{{{{name}}}}}"), value)
-            })
+        let mut text = template.to_owned();
+        for (name, value) in values {
+            text = text.replace(&format!("{{{{{name}}}}}"), &value);
+        }
+        if let Some(folder) = &self.spec.log_folder {
+            // The section of log lines is the template's last.
+            text += &format!("file = {}\n", folder.join(format!("{host}.log")).display());
+        }
+        text
     }
 
     /// Returns the ids of all processes of the product.
@@ -456,6 +508,7 @@
             PACKET_PORT,
             &self.routers,
             plans,
+            &self.open_flows,
         )?);
         Ok(())
     }
--- /dev/null
+++ b/lab/src/opaque/soak.rs
@@ -0,0 +1,339 @@
+//! A randomized soak: the real processes under overlapping faults from outside, and the promises
+//! checked while it runs, from what callers and backend servers see.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use endivedyke::{Code, Error, Result};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::opaque::callers::CallTally;
+use crate::opaque::site::{OpaqueSite, OpaqueSiteBuilder};
+use crate::opaque::store::StoreFault;
+use crate::process::Process;
+
+const BALANCERS: usize = 3;
+const BACKENDS: usize = 5;
+/// The pause between two faults, in milliseconds: shorter than most faults, so that they overlap.
+const PAUSE_MS: std::ops::Range<u64> = 100..900;
+/// How long a fault lasts, in milliseconds.
+const FAULT_MS: std::ops::Range<u64> = 200..2_500;
+/// How long a backend server that drains goes on, in milliseconds.
+const DRAIN_MS: u64 = 1_500;
+/// How long after the return of the store a lapsed entry is back, in milliseconds.
+const LAPSE_MS: u64 = 1_500;
+/// How long the site has to recover after the last fault: lapsed entries, suspicions and patience.
+const RECOVERY: Duration = Duration::from_secs(6);
+/// How long requests are counted after that.
+const CALM: Duration = Duration::from_secs(2);
+const POLL: Duration = Duration::from_millis(20);
+
+/// What is done to the site.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    KillBalancer,
+    StopBalancer,
+    FreezeBalancer,
+    KillAgent,
+    StopAgent,
+    FreezeAgent,
+    CrashBackend,
+    DrainBackend,
+    LapseEntry,
+    Store(StoreFault),
+    TurnAway,
+    ForgetHistory,
+    HangUp,
+    KillAll,
+}
+
+const FAULTS: [Fault; 16] = [
+    Fault::KillBalancer,
+    Fault::StopBalancer,
+    Fault::FreezeBalancer,
+    Fault::KillAgent,
+    Fault::StopAgent,
+    Fault::FreezeAgent,
+    Fault::CrashBackend,
+    Fault::DrainBackend,
+    Fault::LapseEntry,
+    Fault::Store(StoreFault::Silent),
+    Fault::Store(StoreFault::Busy),
+    Fault::Store(StoreFault::Garbled),
+    Fault::TurnAway,
+    Fault::ForgetHistory,
+    Fault::HangUp,
+    Fault::KillAll,
+];
+
+/// What ends a fault.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Heal {
+    StartBalancer(usize),
+    ThawBalancer(usize),
+    StartAgent(usize),
+    ThawAgent(usize),
+    StartBackend { index: usize, old_id: String },
+    EndDrain(usize),
+    Register(usize),
+    Store,
+    Serve,
+}
+
+struct Soak {
+    site: OpaqueSite,
+    random: StdRng,
+    started: Instant,
+    heals: Vec<(u64, Heal)>,
+    steps: Vec<String>,
+}
+
+/// Runs one seed for some seconds, with log lines in files of a folder if one is named; the error names what was broken and the steps until then.
+///
+/// # Errors
+///
+/// Returns code 1101 where a promise was broken and 5001 where a process does not come up.
+pub async fn run_soak(seed: u64, seconds: u64, logs: Option<&Path>) -> Result<String> {
+    let mut builder = OpaqueSiteBuilder::new(BALANCERS).service("panel-front", BACKENDS, 4, 8);
+    if let Some(folder) = logs {
+        builder = builder.logs_to(folder);
+    }
+    let mut soak = Soak {
+        site: builder.start().await?,
+        random: StdRng::seed_from_u64(seed),
+        started: Instant::now(),
+        heals: Vec::new(),
+        steps: Vec::new(),
+    };
+    soak.site.call(&[soak.site.plan(0, 16, 6)])?;
+    while soak.started.elapsed() < Duration::from_secs(seconds) {
+        soak.strike()?;
+        let pause_ms = soak.random.random_range(PAUSE_MS);
+        let next_ms = soak.now_ms() + pause_ms;
+        while soak.now_ms() < next_ms {
+            soak.heal_due().await?;
+            compio::time::sleep(POLL).await;
+        }
+    }
+    soak.heal_all().await?;
+    compio::time::sleep(RECOVERY).await;
+    let before = soak.site.tally();
+    compio::time::sleep(CALM).await;
+    let tally = soak.site.finish().await;
+    soak.judge(seed, &before, &tally)
+}
+
+impl Soak {
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn strike(&mut self) -> Result<()> {
+        let fault = FAULTS[self.random.random_range(0..FAULTS.len())];
+        let balancer = self.random.random_range(0..BALANCERS);
+        let index = self.random.random_range(0..BACKENDS);
+        let due_ms = self.now_ms() + self.random.random_range(FAULT_MS);
+        self.steps.push(format!(
+            "{} ms: {fault:?} {balancer} {index}",
+            self.now_ms()
+        ));
+        match fault {
+            Fault::KillBalancer | Fault::StopBalancer => {
+                let kill = fault == Fault::KillBalancer;
+                if let Some(process) = self.site.balancer(balancer) {
+                    end(process, kill)?;
+                    self.heals.push((due_ms, Heal::StartBalancer(balancer)));
+                }
+            }
+            Fault::FreezeBalancer => {
+                if let Some(process) = self.site.balancer(balancer) {
+                    quietly(process.freeze());
+                    self.heals.push((due_ms, Heal::ThawBalancer(balancer)));
+                }
+            }
+            Fault::KillAgent | Fault::StopAgent => {
+                let kill = fault == Fault::KillAgent;
+                if let Some(process) = self.site.agent(index) {
+                    end(process, kill)?;
+                    self.heals.push((due_ms, Heal::StartAgent(index)));
+                }
+            }
+            Fault::FreezeAgent => {
+                if let Some(process) = self.site.agent(index) {
+                    quietly(process.freeze());
+                    self.heals.push((due_ms, Heal::ThawAgent(index)));
+                }
+            }
+            Fault::CrashBackend => {
+                if let Some(old_id) = self.site.crash_backend(index) {
+                    self.heals
+                        .push((due_ms, Heal::StartBackend { index, old_id }));
+                }
+            }
+            Fault::DrainBackend => {
+                self.site.drain_backend(index);
+                self.heals
+                    .push((self.now_ms() + DRAIN_MS, Heal::EndDrain(index)));
+            }
+            Fault::LapseEntry => {
+                // A living server's entry lapses only while the store is away, and is back soon after.
+                self.site.store().set_fault(Some(StoreFault::Busy));
+                self.site.lapse(index);
+                self.heals.push((due_ms, Heal::Store));
+                self.heals.push((due_ms + LAPSE_MS, Heal::Register(index)));
+            }
+            Fault::Store(fault) => {
+                self.site.store().set_fault(Some(fault));
+                self.heals.push((due_ms, Heal::Store));
+            }
+            Fault::TurnAway => {
+                let hosts =
+                    [index, (index + 1) % BACKENDS].map(|index| self.site.agent_host(index));
+                self.site.store().turn_away(&hosts);
+                self.heals.push((due_ms, Heal::Serve));
+            }
+            Fault::ForgetHistory => self.site.store().forget_history(),
+            Fault::HangUp => {
+                if let Some(process) = self.site.agent(index) {
+                    quietly(process.hang_up());
+                }
+            }
+            Fault::KillAll => self.kill_all(due_ms)?,
+        }
+        Ok(())
+    }
+
+    fn kill_all(&mut self, due_ms: u64) -> Result<()> {
+        for index in 0..BALANCERS {
+            if let Some(process) = self.site.balancer(index) {
+                process.kill()?;
+                self.heals.push((due_ms, Heal::StartBalancer(index)));
+            }
+        }
+        for index in 0..BACKENDS {
+            if let Some(process) = self.site.agent(index) {
+                process.kill()?;
+                self.heals.push((due_ms, Heal::StartAgent(index)));
+            }
+        }
+        Ok(())
+    }
+
+    async fn heal_due(&mut self) -> Result<()> {
+        let now_ms = self.now_ms();
+        let is_due = |(due_ms, _): &(u64, Heal)| *due_ms <= now_ms;
+        while let Some(index) = self.heals.iter().position(is_due) {
+            let (_, heal) = self.heals.remove(index);
+            self.heal(heal).await?;
+        }
+        Ok(())
+    }
+
+    async fn heal_all(&mut self) -> Result<()> {
+        while !self.heals.is_empty() {
+            self.heal_due().await?;
+            compio::time::sleep(POLL).await;
+        }
+        self.steps.push(format!("{} ms: all healed", self.now_ms()));
+        self.site.wait_ready().await
+    }
+
+    async fn heal(&mut self, heal: Heal) -> Result<()> {
+        match heal {
+            Heal::StartBalancer(index) => self.site.restart_balancer(index),
+            Heal::ThawBalancer(index) => self.site.balancer(index).map_or(Ok(()), thaw),
+            Heal::StartAgent(index) => self.site.restart_agent(index),
+            Heal::ThawAgent(index) => self.site.agent(index).map_or(Ok(()), thaw),
+            Heal::StartBackend { index, old_id } => {
+                self.site.start_backend(index, 0).await?;
+                self.site.expire_entry(&old_id);
+                Ok(())
+            }
+            Heal::EndDrain(index) => {
+                if let Some(old_id) = self.site.crash_backend(index) {
+                    self.site.expire_entry(&old_id);
+                    self.site.start_backend(index, 0).await?;
+                }
+                Ok(())
+            }
+            Heal::Register(index) => {
+                self.site.register_again(index);
+                Ok(())
+            }
+            // An overlapping fault of the store goes on until its own end.
+            Heal::Store if self.heals.iter().any(|(_, other)| *other == Heal::Store) => Ok(()),
+            Heal::Store => {
+                self.site.store().set_fault(None);
+                Ok(())
+            }
+            Heal::Serve => {
+                self.site.store().turn_away(&[]);
+                Ok(())
+            }
+        }
+    }
+
+    fn judge(&self, seed: u64, before: &CallTally, tally: &CallTally) -> Result<String> {
+        let ran = self.site.ran();
+        let lost = tally
+            .claims
+            .iter()
+            .filter(|id| ran.binary_search(id).is_err());
+        let asked = tally.requests - before.requests;
+        let answered = tally.answered - before.answered;
+        let broken = [
+            ("answers that were not their request's", tally.wrong),
+            (
+                "flows reset that a backend server held",
+                tally.wrongly_reset,
+            ),
+            ("claims that ran twice", self.site.doubled() as u64),
+            (
+                "packets at servers that they were not for",
+                self.site.strayed(),
+            ),
+            ("claims answered that did not run", lost.count() as u64),
+            // Requests that began before the calm may end in it, so that more are answered than asked.
+            (
+                "requests of the calm at the end not answered",
+                asked.saturating_sub(answered),
+            ),
+        ];
+        let broken: Vec<String> = broken
+            .iter()
+            .filter(|(_, count)| *count > 0)
+            .map(|(what, count)| format!("{count} {what}"))
+            .collect();
+        let line = format!(
+            "soak seed {seed}: {} faults, {} requests, {} answered, {} failed, {} flows reset",
+            self.steps.len(),
+            tally.requests,
+            tally.answered,
+            tally.failed,
+            tally.reset
+        );
+        if broken.is_empty() {
+            return Ok(line);
+        }
+        let message = format!("{line}: {}\n{}", broken.join(", "), self.steps.join("\n"));
+        Err(Error::new(Code::OutcomeUnknown, message))
+    }
+}
+
+/// Ends a process, by a kill or in good order.
+fn end(process: &mut Process, kill: bool) -> Result<()> {
+    if kill {
+        return process.kill();
+    }
+    quietly(process.terminate());
+    Ok(())
+}
+
+fn thaw(process: &mut Process) -> Result<()> {
+    quietly(process.thaw());
+    Ok(())
+}
+
+/// Passes over a signal to a process that an earlier fault has ended already.
+fn quietly(_signalled: Result<()>) {}
--- a/lab/tests/opaque_site.rs
+++ b/lab/tests/opaque_site.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{run, sleep_ms};
-use endivedyke_lab::opaque::{CallTally, OpaqueSite, OpaqueSiteBuilder, StoreFault};
+use endivedyke_lab::opaque::{CallTally, OpaqueSite, OpaqueSiteBuilder, StoreFault, run_soak};
 
 const END_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -44,8 +44,8 @@
 /// Asserts that no caller noticed anything.
 fn assert_unnoticed(site: &OpaqueSite, tally: &CallTally) {
     assert_promises(site, tally);
-    let seen = (tally.answered, tally.failed, tally.reset);
-    assert_eq!(seen, (tally.requests, 0, 0), "{}", summary(tally));
+    let seen = (tally.answered, tally.failed, tally.reset, tally.refused);
+    assert_eq!(seen, (tally.requests, 0, 0, 0), "{}", summary(tally));
 }
 
 #[test]
@@ -341,3 +341,12 @@
         assert_unnoticed(&site, &tally);
     });
 }
+
+#[test]
+fn a_short_soak_breaks_no_promise() {
+    // Seeds 3 and 5 once reset flows of servers whose entries had lapsed while everything was down.
+    for seed in [3, 5] {
+        let result = run(run_soak(seed, 4, None));
+        assert!(result.is_ok(), "{result:?}");
+    }
+}
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -39,6 +39,8 @@
     pub suspicion: &'a Suspicion,
     /// The highest revision in force here.
     pub revision: u64,
+    /// Whether a backend server that is not published may be taken for gone.
+    pub settled: bool,
     /// The time, in milliseconds.
     pub now_ms: u64,
 }
@@ -445,6 +447,9 @@
 
     /// Ends a flow of which it is proved that nobody holds it.
     fn conclude(&mut self, scene: &Scene<'_>, key: &FlowKey, actions: &mut Vec<Action>) {
+        if !scene.settled {
+            return;
+        }
         let verdict = self.lookups.verdict(key, scene.directory, scene.revision);
         if let Verdict::Nowhere { acknowledgement } = verdict {
             self.lookups.forget(key);
--- a/src/opaque/message.rs
+++ b/src/opaque/message.rs
@@ -50,6 +50,9 @@
     /// How long ago the sender's revisions were known to be the newest, in milliseconds;
     /// [`UNKNOWN_AGE_MS`] while it can't find out.
     pub age_ms: u32,
+    /// For how long the sender does not yet take a backend server that is not published for gone, in
+    /// milliseconds, rounded up to the next [`UNSETTLED_UNIT_MS`].
+    pub unsettled_ms: u16,
     /// The requests for each slot of the sender's backend server, over the last second, in
     /// thousandths; [`UNKNOWN_LOAD`] from a process without one.
     pub load_permille: u16,
@@ -61,7 +64,15 @@
 /// The load of a process that has no backend server beside it.
 pub const UNKNOWN_LOAD: u16 = u16::MAX;
 
+/// The unit in which [`Message::unsettled_ms`] travels, in milliseconds.
+pub(crate) const UNSETTLED_UNIT_MS: u16 = 20;
+
 impl Message {
+    fn unsettled_units(&self) -> u8 {
+        let units = self.unsettled_ms.div_ceil(UNSETTLED_UNIT_MS);
+        u8::try_from(units).unwrap_or(u8::MAX)
+    }
+
     /// Makes a message without a host and without load.
     pub fn new(kind: MessageKind) -> Self {
         Self {
@@ -70,13 +81,14 @@
             host: Ipv4Addr::UNSPECIFIED,
             digest: Digest::default(),
             age_ms: UNKNOWN_AGE_MS,
+            unsettled_ms: 0,
             load_permille: UNKNOWN_LOAD,
         }
     }
 
     /// Appends the trailer to a payload.
     pub fn append(&self, payload: &mut Vec<u8>) {
-        payload.extend_from_slice(&[VERSION, self.kind as u8, self.hops, 0]);
+        payload.extend_from_slice(&[VERSION, self.kind as u8, self.hops, self.unsettled_units()]);
         payload.extend_from_slice(&self.host.octets());
         payload.extend_from_slice(&self.digest.highest.to_be_bytes());
         payload.extend_from_slice(&self.digest.hash.to_be_bytes());
@@ -107,6 +119,7 @@
                     hash: word(16),
                 },
                 age_ms: (u32::from(half(24)) << 16) | u32::from(half(26)),
+                unsettled_ms: u16::from(trailer[3]) * UNSETTLED_UNIT_MS,
                 load_permille: half(28),
             },
         ))
--- a/src/opaque/node.rs
+++ b/src/opaque/node.rs
@@ -137,7 +137,7 @@
             };
             match Message::split(&buffer) {
                 Ok((payload, message)) => {
-                    self.values.noticed(*from.ip(), message.digest);
+                    self.values.noticed(*from.ip(), &message);
                     take(*from.ip(), &message, payload);
                 }
                 Err(error) => self.drop_packet(&error),
@@ -154,8 +154,7 @@
                 true
             }
             MessageKind::BeatReply => {
-                self.values
-                    .beat_answered(from, message.digest, message.age_ms);
+                self.values.beat_answered(from, message);
                 true
             }
             _ => false,
--- a/src/opaque/published.rs
+++ b/src/opaque/published.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use crate::code::Code;
-use crate::config_store::{Acceptance, Digest};
+use crate::config_store::Acceptance;
 use crate::control::Control;
 use crate::error::{Error, Result};
 use crate::opaque::BACKEND_PREFIX;
 use crate::opaque::backend::GONE_TEXT;
+use crate::opaque::directory::LAPSE_MS;
 use crate::opaque::freshness::{self, Freshness, Standing, WATCH_WAIT_MS};
-use crate::opaque::message::{Message, UNKNOWN_AGE_MS};
+use crate::opaque::message::{Message, UNKNOWN_AGE_MS, UNSETTLED_UNIT_MS};
 use crate::opaque::source::{Batch, Read, Source};
 use crate::relay;
 
@@ -43,6 +44,10 @@
     seen_revision: Cell<u64>,
     asked: Cell<Option<(Ipv4Addr, u32)>>,
     pulling: Rc<Cell<bool>>,
+    /// Until when entries that lapsed before this process started may come back.
+    unsettled_until_ms: Cell<u64>,
+    /// Whether the first read of the platform succeeded, once it has ended.
+    first_read_succeeded: Cell<Option<bool>>,
 }
 
 impl PublishedValues {
@@ -54,6 +59,8 @@
             seen_revision: Cell::new(0),
             asked: Cell::new(None),
             pulling: Rc::default(),
+            unsettled_until_ms: Cell::new(0),
+            first_read_succeeded: Cell::new(None),
         })
     }
 
@@ -73,12 +80,19 @@
             waited_ms += START_LOOK_MS;
         }
         drop(reading);
+        if self.first_read_succeeded.get() == Some(false) {
+            self.unsettle(LAPSE_MS);
+        }
     }
 
     async fn read_at_start(&self) {
         let mut backoff_ms = MIN_BACKOFF_MS;
         loop {
-            if let Ok(batch) = self.read(Read::Recent).await {
+            let read = self.read(Read::Recent).await;
+            if self.first_read_succeeded.get().is_none() {
+                self.first_read_succeeded.set(Some(read.is_ok()));
+            }
+            if let Ok(batch) = read {
                 self.take(&batch);
             }
             if self.has_routes() {
@@ -90,6 +104,35 @@
         }
     }
 
+    /// Tells whether a backend server that is not published may be taken for gone.
+    ///
+    /// A process that remembers nothing and found the platform away can't know which entries lapsed
+    /// meanwhile; they are back soon after its return. Who hears of such a process waits
+    /// with it, since its own read may have come just after the return.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.has_routes() && self.control.now_ms() >= self.unsettled_until_ms.get()
+    }
+
+    fn unsettle(&self, for_ms: u64) {
+        let until_ms = self.control.now_ms() + for_ms;
+        if until_ms > self.unsettled_until_ms.get() {
+            if self.is_settled() {
+                log::info!("event=unsettled for_ms={for_ms}");
+            }
+            self.unsettled_until_ms.set(until_ms);
+        }
+    }
+
+    /// Returns for how long this process will be unsettled, in milliseconds.
+    fn unsettled_ms(&self) -> u64 {
+        let waits = !self.has_routes() && self.first_read_succeeded.get() == Some(false);
+        if waits {
+            return LAPSE_MS;
+        }
+        let until_ms = self.unsettled_until_ms.get();
+        until_ms.saturating_sub(self.control.now_ms())
+    }
+
     fn has_routes(&self) -> bool {
         self.control.store.borrow().revision(super::ROUTES_NAME) > 0
     }
@@ -230,6 +273,7 @@
     /// Fills in what every message tells about its sender's values.
     pub(crate) fn sign(&self, message: &mut Message) {
         let now_ms = self.control.now_ms();
+        message.unsettled_ms = self.unsettled_ms() as u16;
         message.digest = self.control.store.borrow().digest();
         let age_ms = self.freshness.borrow().told_age_ms(now_ms);
         message.age_ms = age_ms.map_or(UNKNOWN_AGE_MS, |age_ms| age_ms as u32);
@@ -257,7 +301,8 @@
     }
 
     /// Takes the answer to a beat.
-    pub(crate) fn beat_answered(self: &Rc<Self>, from: Ipv4Addr, digest: Digest, age_ms: u32) {
+    pub(crate) fn beat_answered(self: &Rc<Self>, from: Ipv4Addr, message: &Message) {
+        let Message { digest, age_ms, .. } = *message;
         let now_ms = self.control.now_ms();
         if self.asked.get().is_some_and(|(host, _)| host == from) {
             self.asked.set(Some((from, 0)));
@@ -277,7 +322,12 @@
 
     /// Notes what the sender of a packet holds, which may be newer: so a change travels with the
     /// traffic that it is about.
-    pub(crate) fn noticed(self: &Rc<Self>, from: Ipv4Addr, digest: Digest) {
+    pub(crate) fn noticed(self: &Rc<Self>, from: Ipv4Addr, message: &Message) {
+        if message.unsettled_ms > UNSETTLED_UNIT_MS {
+            // Less by what rounding added, so that two can't keep each other unsettled.
+            self.unsettle(u64::from(message.unsettled_ms - UNSETTLED_UNIT_MS));
+        }
+        let digest = message.digest;
         if digest.highest > self.control.store.borrow().digest().highest && self.has_routes() {
             self.pull(from);
         }
--- a/src/opaque/side.rs
+++ b/src/opaque/side.rs
@@ -172,6 +172,7 @@
                 directory: &directory,
                 suspicion: &suspicion,
                 revision: control.store.borrow().digest().highest,
+                settled: self.node.values.is_settled(),
                 now_ms: control.now_ms(),
             };
             let mut keeper = self.keeper.borrow_mut();
--- a/tests/opaque/builder.rs
+++ b/tests/opaque/builder.rs
@@ -221,6 +221,7 @@
     pub(crate) directory: Directory,
     pub(crate) suspicion: Suspicion,
     pub(crate) revision: u64,
+    pub(crate) settled: bool,
     pub(crate) now_ms: u64,
 }
 
@@ -232,6 +233,7 @@
             directory: directory(count),
             suspicion: Suspicion::default(),
             revision: u64::from(count),
+            settled: true,
             now_ms: 1_000,
         }
     }
@@ -254,6 +256,7 @@
             directory: &self.directory,
             suspicion: &self.suspicion,
             revision: self.revision,
+            settled: self.settled,
             now_ms: self.now_ms,
         };
         decide(&mut self.keeper, &scene)
--- a/tests/opaque/keeper.rs
+++ b/tests/opaque/keeper.rs
@@ -372,3 +372,13 @@
         }
     }
 }
+
+#[test]
+fn nothing_is_proved_while_lapsed_entries_may_come_back() {
+    let mut agent = AgentUnderTest::new(1, true);
+    agent.settled = false;
+    assert!(resets(&agent.deliver(&request(&flow(1), 7))).is_empty());
+    assert!(resets(&agent.tick_at(1_500)).is_empty());
+    agent.settled = true;
+    assert_eq!(resets(&agent.tick_at(1_520)), [flow(1)]);
+}
--- a/tests/opaque/message.rs
+++ b/tests/opaque/message.rs
@@ -11,6 +11,7 @@
         message.digest = Digest { highest, hash };
         message.age_ms = age_ms;
         message.hops = hops;
+        message.unsettled_ms = 2_480;
         message.load_permille = load_permille;
         let mut datagram = payload.clone();
         message.append(&mut datagram);
--- a/tests/opaque/model.rs
+++ b/tests/opaque/model.rs
@@ -229,6 +229,7 @@
             directory: &directory,
             suspicion: &agent.suspicion,
             revision: REVISION,
+            settled: true,
             now_ms: self.now_ms,
         };
         let actions = decide(&mut agent.keeper, &scene);
