Say once what balancers and agents of opaque flows do alike; split what had grown large

The loop that looks at what is awaited, the life of a flow in milliseconds and the search for a free loopback network stood twice. Questions of an agent, settings and judgements of a site have files of their own.

--- a/lab/src/opaque/site.rs
+++ b/lab/src/opaque/site.rs
@@ -1,5 +1,8 @@
 //! A site of opaque flows on loopback: real balancers and agents, stand-ins for the rest.
 
+mod seen;
+mod settings;
+
 use std::cell::RefCell;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
@@ -15,6 +18,7 @@
 use crate::opaque::routers::Routers;
 use crate::opaque::store::StoreHandle;
 use crate::process::Process;
+use crate::site::free_net;
 
 const STORE_PORT: u16 = 8_169;
 const PACKET_PORT: u16 = 8_172;
@@ -105,7 +109,7 @@
     ///
     /// Returns code 5001 where an address is taken.
     pub async fn start_stand_ins(self) -> Result<OpaqueSite> {
-        let net = free_net()?;
+        let net = free_net(STORE_PORT)?;
         let ip = |last: usize| Ipv4Addr::new(127, net.0, net.1, last as u8);
         let store = StoreHandle::start((ip(2), STORE_PORT).into()).await?;
         let hosts: Vec<Ipv4Addr> = (0..self.balancers).map(|index| ip(10 + index)).collect();
@@ -156,18 +160,6 @@
     callers: Option<CallersHandle>,
 }
 
-/// Finds a loopback network that no other site of this machine uses.
-fn free_net() -> Result<(u8, u8)> {
-    for _ in 0..100 {
-        let net = (rand::random_range(16..=250), rand::random_range(0..=250));
-        let address = (Ipv4Addr::new(127, net.0, net.1, 2), STORE_PORT);
-        if std::net::TcpListener::bind(address).is_ok() {
-            return Ok(net);
-        }
-    }
-    Err(Error::new(Code::Io, "no free loopback network"))
-}
-
 impl OpaqueSite {
     fn ip(&self, last: usize) -> Ipv4Addr {
         Ipv4Addr::new(127, self.net.0, self.net.1, last as u8)
@@ -415,36 +407,6 @@
         self.folder.path().join(format!("{host}.ini"))
     }
 
-    /// Fills a template in as the platform does.
-    fn settings(&self, template: &str, host: Ipv4Addr, service: &str) -> String {
-        let seeds: Vec<String> = (0..self.spec.balancers.min(3))
-            .map(|index| format!("{}:{PEER_PORT}", self.balancer_host(index)))
-            .collect();
-        let values = [
-            ("ip", host.to_string()),
-            ("zone", "zone-a".to_owned()),
-            ("internalPortRange.0", PEER_PORT.to_string()),
-            ("listen.datagramAddr", format!("{host}:{PACKET_PORT}")),
-            ("listen.ready", format!("{host}:{READY_PORT}")),
-            ("listen.outbound", format!("{host}:{OUTBOUND_PORT}")),
-            ("app", format!("{host}:{APP_PORT}")),
-            ("service", service.to_owned()),
-            ("bounds.maxFlowS", "60".to_owned()),
-            ("bootstrap", "false".to_owned()),
-            ("platform.address", format!("{}:{STORE_PORT}", self.ip(2))),
-            ("seeds", seeds.join(",")),
-        ];
-        let mut text = template.to_owned();
-        for (name, value) in values {
-            text = text.replace(&format!("{{{{{name}}}}}"), &value);
-        }
-        if let Some(folder) = &self.spec.log_folder {
-            // The section of log lines is the template's last.
-            text += &format!("file = {}\n", folder.join(format!("{host}.log")).display());
-        }
-        text
-    }
-
     /// Returns the ids of all processes of the product.
     pub fn process_ids(&self) -> Vec<u32> {
         let processes = self.balancers.iter().chain(&self.agents).flatten();
@@ -539,47 +501,4 @@
             None => CallTally::default(),
         }
     }
-
-    /// Returns the ids of all requests that backend servers ran.
-    pub fn ran(&self) -> Vec<String> {
-        let journals = self.journals.iter();
-        let mut ran: Vec<String> = journals
-            .flat_map(|journal| journal.borrow().ran.clone())
-            .collect();
-        ran.sort_unstable();
-        ran
-    }
-
-    /// Returns how many claims ran more than once.
-    pub fn doubled(&self) -> usize {
-        let ran = self.ran();
-        let claims: Vec<&String> = ran.iter().filter(|id| id.starts_with("claim")).collect();
-        claims.windows(2).filter(|pair| pair[0] == pair[1]).count()
-    }
-
-    /// Returns how many packets reached backend servers that nobody wrote so, or of other services.
-    pub fn strayed(&self) -> u64 {
-        let journals = self.journals.iter();
-        journals
-            .map(|journal| journal.borrow().forged + journal.borrow().foreign)
-            .sum()
-    }
-
-    /// Returns how many packets backend servers handed back.
-    pub fn returned(&self) -> u64 {
-        let journals = self.journals.iter();
-        journals.map(|journal| journal.borrow().returned).sum()
-    }
-
-    /// Returns a metric of a process, summed over its labels.
-    ///
-    /// # Errors
-    ///
-    /// Returns code 5001 where the process does not answer.
-    pub async fn metric(&self, host: Ipv4Addr, name: &str) -> Result<f64> {
-        let address = SocketAddr::from((host, METRICS_PORT));
-        let answer = endivedyke::get(address, "/metrics", 2_000).await?;
-        let text = String::from_utf8_lossy(answer.body()).into_owned();
-        Ok(crate::http_text::metric(&text, name))
-    }
 }
--- a/lab/src/site.rs
+++ b/lab/src/site.rs
@@ -83,7 +83,7 @@
     /// Returns code 5001 where a process does not come up.
     pub async fn start(self) -> Result<Site> {
         let mut site = Site {
-            net: free_net()?,
+            net: free_net(PLATFORM_PORT)?,
             folder: tempfile::tempdir()?,
             spec: self,
             platform: None,
@@ -110,11 +110,11 @@
     backends: Vec<Process>,
 }
 
-/// Finds a loopback network that no other site of this machine uses.
-fn free_net() -> Result<(u8, u8)> {
+/// Finds a loopback network that no other site of this machine uses, by a port that each site binds.
+pub(crate) fn free_net(port: u16) -> Result<(u8, u8)> {
     for _ in 0..100 {
         let net = (rand::random_range(16..=250), rand::random_range(0..=250));
-        let address = (Ipv4Addr::new(127, net.0, net.1, 2), PLATFORM_PORT);
+        let address = (Ipv4Addr::new(127, net.0, net.1, 2), port);
         if std::net::TcpListener::bind(address).is_ok() {
             return Ok(net);
         }
--- a/src/opaque/entry.rs
+++ b/src/opaque/entry.rs
@@ -1,6 +1,6 @@
 //! The balancer of opaque flows: reads packets of callers, asks [`Forwarder`], sends.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,22 +13,20 @@
 use crate::error::{Error, Result};
 use crate::opaque::forwarder::{Forwarder, named_flow};
 use crate::opaque::message::{Message, MessageKind};
+use crate::opaque::ticker::Ticker;
 use crate::opaque::{Adapter, Node, readiness};
 use crate::udp::{self, BUFFER_BYTES};
 
 /// How long a balancer goes on forwarding after it said that it takes no traffic: the platform asks
 /// twice a second and believes the second answer.
 const LEAVING: Duration = Duration::from_millis(1_800);
-/// How often openers without an answer are looked at while there are any.
-const TICK: Duration = Duration::from_millis(20);
 /// How often hints are tidied, in milliseconds.
 const TIDY_MS: u64 = 5_000;
-const MS_PER_S: u64 = 1_000;
 
 struct Entry {
     node: Rc<Node>,
     forwarder: RefCell<Forwarder>,
-    ticking: Cell<bool>,
+    ticker: Rc<Ticker>,
 }
 
 /// Runs a balancer until `stop` completes.
@@ -46,11 +44,11 @@
         forwarder: RefCell::new(Forwarder::new(
             node.wire,
             control.settings.host,
-            control.settings.opaque.flow_lifetime_s * MS_PER_S,
+            control.settings.opaque.flow_lifetime_ms(),
             &control.metrics.opaque,
         )),
         node: node.clone(),
-        ticking: Cell::new(false),
+        ticker: Rc::default(),
     });
     let peers = entry.clone();
     compio::runtime::spawn(async move {
@@ -133,18 +131,9 @@
     }
 
     fn start_ticking(self: &Rc<Self>) {
-        if !self.forwarder.borrow().is_waiting() || self.ticking.replace(true) {
-            return;
-        }
-        let entry = self.clone();
-        compio::runtime::spawn(async move {
-            while entry.forwarder.borrow().is_waiting() {
-                compio::time::sleep(TICK).await;
-                entry.tick();
-            }
-            entry.ticking.set(false);
-        })
-        .detach();
+        let (waiting, ticked) = (self.clone(), self.clone());
+        let is_waiting = move || waiting.forwarder.borrow().is_waiting();
+        self.ticker.start(is_waiting, move || ticked.tick());
     }
 
     fn tick(&self) {
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -5,6 +5,7 @@
 
 mod answers;
 mod openers;
+mod questions;
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -13,7 +14,7 @@
 use crate::opaque::action::Action;
 use crate::opaque::directory::Directory;
 use crate::opaque::flow_book::{Flow, FlowBook, Holding, Running};
-use crate::opaque::lookup::{Lookups, Verdict};
+use crate::opaque::lookup::Lookups;
 use crate::opaque::mean_load::MeanLoad;
 use crate::opaque::message::{Message, MessageKind, UNKNOWN_LOAD};
 use crate::opaque::metrics::OpaqueMetrics;
@@ -380,83 +381,6 @@
         actions.push(Action::ToBackend(packet.to_vec()));
     }
 
-    /// Asks all other agents who holds a flow.
-    fn look_up(
-        &mut self,
-        scene: &Scene<'_>,
-        segment: &Segment,
-        packet: &[u8],
-        balancer: Ipv4Addr,
-        actions: &mut Vec<Action>,
-    ) {
-        if segment.resets {
-            return;
-        }
-        let directory = scene.directory;
-        let own = self.identity.host;
-        let asked = self
-            .lookups
-            .start(directory, own, segment, packet, balancer, scene.now_ms);
-        for host in asked {
-            let message = Message::new(MessageKind::Find);
-            actions.push(Action::ToPeer(host, message, packet.to_vec()));
-        }
-        self.conclude(scene, &segment.flow_from_caller(), actions);
-    }
-
-    /// Answers whether a flow is held here, and delivers its packet if so.
-    fn find(
-        &mut self,
-        scene: &Scene<'_>,
-        segment: &Segment,
-        packet: &[u8],
-        asker: Ipv4Addr,
-        actions: &mut Vec<Action>,
-    ) {
-        let key = segment.flow_from_caller();
-        if self.deliver_held(scene.now_ms, segment, packet, actions) {
-            tell(MessageKind::Found, &key, asker, actions);
-            return;
-        }
-        if self.flows.get(&key).is_none() && !self.knows_all && self.backend_up {
-            self.try_backend(scene, segment, packet, Some(asker), actions);
-        } else {
-            tell(MessageKind::Absent, &key, asker, actions);
-        }
-    }
-
-    /// Takes the answer of the agent that holds a flow.
-    fn found(
-        &mut self,
-        scene: &Scene<'_>,
-        from: Ipv4Addr,
-        payload: &[u8],
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(key) = FlowKey::from_bytes(payload) else {
-            return;
-        };
-        let Some(lookup) = self.lookups.found(&key) else {
-            return;
-        };
-        log::info!("event=flow_found flow={key} host={from}");
-        say_holds(&key, lookup.balancer, from, actions);
-        let flow = Flow::new(Holding::Elsewhere(from), scene.now_ms);
-        self.remember(key, flow, scene.now_ms);
-    }
-
-    /// Ends a flow of which it is proved that nobody holds it.
-    fn conclude(&mut self, scene: &Scene<'_>, key: &FlowKey, actions: &mut Vec<Action>) {
-        if !scene.settled {
-            return;
-        }
-        let verdict = self.lookups.verdict(key, scene.directory, scene.revision);
-        if let Verdict::Nowhere { acknowledgement } = verdict {
-            self.lookups.forget(key);
-            self.reset(key, acknowledgement, Code::FlowGone, actions);
-        }
-    }
-
     /// Notes a flow; without room for it, what is not noted is no longer known to be absent.
     fn remember(&mut self, key: FlowKey, flow: Flow, now_ms: u64) -> bool {
         let remembered = self.flows.insert(key, flow, now_ms);
--- /dev/null
+++ b/src/opaque/keeper/questions.rs
@@ -0,0 +1,90 @@
+//! Questions who holds a flow: asked, answered, and judged.
+
+use std::net::Ipv4Addr;
+
+use crate::code::Code;
+use crate::opaque::action::Action;
+use crate::opaque::flow_book::{Flow, Holding};
+use crate::opaque::keeper::{Keeper, Scene, say_holds, tell};
+use crate::opaque::lookup::Verdict;
+use crate::opaque::message::{Message, MessageKind};
+use crate::opaque::segment::{FlowKey, Segment};
+
+impl Keeper {
+    /// Asks all other agents who holds a flow.
+    pub(super) fn look_up(
+        &mut self,
+        scene: &Scene<'_>,
+        segment: &Segment,
+        packet: &[u8],
+        balancer: Ipv4Addr,
+        actions: &mut Vec<Action>,
+    ) {
+        if segment.resets {
+            return;
+        }
+        let directory = scene.directory;
+        let own = self.identity.host;
+        let asked = self
+            .lookups
+            .start(directory, own, segment, packet, balancer, scene.now_ms);
+        for host in asked {
+            let message = Message::new(MessageKind::Find);
+            actions.push(Action::ToPeer(host, message, packet.to_vec()));
+        }
+        self.conclude(scene, &segment.flow_from_caller(), actions);
+    }
+
+    /// Answers whether a flow is held here, and delivers its packet if so.
+    pub(super) fn find(
+        &mut self,
+        scene: &Scene<'_>,
+        segment: &Segment,
+        packet: &[u8],
+        asker: Ipv4Addr,
+        actions: &mut Vec<Action>,
+    ) {
+        let key = segment.flow_from_caller();
+        if self.deliver_held(scene.now_ms, segment, packet, actions) {
+            tell(MessageKind::Found, &key, asker, actions);
+            return;
+        }
+        if self.flows.get(&key).is_none() && !self.knows_all && self.backend_up {
+            self.try_backend(scene, segment, packet, Some(asker), actions);
+        } else {
+            tell(MessageKind::Absent, &key, asker, actions);
+        }
+    }
+
+    /// Takes the answer of the agent that holds a flow.
+    pub(super) fn found(
+        &mut self,
+        scene: &Scene<'_>,
+        from: Ipv4Addr,
+        payload: &[u8],
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(key) = FlowKey::from_bytes(payload) else {
+            return;
+        };
+        let Some(lookup) = self.lookups.found(&key) else {
+            return;
+        };
+        log::info!("event=flow_found flow={key} host={from}");
+        say_holds(&key, lookup.balancer, from, actions);
+        let flow = Flow::new(Holding::Elsewhere(from), scene.now_ms);
+        self.remember(key, flow, scene.now_ms);
+    }
+
+    /// Ends a flow of which it is proved that nobody holds it.
+    pub(super) fn conclude(&mut self, scene: &Scene<'_>, key: &FlowKey, actions: &mut Vec<Action>) {
+        if !scene.settled {
+            return;
+        }
+        let verdict = self.lookups.verdict(key, scene.directory, scene.revision);
+        if let Verdict::Nowhere { acknowledgement } = verdict {
+            self.lookups.forget(key);
+            self.reset(key, acknowledgement, Code::FlowGone, actions);
+        }
+    }
+}
--- a/src/opaque/mod.rs
+++ b/src/opaque/mod.rs
@@ -28,6 +28,7 @@
 mod side;
 mod source;
 mod state;
+mod ticker;
 
 pub use crate::opaque::action::Action;
 pub use crate::opaque::backend::{Backend, BackendState, GONE_TEXT, backend_text};
--- a/src/opaque/side.rs
+++ b/src/opaque/side.rs
@@ -1,6 +1,6 @@
 //! The agent of opaque flows: stands beside one backend server, asks [`Keeper`], sends.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +15,7 @@
 use crate::opaque::backend_watch::{self, BackendSign};
 use crate::opaque::keeper::{Keeper, KeeperIdentity, Scene};
 use crate::opaque::message::{Message, MessageKind};
+use crate::opaque::ticker::Ticker;
 use crate::opaque::{Adapter, Node, readiness};
 use crate::service_id::ServiceId;
 use crate::udp::{self, BUFFER_BYTES};
@@ -22,18 +23,15 @@
 /// How long an agent that stops still hands packets to its backend server while openers go
 /// elsewhere: their balancers hear of it with the first one.
 const LEAVING: Duration = Duration::from_millis(200);
-/// How often what is awaited is looked at while there is something.
-const TICK: Duration = Duration::from_millis(20);
 /// How often flows are tidied, in milliseconds.
 const TIDY_MS: u64 = 1_000;
-const MS_PER_S: u64 = 1_000;
 
 struct Side {
     node: Rc<Node>,
     keeper: RefCell<Keeper>,
     backend: SocketAddrV4,
     backend_sender: std::net::UdpSocket,
-    ticking: Cell<bool>,
+    ticker: Rc<Ticker>,
 }
 
 /// Runs an agent until `stop` completes.
@@ -60,7 +58,7 @@
         node: node.clone(),
         backend: identity.backend,
         backend_sender,
-        ticking: Cell::new(false),
+        ticker: Rc::default(),
     });
     side.clone().receive(from_backend);
     side.clone().watch_backend();
@@ -86,14 +84,10 @@
         host: control.settings.host,
         backend: settings.backend.ok_or_else(|| missing("backend"))?,
         service: ServiceId::of(service.ok_or_else(|| missing("service"))?),
-        flow_lifetime_ms: flow_lifetime_ms(control),
+        flow_lifetime_ms: settings.flow_lifetime_ms(),
     })
 }
 
-fn flow_lifetime_ms(control: &Control) -> u64 {
-    control.settings.opaque.flow_lifetime_s * MS_PER_S
-}
-
 impl Side {
     fn receive(self: Rc<Self>, from_backend: UdpSocket) {
         let side = self.clone();
@@ -110,7 +104,7 @@
     fn subscribe(self: &Rc<Self>) {
         self.node.subscribe();
         let side = self.clone();
-        let lifetime_ms = flow_lifetime_ms(&self.node.control);
+        let lifetime_ms = self.node.control.settings.opaque.flow_lifetime_ms();
         self.node.control.timers.every(TIDY_MS, move || {
             let now_ms = side.node.control.now_ms();
             let mut keeper = side.keeper.borrow_mut();
@@ -191,17 +185,10 @@
     }
 
     fn start_ticking(self: &Rc<Self>) {
-        if !self.keeper.borrow().is_waiting() || self.ticking.replace(true) {
-            return;
-        }
-        let side = self.clone();
-        compio::runtime::spawn(async move {
-            while side.keeper.borrow().is_waiting() {
-                compio::time::sleep(TICK).await;
-                side.decide(|keeper, scene| Ok(keeper.tick(scene)));
-            }
-            side.ticking.set(false);
-        })
-        .detach();
+        let (waiting, ticked) = (self.clone(), self.clone());
+        let is_waiting = move || waiting.keeper.borrow().is_waiting();
+        self.ticker.start(is_waiting, move || {
+            ticked.decide(|keeper, scene| Ok(keeper.tick(scene)))
+        });
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -89,6 +89,14 @@
     pub fresh_site: bool,
 }
 
+impl OpaqueSettings {
+    /// Returns the longest life of a flow in milliseconds.
+    pub(crate) fn flow_lifetime_ms(&self) -> u64 {
+        const MS_PER_S: u64 = 1_000;
+        self.flow_lifetime_s * MS_PER_S
+    }
+}
+
 impl Settings {
     /// Reads and checks a settings file.
     ///
