--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -82,8 +82,18 @@
             let begins = segment.payload_bytes > 0 || flow.closed;
             flow.running.take_if(|_| begins)
         });
-        if let Some(running) = answered.flatten() {
-            self.note_answer(&key, &running, (self.wire.status)(packet), now_ms);
+        match answered.flatten() {
+            Some(running) if segment.payload_bytes > 0 => {
+                self.note_answer(&key, &running, (self.wire.status)(packet), now_ms);
+            }
+            Some(running) => {
+                self.metrics.requests_lost.inc();
+                let (id, waited_ms) = (running.id, now_ms.saturating_sub(running.since_ms));
+                log::warn!(
+                    "event=request_lost request={id} flow={key} waited_ms={waited_ms} reason=closed"
+                );
+            }
+            None => {}
         }
     }
 
@@ -92,12 +102,13 @@
         self.metrics
             .request_seconds
             .observe(took_ms as f64 / 1_000.0);
-        let failed = status.is_none_or(|status| status >= FIRST_ERROR_STATUS);
+        // An answer whose status does not show is an ordinary one: refusals are short and show theirs.
+        let failed = status.is_some_and(|status| status >= FIRST_ERROR_STATUS);
         if failed || took_ms >= SLOW_MS {
             log::info!(
                 "event=request_answered request={} flow={key} status={} took_ms={took_ms} busy={}",
                 running.id,
-                status.unwrap_or(0),
+                status.map_or_else(|| "unknown".to_owned(), |status| status.to_string()),
                 self.flows.busy()
             );
         }
