--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -9,3 +9,4 @@
 mod message;
 mod model;
 mod route_table;
+mod source;
