--- a/src/opaque/backend.rs
+++ b/src/opaque/backend.rs
@@ -10,9 +10,6 @@
 /// The text of a value whose backend server is no longer published.
 pub const GONE_TEXT: &str = "gone";
 
-/// What the text of a backend server that drains ends with.
-pub(crate) const DRAINING_SUFFIX: &str = ",draining";
-
 /// Whether a published backend server takes new flows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BackendState {
--- a/src/opaque/published.rs
+++ b/src/opaque/published.rs
@@ -28,9 +28,6 @@
 const START_ASK_MS: u64 = 200;
 /// How often a starting process looks whether it has a configuration, in milliseconds.
 const START_LOOK_MS: u64 = 10;
-/// How many revisions a starting process looks back, the most first: fewer are tried where the platform
-/// has forgotten that many, as after a calm time.
-const LOOK_BACK_REVISIONS: [u64; 3] = [64, 12, 2];
 /// How often a process that does not read looks whether it should, in milliseconds.
 const LOOK_MS: u64 = 100;
 /// How long a reader waits after a change before it watches again, in milliseconds: changes that come
@@ -51,8 +48,6 @@
     unsettled_until_ms: Cell<u64>,
     /// Whether the first read of the platform succeeded, once it has ended.
     first_read_succeeded: Cell<Option<bool>>,
-    /// Whether it is known which entries vanished just before this process started.
-    looked_back: Cell<bool>,
 }
 
 impl PublishedValues {
@@ -66,7 +61,6 @@
             pulling: Rc::default(),
             unsettled_until_ms: Cell::new(0),
             first_read_succeeded: Cell::new(None),
-            looked_back: Cell::new(false),
         })
     }
 
@@ -76,7 +70,7 @@
     /// starts whole most peers are not there yet, and the platform may be silent.
     pub(crate) async fn start(self: &Rc<Self>, ask: impl Fn(Ipv4Addr)) {
         let values = self.clone();
-        compio::runtime::spawn(async move { values.read_at_start().await }).detach();
+        let reading = compio::runtime::spawn(async move { values.read_at_start().await });
         let mut waited_ms = 0;
         while !self.has_routes() {
             if waited_ms % START_ASK_MS == 0 {
@@ -85,6 +79,7 @@
             compio::time::sleep(Duration::from_millis(START_LOOK_MS)).await;
             waited_ms += START_LOOK_MS;
         }
+        drop(reading);
         if self.first_read_succeeded.get() == Some(false) {
             self.unsettle(LAPSE_MS);
         }
@@ -99,14 +94,6 @@
             }
             if let Ok(batch) = read {
                 self.take(&batch);
-                if !self.control.settings.opaque.fresh_site {
-                    self.look_back(batch.revision).await;
-                }
-                self.looked_back.set(true);
-            } else if self.has_routes() {
-                // Peers had the values, and nobody can say what lapsed meanwhile.
-                self.unsettle(LAPSE_MS);
-                self.looked_back.set(true);
             }
             if self.has_routes() {
                 return;
@@ -117,36 +104,13 @@
         }
     }
 
-    /// Looks for backend servers that vanished just before this process started, which it can't
-    /// remember: their entries may have lapsed, and be back soon.
-    async fn look_back(&self, revision: u64) {
-        for revisions in LOOK_BACK_REVISIONS {
-            let after = revision.saturating_sub(revisions);
-            match self.read(Read::Changes { after, wait_ms: 0 }).await {
-                Ok(changes) => {
-                    if changes.shows_lapse() {
-                        self.unsettle(LAPSE_MS);
-                    }
-                    self.take(&changes);
-                    return;
-                }
-                // The platform forgets what is old, and what is old is no matter here.
-                Err(error) if error.code == Code::PlatformForgot => {}
-                Err(_) => {
-                    self.unsettle(LAPSE_MS);
-                    return;
-                }
-            }
-        }
-    }
-
     /// Tells whether a backend server that is not published may be taken for gone.
     ///
     /// A process that remembers nothing and found the platform away can't know which entries lapsed
     /// meanwhile; they are back soon after its return. Who hears of such a process waits
     /// with it, since its own read may have come just after the return.
     pub(crate) fn is_settled(&self) -> bool {
-        self.looked_back.get() && self.control.now_ms() >= self.unsettled_until_ms.get()
+        self.has_routes() && self.control.now_ms() >= self.unsettled_until_ms.get()
     }
 
     fn unsettle(&self, for_ms: u64) {
--- a/src/opaque/source.rs
+++ b/src/opaque/source.rs
@@ -3,7 +3,6 @@
 use futures_util::future::LocalBoxFuture;
 
 use crate::error::Result;
-use crate::opaque::backend::DRAINING_SUFFIX;
 
 /// One published value; without a text it is no longer published.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -27,30 +26,6 @@
     pub is_whole: bool,
 }
 
-impl Batch {
-    /// Tells whether a value vanished that had not announced it, as an entry that lapsed.
-    ///
-    /// A backend server that leaves says so some seconds before, which the same changes show.
-    pub fn shows_lapse(&self) -> bool {
-        let announced = |at: usize| {
-            let earlier = self.values[..at].iter();
-            earlier
-                .rev()
-                .find(|value| value.name == self.values[at].name)
-                .and_then(|value| value.text.as_deref())
-                .is_some_and(|text| text.ends_with(DRAINING_SUFFIX))
-        };
-        let came_back = |at: usize| {
-            let later = &self.values[at + 1..];
-            later.iter().any(|value| value.name == self.values[at].name)
-        };
-        let vanished = |at: &usize| self.values[*at].text.is_none();
-        (0..self.values.len())
-            .filter(vanished)
-            .any(|at| !announced(at) && !came_back(at))
-    }
-}
-
 /// A read of the platform.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Read {
--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -9,4 +9,3 @@
 mod message;
 mod model;
 mod route_table;
-mod source;
