Let peers tell a starting process what vanished a moment ago

Change: the time for which a lapsed entry may still come back travels in every message; who hears it takes nothing for gone as long.

--- a/src/opaque/directory.rs
+++ b/src/opaque/directory.rs
@@ -147,6 +147,15 @@
         })
     }
 
+    /// Returns for how long one that vanished without draining may still come back, in milliseconds.
+    pub fn lapse_ms(&self, now_ms: u64) -> u64 {
+        let lapsed = self.entries.iter().filter_map(|entry| entry.gone);
+        let remaining = lapsed
+            .filter(|gone| gone.was_ready)
+            .map(|gone| (gone.since_ms + LAPSE_MS).saturating_sub(now_ms));
+        remaining.max().unwrap_or(0)
+    }
+
     /// Returns the hosts on which a backend server may hold flows now, sorted.
     pub fn current_hosts(&self) -> &[Ipv4Addr] {
         &self.current_hosts
--- a/src/opaque/node.rs
+++ b/src/opaque/node.rs
@@ -185,6 +185,9 @@
     /// Sends a message to the process on another host.
     pub(crate) fn send(&self, host: Ipv4Addr, mut message: Message, mut payload: Vec<u8>) {
         self.values.sign(&mut message);
+        // A process that starts now does not know what vanished a moment ago; who saw it tells it.
+        let lapse_ms = self.directory.borrow().lapse_ms(self.control.now_ms());
+        message.unsettled_ms = message.unsettled_ms.max(lapse_ms as u16);
         message.load_permille = self.load_permille.get();
         message.append(&mut payload);
         let address = SocketAddrV4::new(host, self.control.settings.datagram_port);
--- a/tests/opaque/directory.rs
+++ b/tests/opaque/directory.rs
@@ -92,3 +92,28 @@
         assert_eq!(code, Err(endivedyke::Code::BackendSyntax), "{text:?}");
     }
 }
+
+#[test]
+fn a_lapse_is_told_for_as_long_as_it_may_end() {
+    let mut directory = directory(2);
+    assert_eq!(directory.lapse_ms(1_000), 0);
+    vanish(&mut directory, 1, 9, 1_000);
+    assert_eq!(directory.lapse_ms(1_500), 2_000);
+    publish(
+        &mut directory,
+        1,
+        &state_text(1, BackendState::Ready),
+        10,
+        2_000,
+    );
+    assert_eq!(directory.lapse_ms(2_000), 0, "it is back");
+    publish(
+        &mut directory,
+        2,
+        &state_text(2, BackendState::Draining),
+        11,
+        3_000,
+    );
+    vanish(&mut directory, 2, 12, 3_100);
+    assert_eq!(directory.lapse_ms(3_200), 0, "it had announced to leave");
+}
