Let lapses run only while values are new

Ruled out: the time for which a lapse counts (2.5 s is enough while values are read). Change: the clock of lapses, and of a start that proves nothing yet, stands still while values are older than two seconds.

--- a/src/opaque/directory.rs
+++ b/src/opaque/directory.rs
@@ -36,15 +36,15 @@
 }
 
 impl Entry {
-    fn takes_flows(&self, now_ms: u64) -> bool {
+    fn takes_flows(&self, clock_ms: u64) -> bool {
         match self.gone {
             None => self.backend.state == BackendState::Ready,
-            Some(gone) => gone.was_ready && now_ms < gone.since_ms + LAPSE_MS,
+            Some(gone) => gone.was_ready && clock_ms < gone.since_ms + LAPSE_MS,
         }
     }
 
-    fn is_current(&self, now_ms: u64) -> bool {
-        self.gone.is_none() || self.takes_flows(now_ms)
+    fn is_current(&self, clock_ms: u64) -> bool {
+        self.gone.is_none() || self.takes_flows(clock_ms)
     }
 }
 
@@ -66,6 +66,8 @@
     tables: Vec<(ServiceId, Table)>,
     routes: RouteTable,
     current_hosts: Vec<Ipv4Addr>,
+    /// The time up to which lapses have run; it stands still while values are old.
+    clock_ms: u64,
 }
 
 impl Directory {
@@ -101,7 +103,7 @@
             ),
             (Err(_), None) => {}
         }
-        self.rebuild(now_ms);
+        self.rebuild();
     }
 
     /// Takes the published routes.
@@ -115,7 +117,11 @@
     }
 
     /// Lets what has vanished lapse, and forgets what vanished long ago.
-    pub fn expire(&mut self, now_ms: u64) {
+    ///
+    /// `clock_ms` is the time while values are new, and stands still while they are old: an entry that
+    /// vanished can't be seen to come back then.
+    pub fn expire(&mut self, clock_ms: u64, now_ms: u64) {
+        self.clock_ms = self.clock_ms.max(clock_ms);
         let lapses = |entry: &Entry| entry.gone.is_some();
         if !self.entries.iter().any(lapses) {
             return;
@@ -124,7 +130,7 @@
             let gone = entry.gone;
             gone.is_none_or(|gone| now_ms < gone.since_ms + REMEMBER_GONE_MS)
         });
-        self.rebuild(now_ms);
+        self.rebuild();
     }
 
     /// Returns the table of a service; its rows weigh by slots, and by 0 where they take no flow.
@@ -134,7 +140,7 @@
     }
 
     /// Returns the newest backend server published at an agent's own address.
-    pub fn own(&self, address: SocketAddrV4, now_ms: u64) -> Option<OwnBackend> {
+    pub fn own(&self, address: SocketAddrV4) -> Option<OwnBackend> {
         let here = self
             .entries
             .iter()
@@ -142,17 +148,17 @@
         let newest = here.max_by_key(|entry| entry.first_revision)?;
         Some(OwnBackend {
             service: newest.backend.service,
-            takes_flows: newest.takes_flows(now_ms),
+            takes_flows: newest.takes_flows(self.clock_ms),
             is_gone: newest.gone.is_some(),
         })
     }
 
     /// Returns for how long one that vanished without draining may still come back, in milliseconds.
-    pub fn lapse_ms(&self, now_ms: u64) -> u64 {
+    pub fn lapse_ms(&self) -> u64 {
         let lapsed = self.entries.iter().filter_map(|entry| entry.gone);
         let remaining = lapsed
             .filter(|gone| gone.was_ready)
-            .map(|gone| (gone.since_ms + LAPSE_MS).saturating_sub(now_ms));
+            .map(|gone| (gone.since_ms + LAPSE_MS).saturating_sub(self.clock_ms));
         remaining.max().unwrap_or(0)
     }
 
@@ -181,9 +187,14 @@
         HostList::of(hosts.collect())
     }
 
-    fn rebuild(&mut self, now_ms: u64) {
+    fn rebuild(&mut self) {
+        let clock_ms = self.clock_ms;
         let mut newest: Vec<&Entry> = Vec::new();
-        for entry in self.entries.iter().filter(|entry| entry.is_current(now_ms)) {
+        for entry in self
+            .entries
+            .iter()
+            .filter(|entry| entry.is_current(clock_ms))
+        {
             let address = entry.backend.address;
             match newest.binary_search_by_key(&address, |known| known.backend.address) {
                 Ok(index) if newest[index].first_revision < entry.first_revision => {
@@ -201,7 +212,7 @@
                 tables.insert(index, (service, Table::unnamed()));
                 index
             });
-            tables[index].1.rows.push(row(entry, now_ms));
+            tables[index].1.rows.push(row(entry, clock_ms));
         }
         let mut hosts: Vec<Ipv4Addr> = newest
             .iter()
@@ -217,8 +228,8 @@
     }
 }
 
-fn row(entry: &Entry, now_ms: u64) -> Row {
-    let weight = if entry.takes_flows(now_ms) {
+fn row(entry: &Entry, clock_ms: u64) -> Row {
+    let weight = if entry.takes_flows(clock_ms) {
         entry.backend.slots
     } else {
         0
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -212,7 +212,7 @@
     /// of one that should be there.
     pub fn backend_refuses(&mut self, scene: &Scene<'_>) -> Vec<Action> {
         self.refusing = true;
-        let own = scene.directory.own(self.identity.backend, scene.now_ms);
+        let own = scene.directory.own(self.identity.backend);
         if own.is_some_and(|own| !own.takes_flows) {
             return Vec::new();
         }
@@ -236,7 +236,7 @@
     /// open there are gone.
     pub fn leave(&mut self, scene: &Scene<'_>) -> Vec<Action> {
         self.leaving = true;
-        let own = scene.directory.own(self.identity.backend, scene.now_ms);
+        let own = scene.directory.own(self.identity.backend);
         let gone = own.is_some_and(|own| own.is_gone && !own.takes_flows);
         let still = scene.now_ms >= self.last_heard_ms + STILL_MS;
         if gone && still && self.refusing {
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -143,7 +143,7 @@
         if service != Some(self.identity.service) {
             return Err(NotTaken::OtherService);
         }
-        let own = scene.directory.own(self.identity.backend, scene.now_ms);
+        let own = scene.directory.own(self.identity.backend);
         let published = own.filter(|own| own.service == self.identity.service);
         if !published.is_some_and(|own| own.takes_flows) {
             return Err(NotTaken::NotPublished);
--- a/src/opaque/node.rs
+++ b/src/opaque/node.rs
@@ -79,7 +79,8 @@
         let node = self.clone();
         self.control.timers.every(TIDY_MS, move || {
             let now_ms = node.control.now_ms();
-            node.directory.borrow_mut().expire(now_ms);
+            let clock_ms = node.values.lapse_clock_ms();
+            node.directory.borrow_mut().expire(clock_ms, now_ms);
             node.control.suspicion.borrow_mut().prune(now_ms);
         });
         let values = self.values.clone();
@@ -186,7 +187,7 @@
     pub(crate) fn send(&self, host: Ipv4Addr, mut message: Message, mut payload: Vec<u8>) {
         self.values.sign(&mut message);
         // A process that starts now does not know what vanished a moment ago; who saw it tells it.
-        let lapse_ms = self.directory.borrow().lapse_ms(self.control.now_ms());
+        let lapse_ms = self.directory.borrow().lapse_ms();
         message.unsettled_ms = message.unsettled_ms.max(lapse_ms as u16);
         message.load_permille = self.load_permille.get();
         message.append(&mut payload);
--- a/src/opaque/published.rs
+++ b/src/opaque/published.rs
@@ -110,11 +110,22 @@
     /// meanwhile; they are back soon after its return. Who hears of such a process waits
     /// with it, since its own read may have come just after the return.
     pub(crate) fn is_settled(&self) -> bool {
-        self.has_routes() && self.control.now_ms() >= self.unsettled_until_ms.get()
+        self.has_routes() && self.lapse_clock_ms() >= self.unsettled_until_ms.get()
+    }
+
+    /// Returns the time up to which entries that came back would have been seen: now while values are
+    /// new, and when they last were while they are old.
+    pub(crate) fn lapse_clock_ms(&self) -> u64 {
+        let now_ms = self.control.now_ms();
+        let age_ms = self.freshness.borrow().age_ms(now_ms);
+        if age_ms <= freshness::PATIENCE_MS {
+            return now_ms;
+        }
+        now_ms - age_ms
     }
 
     fn unsettle(&self, for_ms: u64) {
-        let until_ms = self.control.now_ms() + for_ms;
+        let until_ms = self.lapse_clock_ms() + for_ms;
         if until_ms > self.unsettled_until_ms.get() {
             if self.is_settled() {
                 log::info!("event=unsettled for_ms={for_ms}");
@@ -130,7 +141,7 @@
             return LAPSE_MS;
         }
         let until_ms = self.unsettled_until_ms.get();
-        until_ms.saturating_sub(self.control.now_ms())
+        until_ms.saturating_sub(self.lapse_clock_ms())
     }
 
     fn has_routes(&self) -> bool {
--- a/tests/opaque/directory.rs
+++ b/tests/opaque/directory.rs
@@ -18,9 +18,9 @@
 fn one_that_vanished_without_draining_takes_flows_for_a_while() {
     let mut directory = directory(2);
     vanish(&mut directory, 1, 9, 1_000);
-    directory.expire(3_400);
+    directory.expire(3_400, 3_400);
     assert_eq!(takers(&directory), [host(1), host(2)]);
-    directory.expire(3_500);
+    directory.expire(3_500, 3_500);
     assert_eq!(takers(&directory), [host(2)]);
     assert!(!directory.is_current(host(1)));
 }
@@ -52,7 +52,7 @@
         10,
         2_000,
     );
-    directory.expire(60_000);
+    directory.expire(60_000, 60_000);
     assert_eq!(takers(&directory), [host(1)]);
 }
 
@@ -63,7 +63,7 @@
     let backend = Backend::parse(&text).expect("sound text");
     directory.apply("i-new", backend, 50, 1_000);
     assert!(takers(&directory).is_empty());
-    let own = directory.own(backend_address(1), 1_000).expect("published");
+    let own = directory.own(backend_address(1)).expect("published");
     assert_eq!(own.service, ServiceId::of("scene-intake"));
     // The old id reports once more, late: the address stays with the newer one.
     publish(
@@ -73,7 +73,7 @@
         51,
         1_100,
     );
-    let own = directory.own(backend_address(1), 1_000).expect("published");
+    let own = directory.own(backend_address(1)).expect("published");
     assert_eq!(own.service, ServiceId::of("scene-intake"));
 }
 
@@ -96,9 +96,10 @@
 #[test]
 fn a_lapse_is_told_for_as_long_as_it_may_end() {
     let mut directory = directory(2);
-    assert_eq!(directory.lapse_ms(1_000), 0);
+    assert_eq!(directory.lapse_ms(), 0);
     vanish(&mut directory, 1, 9, 1_000);
-    assert_eq!(directory.lapse_ms(1_500), 2_000);
+    directory.expire(1_500, 1_500);
+    assert_eq!(directory.lapse_ms(), 2_000);
     publish(
         &mut directory,
         1,
@@ -106,7 +107,7 @@
         10,
         2_000,
     );
-    assert_eq!(directory.lapse_ms(2_000), 0, "it is back");
+    assert_eq!(directory.lapse_ms(), 0, "it is back");
     publish(
         &mut directory,
         2,
@@ -115,5 +116,15 @@
         3_000,
     );
     vanish(&mut directory, 2, 12, 3_100);
-    assert_eq!(directory.lapse_ms(3_200), 0, "it had announced to leave");
+    assert_eq!(directory.lapse_ms(), 0, "it had announced to leave");
+}
+
+#[test]
+fn nothing_lapses_while_values_are_old() {
+    let mut directory = directory(2);
+    vanish(&mut directory, 1, 9, 1_000);
+    directory.expire(1_200, 9_000);
+    assert_eq!(takers(&directory), [host(1), host(2)]);
+    directory.expire(3_500, 12_000);
+    assert_eq!(takers(&directory), [host(2)]);
 }
--- a/tests/opaque/keeper.rs
+++ b/tests/opaque/keeper.rs
@@ -145,7 +145,7 @@
     assert_eq!(hosts_told(&next, MessageKind::Deliver), [host(3)]);
     vanish(&mut agent.directory, 3, 9, agent.now_ms);
     agent.now_ms += 10_000;
-    agent.directory.expire(agent.now_ms);
+    agent.directory.expire(agent.now_ms, agent.now_ms);
     let gone = agent.deliver(&request(&flow(1), 9));
     assert_eq!(hosts_told(&gone, MessageKind::Find), [host(2)]);
 }
