Run the clock of lapses by confirmed time; wait only for what was missed

Change: the clock is the time at which values were last known to be the newest; a process waits with others only for what vanished before it had values.

--- a/src/opaque/freshness.rs
+++ b/src/opaque/freshness.rs
@@ -19,7 +19,7 @@
 /// How often a process asks the one before it, in milliseconds.
 pub(crate) const BEAT_MS: u64 = 250;
 /// The age beyond which a process reads itself, in milliseconds: a wait and two beats.
-pub(crate) const PATIENCE_MS: u64 = WATCH_WAIT_MS + 2 * BEAT_MS;
+const PATIENCE_MS: u64 = WATCH_WAIT_MS + 2 * BEAT_MS;
 /// How much more patience each next process has, in milliseconds, so that few read at once.
 const PATIENCE_STEP_MS: u64 = 150;
 /// How much of it a process has once the one before it said that it can't read.
--- a/src/opaque/published.rs
+++ b/src/opaque/published.rs
@@ -48,6 +48,8 @@
     unsettled_until_ms: Cell<u64>,
     /// Whether the first read of the platform succeeded, once it has ended.
     first_read_succeeded: Cell<Option<bool>>,
+    /// Since when this process has had values.
+    in_force_since_ms: Cell<Option<u64>>,
 }
 
 impl PublishedValues {
@@ -61,6 +63,7 @@
             pulling: Rc::default(),
             unsettled_until_ms: Cell::new(0),
             first_read_succeeded: Cell::new(None),
+            in_force_since_ms: Cell::new(None),
         })
     }
 
@@ -80,6 +83,7 @@
             waited_ms += START_LOOK_MS;
         }
         drop(reading);
+        self.in_force_since_ms.set(Some(self.control.now_ms()));
         if self.first_read_succeeded.get() == Some(false) {
             self.unsettle(LAPSE_MS);
         }
@@ -113,19 +117,26 @@
         self.has_routes() && self.lapse_clock_ms() >= self.unsettled_until_ms.get()
     }
 
-    /// Returns the time up to which entries that came back would have been seen: now while values are
-    /// new, and when they last were while they are old.
+    /// Returns the time up to which entries that came back have been seen: when the values were last
+    /// known to be the newest.
     pub(crate) fn lapse_clock_ms(&self) -> u64 {
         let now_ms = self.control.now_ms();
-        let age_ms = self.freshness.borrow().age_ms(now_ms);
-        if age_ms <= freshness::PATIENCE_MS {
-            return now_ms;
-        }
-        now_ms - age_ms
+        now_ms - self.freshness.borrow().age_ms(now_ms)
+    }
+
+    /// Tells whether this process had no values yet when what may come back for so long vanished.
+    ///
+    /// One that saw it vanish remembers whom to ask, and need not wait.
+    fn missed(&self, unsettled_ms: u64) -> bool {
+        let Some(since_ms) = self.in_force_since_ms.get() else {
+            return true;
+        };
+        let vanished_ms_ago = LAPSE_MS.saturating_sub(unsettled_ms);
+        self.control.now_ms().saturating_sub(vanished_ms_ago) < since_ms
     }
 
     fn unsettle(&self, for_ms: u64) {
-        let until_ms = self.lapse_clock_ms() + for_ms;
+        let until_ms = self.control.now_ms() + for_ms;
         if until_ms > self.unsettled_until_ms.get() {
             if self.is_settled() {
                 log::info!("event=unsettled for_ms={for_ms}");
@@ -141,7 +152,7 @@
             return LAPSE_MS;
         }
         let until_ms = self.unsettled_until_ms.get();
-        until_ms.saturating_sub(self.lapse_clock_ms())
+        until_ms.saturating_sub(self.lapse_clock_ms()).min(LAPSE_MS)
     }
 
     fn has_routes(&self) -> bool {
@@ -334,9 +345,10 @@
     /// Notes what the sender of a packet holds, which may be newer: so a change travels with the
     /// traffic that it is about.
     pub(crate) fn noticed(self: &Rc<Self>, from: Ipv4Addr, message: &Message) {
-        if message.unsettled_ms > UNSETTLED_UNIT_MS {
-            // Less by what rounding added, so that two can't keep each other unsettled.
-            self.unsettle(u64::from(message.unsettled_ms - UNSETTLED_UNIT_MS));
+        // Less by what rounding added, so that two can't keep each other unsettled.
+        let unsettled_ms = u64::from(message.unsettled_ms.saturating_sub(UNSETTLED_UNIT_MS));
+        if unsettled_ms > 0 && self.missed(unsettled_ms) {
+            self.unsettle(unsettled_ms);
         }
         let digest = message.digest;
         if digest.highest > self.control.store.borrow().digest().highest && self.has_routes() {
