--- a/lab/tests/opaque_site.rs
+++ b/lab/tests/opaque_site.rs
@@ -350,3 +350,9 @@
         assert!(result.is_ok(), "{result:?}");
     }
 }
+
+#[test]
+fn a_soak_that_kills_everything_while_entries_come_back_breaks_no_promise() {
+    let result = run(run_soak(108, 6, None));
+    assert!(result.is_ok(), "{result:?}");
+}
