Let a whole site that starts know at once what is gone

The lines did not say why. Three things came together:

* The old entries of all backend servers lapse about when the new ones are published.
Each kept every message "unsettled" for 2.5 s, and who had just come into force waited with it, though a newer entry had taken the address of each, so that none of them could come back.
* A starting process fetched values one by one, 8 ms each: 0.7 s for 65 of them, with a line each, which used up the budget of lines in that moment.

Ruled out: agents that lag behind (all stood at the newest revision), hosts that do not answer.

Entries whose address a newer server has taken are not waited for. Values are fetched in one bounded answer (`fetch` takes a list; the generated code is made anew), put into force together and logged in one line when there are more than four. An agent whose backend server runs and is not published tells all others, who ask it too; a process that remembers nothing waits 300 ms for such words before it takes a silence for proof. `lookup_given_up` says whom it still waited for, at which revision, and whether settled.

Kept: callers are told, and on-call engineers see why where they are not.

--- a/schema/node.capnp
+++ b/schema/node.capnp
@@ -58,7 +58,9 @@
 interface Node {
   compare @0 (mine :Digest) -> (theirs :Digest);
   changes @1 (floor :UInt64) -> (entries :List(Entry));
-  fetch @2 (name :Text, have :UInt64) -> (value :Value);
+  fetch @2 (wanted :List(Entry)) -> (values :List(Value), handled :UInt32);
+  # Each entry names a value and the revision that the asker has. An answer is bounded: it covers the
+  # first `handled` entries, and the asker asks again for the rest.
   tell @3 (value :Value) -> (revision :UInt64);
   exchangeLoad @4 (service :UInt32, reports :List(LoadReport)) -> (reports :List(LoadReport));
   offer @5 (service :UInt32, timeoutMs :UInt32) -> (ticket :Data, code :UInt16, retryAfterMs :UInt32);
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -88,7 +88,7 @@
     fn subscribe(self: &Rc<Self>) {
         let agent = self.clone();
         self.control
-            .on_change(move |name| agent.clone().value_changed(name));
+            .on_change(move |names| agent.clone().values_changed(names));
         let agent = self.clone();
         let timers = &self.control.timers;
         timers.every(PRUNE_PERIOD_MS, move || agent.prune());
@@ -123,11 +123,12 @@
         });
     }
 
-    fn value_changed(self: Rc<Self>, name: &str) {
-        if name == KEYS_NAME {
+    fn values_changed(self: Rc<Self>, names: &[&str]) {
+        if names.contains(&KEYS_NAME) {
             self.apply_keys();
         }
-        if name == HOSTS_NAME || name.starts_with(TABLE_PREFIX) {
+        let moves_targets = |name: &&str| *name == HOSTS_NAME || name.starts_with(TABLE_PREFIX);
+        if names.iter().any(moves_targets) {
             compio::runtime::spawn(async move { self.sync_targets().await }).detach();
         }
     }
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -102,8 +102,8 @@
     fn subscribe(self: Rc<Self>) {
         let control = self.control.clone();
         let balancer = self.clone();
-        control.on_change(move |name| {
-            if name.starts_with(TABLE_PREFIX) {
+        control.on_change(move |names| {
+            if names.iter().any(|name| name.starts_with(TABLE_PREFIX)) {
                 balancer.sync_ports();
             }
         });
--- a/src/control.rs
+++ b/src/control.rs
@@ -19,7 +19,12 @@
 /// How many hosts that made links to this process are remembered.
 const MAX_LINKING_HOSTS: usize = 64;
 
-type ChangeAction = Rc<dyn Fn(&str)>;
+/// How many values that come into force together are logged one by one; of more, one line tells.
+///
+/// A process that starts takes a value for each backend server, which would use up the budget of lines.
+const LOGGED_VALUES: usize = 4;
+
+type ChangeAction = Rc<dyn Fn(&[&str])>;
 
 /// The parts of a process on which its controllers and filters build.
 pub(crate) struct Control {
@@ -68,25 +73,54 @@
         self.clock.now_ms()
     }
 
-    /// Calls `action` with the name of each value that comes into force.
-    pub(crate) fn on_change(&self, action: impl Fn(&str) + 'static) {
+    /// Calls `action` with the names of values that come into force together.
+    pub(crate) fn on_change(&self, action: impl Fn(&[&str]) + 'static) {
         self.on_change.borrow_mut().push(Rc::new(action));
     }
 
     /// Takes a value that the platform published.
     pub(crate) fn accept(&self, name: &str, revision: u64, text: &str) -> Result<Acceptance> {
         let result = self.store.borrow_mut().accept(name, revision, text);
-        self.note(name, revision, &result);
+        if self.judge(name, revision, &result) {
+            self.in_force(&[(name, revision)]);
+        }
         result
     }
 
+    /// Takes values that the platform published together; a rejected one is counted and logged.
+    pub(crate) fn accept_all(&self, values: &[(&str, u64, &str)]) {
+        let mut accepted = Vec::new();
+        for &(name, revision, text) in values {
+            let result = self.store.borrow_mut().accept(name, revision, text);
+            if self.judge(name, revision, &result) {
+                accepted.push((name, revision));
+            }
+        }
+        self.in_force(&accepted);
+    }
+
     /// Takes a value that a peer sent.
     pub(crate) fn accept_update(&self, update: &ValueUpdate) -> Result<Acceptance> {
         let result = self.store.borrow_mut().accept_update(update);
-        self.note(&update.name, update.revision, &result);
+        if self.judge(&update.name, update.revision, &result) {
+            self.in_force(&[(&update.name, update.revision)]);
+        }
         result
     }
 
+    /// Takes values that a peer sent together, and returns the names of those that came into force.
+    pub(crate) fn accept_updates<'a>(&self, updates: &'a [ValueUpdate]) -> Vec<&'a str> {
+        let mut accepted = Vec::new();
+        for update in updates {
+            let result = self.store.borrow_mut().accept_update(update);
+            if self.judge(&update.name, update.revision, &result) {
+                accepted.push((update.name.as_str(), update.revision));
+            }
+        }
+        self.in_force(&accepted);
+        accepted.into_iter().map(|(name, _)| name).collect()
+    }
+
     /// Notes that the process on `host` made a control link to this one and proved itself.
     ///
     /// A process that starts while the platform is silent has no host list; those that link to it
@@ -106,28 +140,46 @@
         self.linking.borrow().clone()
     }
 
-    fn note(&self, name: &str, revision: u64, result: &Result<Acceptance>) {
+    /// Counts what became of a value; tells whether it came into force.
+    fn judge(&self, name: &str, revision: u64, result: &Result<Acceptance>) -> bool {
         match result {
-            Ok(Acceptance::Old) => {}
+            Ok(Acceptance::Old) => false,
             Ok(Acceptance::Accepted) => {
                 self.metrics.values_accepted.inc();
-                let highest = self.store.borrow().digest().highest;
-                self.metrics.config_revision.set(highest as i64);
-                if name == HOSTS_NAME {
-                    self.keep_entry_hosts();
-                }
-                log::info!("event=value_in_force name={name} revision={revision}");
-                let actions = self.on_change.borrow().clone();
-                actions.iter().for_each(|action| action(name));
+                true
             }
-            Err(error) if error.code == crate::code::Code::DeltaMismatch => {}
+            Err(error) if error.code == crate::code::Code::DeltaMismatch => false,
             Err(error) => {
                 self.metrics.values_rejected.inc(error.code);
                 log::warn!("event=value_rejected name={name} revision={revision} error={error}");
+                false
             }
         }
     }
 
+    /// Tells of values that came into force together, each with its revision.
+    fn in_force(&self, values: &[(&str, u64)]) {
+        if values.is_empty() {
+            return;
+        }
+        let highest = self.store.borrow().digest().highest;
+        self.metrics.config_revision.set(highest as i64);
+        if values.len() > LOGGED_VALUES {
+            let count = values.len();
+            log::info!("event=values_in_force count={count} revision={highest}");
+        } else {
+            for (name, revision) in values {
+                log::info!("event=value_in_force name={name} revision={revision}");
+            }
+        }
+        let names: Vec<&str> = values.iter().map(|(name, _)| *name).collect();
+        if names.contains(&HOSTS_NAME) {
+            self.keep_entry_hosts();
+        }
+        let actions = self.on_change.borrow().clone();
+        actions.iter().for_each(|action| action(&names));
+    }
+
     /// Returns the entry hosts of the list, to which answers may go.
     pub(crate) fn entry_hosts(&self) -> Rc<[Ipv4Addr]> {
         self.entry_hosts.borrow().clone()
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -199,8 +199,8 @@
         .detach();
     });
     let tidied = control.clone();
-    control.on_change(move |name| {
-        if name == crate::config_store::HOSTS_NAME {
+    control.on_change(move |names| {
+        if names.contains(&crate::config_store::HOSTS_NAME) {
             let store = tidied.store.borrow();
             tidied
                 .peers
--- a/src/node_capnp.rs
+++ b/src/node_capnp.rs
@@ -3264,22 +3264,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_name(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            pub fn get_wanted(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::node_capnp::entry::Owned>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_name(&self) -> bool {
+            pub fn has_wanted(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
-            #[inline]
-            pub fn get_have(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3330,29 +3326,21 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_name(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            pub fn get_wanted(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::node_capnp::entry::Owned>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_name(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            pub fn set_wanted(&mut self, value: ::capnp::struct_list::Reader<'_,crate::node_capnp::entry::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_name(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(0).init_text(size)
+            pub fn init_wanted(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::node_capnp::entry::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
             }
             #[inline]
-            pub fn has_name(&self) -> bool {
+            pub fn has_wanted(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
-            #[inline]
-            pub fn get_have(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_have(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3364,59 +3352,47 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(17, 242, 196, 212, 1, 55, 36, 169),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 111, 100, 101, 46),
                 ::capnp::word(102, 101, 116, 99, 104, 36, 80, 97),
                 ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(119, 97, 110, 116, 101, 100, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 97, 118, 101, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(192, 223, 136, 188, 237, 29, 118, 146),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::struct_list::Owned<crate::node_capnp::entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3430,9 +3406,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xa924_3701_d4c4_f211;
         }
     }
@@ -3499,18 +3475,22 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_value(self) -> ::capnp::Result<crate::node_capnp::value::Reader<'a>> {
+            pub fn get_values(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::node_capnp::value::Owned>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_value(&self) -> bool {
+            pub fn has_values(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_handled(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3561,21 +3541,29 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_value(self) -> ::capnp::Result<crate::node_capnp::value::Builder<'a>> {
+            pub fn get_values(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::node_capnp::value::Owned>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_value(&mut self, value: crate::node_capnp::value::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_values(&mut self, value: ::capnp::struct_list::Reader<'_,crate::node_capnp::value::Owned>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_value(self, ) -> crate::node_capnp::value::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn init_values(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::node_capnp::value::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
             }
             #[inline]
-            pub fn has_value(&self) -> bool {
+            pub fn has_values(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_handled(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn set_handled(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3585,48 +3573,65 @@
             }
         }
         impl Pipeline  {
-            pub fn get_value(&self) -> crate::node_capnp::value::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 51] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(35, 67, 52, 74, 7, 209, 247, 208),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 111, 100, 101, 46),
                 ::capnp::word(102, 101, 116, 99, 104, 36, 82, 101),
                 ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(118, 97, 108, 117, 101, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(61, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(118, 97, 108, 117, 101, 115, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(68, 116, 101, 159, 145, 220, 26, 255),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 97, 110, 100, 108, 101, 100, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::node_capnp::value::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::struct_list::Owned<crate::node_capnp::value::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3640,9 +3645,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
             pub(crate) const TYPE_ID: u64 = 0xd0f7_d107_4a34_4323;
         }
     }
--- a/src/node_codec.rs
+++ b/src/node_codec.rs
@@ -10,7 +10,7 @@
 use crate::delta::Delta;
 use crate::error::{Error, Result};
 use crate::load_board::LoadReport;
-use crate::node_capnp::{digest, header, load_report, value};
+use crate::node_capnp::{digest, entry, header, load_report, value};
 
 /// The most load reports that a message may hold.
 const MAX_REPORTS: u32 = 4_096;
@@ -27,6 +27,18 @@
     }
 }
 
+/// Writes names of values with a revision each.
+pub(crate) fn write_entries<'a>(
+    mut builder: capnp::struct_list::Builder<'_, entry::Owned>,
+    entries: impl Iterator<Item = (&'a str, u64)>,
+) {
+    for (index, (name, revision)) in entries.enumerate() {
+        let mut entry = builder.reborrow().get(index as u32);
+        entry.set_name(name);
+        entry.set_revision(revision);
+    }
+}
+
 pub(crate) fn write_value(mut builder: value::Builder<'_>, update: &ValueUpdate) {
     builder.set_name(&update.name);
     builder.set_revision(update.revision);
--- a/src/node_server.rs
+++ b/src/node_server.rs
@@ -25,6 +25,9 @@
 /// The most control links that a process accepts at once.
 const MAX_INBOUND_LINKS: usize = 1_024;
 
+/// About how many bytes of values one answer carries: some packets, well under what a call may take.
+const MAX_FETCH_BYTES: usize = 256 << 10;
+
 type Capnp<T = ()> = std::result::Result<T, capnp::Error>;
 
 type ExchangeLoad = dyn Fn(ServiceId, &[LoadReport]) -> Vec<LoadReport>;
@@ -116,12 +119,8 @@
         let floor = params.get()?.get_floor();
         let store = self.control.store.borrow();
         let changes = store.changes_since(floor);
-        let mut entries = results.get().init_entries(changes.len() as u32);
-        for (index, (name, revision)) in changes.into_iter().enumerate() {
-            let mut entry = entries.reborrow().get(index as u32);
-            entry.set_name(name);
-            entry.set_revision(revision);
-        }
+        let entries = results.get().init_entries(changes.len() as u32);
+        node_codec::write_entries(entries, changes.into_iter());
         Ok(())
     }
 
@@ -130,12 +129,24 @@
         params: node::FetchParams,
         mut results: node::FetchResults,
     ) -> Capnp {
-        let params = params.get()?;
-        let name = params.get_name()?.to_str()?;
         let store = self.control.store.borrow();
-        let update = store.update_for(name, params.get_have());
-        let update = update.ok_or_else(|| capnp::Error::failed(format!("no value {name}")))?;
-        node_codec::write_value(results.get().init_value(), &update);
+        let mut updates = Vec::new();
+        let (mut bytes, mut handled) = (0, 0);
+        for entry in params.get()?.get_wanted()? {
+            if bytes >= MAX_FETCH_BYTES {
+                break;
+            }
+            let update = store.update_for(entry.get_name()?.to_str()?, entry.get_revision());
+            bytes += update.as_ref().map_or(0, |update| update.delta.text.len());
+            updates.extend(update);
+            handled += 1;
+        }
+        let mut builder = results.get();
+        builder.set_handled(handled);
+        let mut values = builder.init_values(updates.len() as u32);
+        for (index, update) in updates.iter().enumerate() {
+            node_codec::write_value(values.reborrow().get(index as u32), update);
+        }
         Ok(())
     }
 
--- a/src/opaque/directory.rs
+++ b/src/opaque/directory.rs
@@ -59,6 +59,17 @@
     pub is_gone: bool,
 }
 
+/// What is published anew of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackendChange<'a> {
+    /// Its id.
+    pub id: &'a str,
+    /// What it is; `None` where it has vanished.
+    pub backend: Option<Backend>,
+    /// The revision of the change.
+    pub revision: u64,
+}
+
 /// Backend servers sorted by id, a table for each service, and the routes.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -66,13 +77,37 @@
     tables: Vec<(ServiceId, Table)>,
     routes: RouteTable,
     current_hosts: Vec<Ipv4Addr>,
+    /// Hosts whose agents said that a backend server runs there which is not published, and when.
+    unlisted: Vec<(Ipv4Addr, u64)>,
     /// The time up to which lapses have run; it stands still while values are old.
     clock_ms: u64,
 }
 
 impl Directory {
-    /// Takes what is published of a backend server; `None` where it has vanished.
+    /// Takes what is published of one backend server.
     pub fn apply(&mut self, id: &str, backend: Option<Backend>, revision: u64, now_ms: u64) {
+        let change = BackendChange {
+            id,
+            backend,
+            revision,
+        };
+        self.apply_all(vec![change], now_ms);
+    }
+
+    /// Takes what is published of backend servers.
+    pub fn apply_all(&mut self, changes: Vec<BackendChange<'_>>, now_ms: u64) {
+        for change in changes {
+            self.put(change, now_ms);
+        }
+        self.rebuild();
+    }
+
+    fn put(&mut self, change: BackendChange<'_>, now_ms: u64) {
+        let BackendChange {
+            id,
+            backend,
+            revision,
+        } = change;
         let found = self
             .entries
             .binary_search_by(|entry| entry.id.as_str().cmp(id));
@@ -103,7 +138,6 @@
             ),
             (Err(_), None) => {}
         }
-        self.rebuild();
     }
 
     /// Takes the published routes.
@@ -111,6 +145,20 @@
         self.routes = routes;
     }
 
+    /// Notes that a backend server runs on a host which is not published.
+    ///
+    /// Its entry may have lapsed before this process started, which then can't remember it.
+    pub fn note_unlisted(&mut self, host: Ipv4Addr, now_ms: u64) {
+        match self.unlisted.binary_search_by_key(&host, |(host, _)| *host) {
+            Ok(index) => self.unlisted[index].1 = now_ms,
+            Err(index) => {
+                self.unlisted.insert(index, (host, now_ms));
+                log::info!("event=unlisted_backend host={host}");
+                self.rebuild();
+            }
+        }
+    }
+
     /// Returns the routes.
     pub fn routes(&self) -> &RouteTable {
         &self.routes
@@ -123,9 +171,11 @@
     pub fn expire(&mut self, clock_ms: u64, now_ms: u64) {
         self.clock_ms = self.clock_ms.max(clock_ms);
         let lapses = |entry: &Entry| entry.gone.is_some();
-        if !self.entries.iter().any(lapses) {
+        if !self.entries.iter().any(lapses) && self.unlisted.is_empty() {
             return;
         }
+        self.unlisted
+            .retain(|(_, heard_ms)| now_ms < heard_ms + LAPSE_MS);
         self.entries.retain(|entry| {
             let gone = entry.gone;
             gone.is_none_or(|gone| now_ms < gone.since_ms + REMEMBER_GONE_MS)
@@ -154,14 +204,29 @@
     }
 
     /// Returns for how long one that vanished without draining may still come back, in milliseconds.
+    ///
+    /// One whose address a newer one has taken does not come back. After a loss of power of all hosts
+    /// these are the old entries of all backend servers: waiting for them cost 1,500 resets in two
+    /// seconds at 56 agents.
     pub fn lapse_ms(&self) -> u64 {
-        let lapsed = self.entries.iter().filter_map(|entry| entry.gone);
+        let lapsed = self.entries.iter().filter(|entry| !self.is_replaced(entry));
         let remaining = lapsed
+            .filter_map(|entry| entry.gone)
             .filter(|gone| gone.was_ready)
             .map(|gone| (gone.since_ms + LAPSE_MS).saturating_sub(self.clock_ms));
         remaining.max().unwrap_or(0)
     }
 
+    /// Tells whether a newer backend server is published at the address of this one.
+    fn is_replaced(&self, entry: &Entry) -> bool {
+        let newer = |other: &Entry| {
+            other.gone.is_none()
+                && other.backend.address == entry.backend.address
+                && other.first_revision > entry.first_revision
+        };
+        entry.gone.is_some() && self.entries.iter().any(newer)
+    }
+
     /// Returns the hosts on which a backend server may hold flows now, sorted.
     pub fn current_hosts(&self) -> &[Ipv4Addr] {
         &self.current_hosts
@@ -217,6 +282,7 @@
         let mut hosts: Vec<Ipv4Addr> = newest
             .iter()
             .map(|entry| *entry.backend.address.ip())
+            .chain(self.unlisted.iter().map(|(host, _)| *host))
             .collect();
         hosts.sort_unstable();
         hosts.dedup();
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -75,6 +75,7 @@
     silent_since_ms: Option<u64>,
     refused_since_ms: Option<u64>,
     refusing: bool,
+    listens: bool,
     last_heard_ms: u64,
     last_probe_ms: u64,
 }
@@ -101,6 +102,7 @@
             silent_since_ms: None,
             refused_since_ms: None,
             refusing: false,
+            listens: false,
             last_heard_ms: 0,
             last_probe_ms: 0,
         }
@@ -119,6 +121,14 @@
         row.map_or(UNKNOWN_LOAD, |row| self.load.permille(row.slots))
     }
 
+    /// Tells whether the backend server runs and is not published, so that no other process knows of it.
+    ///
+    /// Its entry may have lapsed while the platform's service was away; who starts then finds none.
+    pub fn is_unlisted(&self, directory: &Directory) -> bool {
+        let own = directory.own(self.identity.backend);
+        self.listens && own.is_none_or(|own| own.is_gone)
+    }
+
     /// Returns the flows open at the backend server.
     pub fn open_flows(&self) -> u32 {
         self.flows.open()
@@ -178,7 +188,10 @@
                     self.conclude(scene, &key, &mut actions);
                 }
             }
-            MessageKind::Holds | MessageKind::Beat | MessageKind::BeatReply => {}
+            MessageKind::Holds
+            | MessageKind::Beat
+            | MessageKind::BeatReply
+            | MessageKind::Unlisted => {}
         }
         Ok(actions)
     }
@@ -212,6 +225,7 @@
     /// of one that should be there.
     pub fn backend_refuses(&mut self, scene: &Scene<'_>) -> Vec<Action> {
         self.refusing = true;
+        self.listens = false;
         let own = scene.directory.own(self.identity.backend);
         if own.is_some_and(|own| !own.takes_flows) {
             return Vec::new();
@@ -227,6 +241,7 @@
     pub fn backend_listens(&mut self) {
         self.backend_up = true;
         self.refusing = false;
+        self.listens = true;
         self.refused_since_ms = None;
     }
 
@@ -292,6 +307,17 @@
             let message = Message::new(MessageKind::Find);
             actions.push(Action::ToPeer(host, message, packet));
         }
+        for given_up in self.lookups.take_given_up() {
+            log::warn!(
+                "event=lookup_given_up flow={} unanswered={} first={:?} newest_revision={} revision={} settled={}",
+                given_up.flow,
+                given_up.unanswered.len(),
+                given_up.unanswered.first(),
+                given_up.newest_revision,
+                scene.revision,
+                scene.settled
+            );
+        }
         actions
     }
 
--- a/src/opaque/lookup.rs
+++ b/src/opaque/lookup.rs
@@ -12,7 +12,7 @@
 /// caller's packet, which start it anew.
 const GIVE_UP_MS: u64 = 1_600;
 /// The most agents that are asked; with more, nothing is asked and nothing is proved.
-const MAX_ASKED: usize = 256;
+pub(crate) const MAX_ASKED: usize = 256;
 /// The most questions open at once.
 const MAX_LOOKUPS: usize = 4_096;
 
@@ -41,11 +41,22 @@
     ask_ms: u64,
 }
 
+/// A question that took too long.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct GivenUp {
+    pub(crate) flow: FlowKey,
+    /// Who did not answer.
+    pub(crate) unanswered: Vec<Ipv4Addr>,
+    /// The highest revision that an answer told.
+    pub(crate) newest_revision: u64,
+}
+
 /// The questions of one agent, sorted by flow.
 #[derive(Debug)]
 pub struct Lookups {
     metrics: OpaqueMetrics,
     open: Vec<Lookup>,
+    given_up: Vec<GivenUp>,
     own_host: Option<Ipv4Addr>,
 }
 
@@ -55,6 +66,7 @@
         Self {
             metrics: metrics.clone(),
             open: Vec::new(),
+            given_up: Vec::new(),
             own_host: None,
         }
     }
@@ -159,25 +171,21 @@
 
     /// Returns whom to ask again with which packet, and drops questions that took too long.
     pub fn due(&mut self, directory: &Directory, now_ms: u64) -> Vec<(Ipv4Addr, Vec<u8>)> {
+        let Some(own_host) = self.own_host else {
+            return Vec::new();
+        };
         self.open.retain(|lookup| {
             let goes_on = now_ms < lookup.started_ms + GIVE_UP_MS;
             if !goes_on {
                 self.metrics.lookups_given_up.inc();
-                let unanswered = directory
-                    .current_hosts()
-                    .len()
-                    .saturating_sub(lookup.absent_at.len() + 1);
-                log::warn!(
-                    "event=lookup_given_up flow={} unanswered={unanswered} newest_revision={}",
-                    lookup.flow,
-                    lookup.newest_revision
-                );
+                self.given_up.push(GivenUp {
+                    flow: lookup.flow,
+                    unanswered: unanswered(lookup, directory, own_host),
+                    newest_revision: lookup.newest_revision,
+                });
             }
             goes_on
         });
-        let Some(own_host) = self.own_host else {
-            return Vec::new();
-        };
         let mut asked = Vec::new();
         for lookup in self
             .open
@@ -191,6 +199,11 @@
         asked
     }
 
+    /// Returns the questions that were dropped since the last call, for log lines.
+    pub(crate) fn take_given_up(&mut self) -> Vec<GivenUp> {
+        std::mem::take(&mut self.given_up)
+    }
+
     fn position(&self, flow: &FlowKey) -> Result<usize, usize> {
         self.open.binary_search_by_key(flow, |lookup| lookup.flow)
     }
--- a/src/opaque/message.rs
+++ b/src/opaque/message.rs
@@ -34,6 +34,8 @@
     Beat = 7,
     /// The answer to [`MessageKind::Beat`].
     BeatReply = 8,
+    /// The sender's backend server runs and is not published: ask there too who holds a flow.
+    Unlisted = 9,
 }
 
 /// The trailer of a datagram between two processes.
@@ -136,6 +138,7 @@
         MessageKind::Absent,
         MessageKind::Beat,
         MessageKind::BeatReply,
+        MessageKind::Unlisted,
     ];
     kinds.into_iter().find(|kind| *kind as u8 == byte)
 }
--- a/src/opaque/mod.rs
+++ b/src/opaque/mod.rs
@@ -32,7 +32,7 @@
 
 pub use crate::opaque::action::Action;
 pub use crate::opaque::backend::{Backend, BackendState, GONE_TEXT, backend_text};
-pub use crate::opaque::directory::{Directory, OwnBackend};
+pub use crate::opaque::directory::{BackendChange, Directory, OwnBackend};
 pub use crate::opaque::forwarder::Forwarder;
 pub use crate::opaque::freshness::{Freshness, READERS, Standing, standing};
 pub use crate::opaque::keeper::{Keeper, KeeperIdentity, Scene};
--- a/src/opaque/node.rs
+++ b/src/opaque/node.rs
@@ -7,12 +7,11 @@
 use compio::BufResult;
 use compio::net::UdpSocket;
 
-use crate::config_store::HOSTS_NAME;
 use crate::control::Control;
 use crate::error::{Error, Result};
 use crate::opaque::action::Action;
 use crate::opaque::backend::Backend;
-use crate::opaque::directory::Directory;
+use crate::opaque::directory::{BackendChange, Directory};
 use crate::opaque::freshness::BEAT_MS;
 use crate::opaque::message::{Message, MessageKind, UNKNOWN_LOAD};
 use crate::opaque::published::PublishedValues;
@@ -58,7 +57,7 @@
         });
         control.tells_peers.set(false);
         let changed = node.clone();
-        control.on_change(move |name| changed.value_changed(name));
+        control.on_change(move |names| changed.values_changed(names));
         Ok(node)
     }
 
@@ -87,31 +86,37 @@
         compio::runtime::spawn(async move { values.run().await }).detach();
     }
 
-    fn value_changed(&self, name: &str) {
-        if name == HOSTS_NAME {
-            return;
-        }
+    fn values_changed(&self, names: &[&str]) {
         let now_ms = self.control.now_ms();
+        let mut directory = self.directory.borrow_mut();
         let store = self.control.store.borrow();
-        let Some(value) = store.get(name) else {
-            return;
-        };
-        if name == ROUTES_NAME {
-            // The store has parsed this text already, when it took it.
-            if let Ok(routes) = RouteTable::parse(&value.text) {
-                self.directory.borrow_mut().set_routes(routes);
+        let mut changes = Vec::new();
+        for name in names {
+            let Some(value) = store.get(name) else {
+                continue;
+            };
+            // The store has parsed these texts already, when it took them.
+            if *name == ROUTES_NAME {
+                if let Ok(routes) = RouteTable::parse(&value.text) {
+                    directory.set_routes(routes);
+                }
+            } else if let Some(id) = name.strip_prefix(BACKEND_PREFIX)
+                && let Ok(backend) = Backend::parse(&value.text)
+            {
+                changes.push(BackendChange {
+                    id,
+                    backend,
+                    revision: value.revision,
+                });
             }
-        } else if let Some(id) = name.strip_prefix(BACKEND_PREFIX)
-            && let Ok(backend) = Backend::parse(&value.text)
-        {
-            let revision = value.revision;
-            let mut directory = self.directory.borrow_mut();
-            directory.apply(id, backend, revision, now_ms);
+        }
+        if !changes.is_empty() {
+            directory.apply_all(changes, now_ms);
             let hosts = directory.host_list();
-            drop(directory);
             drop(store);
             self.control.store.borrow_mut().set_hosts(hosts);
         }
+        drop(directory);
         self.push_change();
     }
 
@@ -158,6 +163,11 @@
                 self.values.beat_answered(from, message);
                 true
             }
+            MessageKind::Unlisted => {
+                let now_ms = self.control.now_ms();
+                self.directory.borrow_mut().note_unlisted(from, now_ms);
+                true
+            }
             _ => false,
         }
     }
--- a/src/opaque/published.rs
+++ b/src/opaque/published.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use crate::code::Code;
-use crate::config_store::Acceptance;
 use crate::control::Control;
 use crate::error::{Error, Result};
 use crate::opaque::BACKEND_PREFIX;
@@ -35,6 +34,9 @@
 const WATCH_PAUSE_MS: u64 = 150;
 /// How long a beat may stay unanswered before its receiver is suspected, in beats.
 const MISSED_BEATS: u32 = 2;
+/// How long a process that remembers nothing waits for agents of backend servers that are not published
+/// to make themselves known, in milliseconds: two of their announcements and their start beside its own.
+pub(crate) const START_SETTLE_MS: u64 = 300;
 
 /// What a process knows of how new its values are.
 pub(crate) struct PublishedValues {
@@ -114,7 +116,11 @@
     /// meanwhile; they are back soon after its return. Who hears of such a process waits
     /// with it, since its own read may have come just after the return.
     pub(crate) fn is_settled(&self) -> bool {
-        self.has_routes() && self.lapse_clock_ms() >= self.unsettled_until_ms.get()
+        let Some(since_ms) = self.in_force_since_ms.get() else {
+            return false;
+        };
+        let heard_all = self.control.now_ms() >= since_ms + START_SETTLE_MS;
+        heard_all && self.lapse_clock_ms() >= self.unsettled_until_ms.get()
     }
 
     /// Returns the time up to which entries that came back have been seen: when the values were last
@@ -139,7 +145,7 @@
         let until_ms = self.control.now_ms() + for_ms;
         if until_ms > self.unsettled_until_ms.get() {
             if self.is_settled() {
-                log::info!("event=unsettled for_ms={for_ms}");
+                log::warn!("event=unsettled for_ms={for_ms}");
             }
             self.unsettled_until_ms.set(until_ms);
         }
@@ -238,49 +244,46 @@
     }
 
     fn take(&self, batch: &Batch) {
-        for value in &batch.values {
+        let missing = if batch.is_whole {
+            self.missing(batch)
+        } else {
+            Vec::new()
+        };
+        let published = batch.values.iter().map(|value| {
             let text = value.text.as_deref().unwrap_or(GONE_TEXT);
-            self.accept(&value.name, value.revision, text);
-        }
-        if batch.is_whole {
-            self.take_missing(batch);
-        }
+            (value.name.as_str(), value.revision, text)
+        });
+        let missing = missing
+            .iter()
+            .map(|name| (name.as_str(), batch.revision, GONE_TEXT));
+        let news: Vec<_> = published
+            .chain(missing)
+            .filter(|(name, revision, text)| self.is_news(name, *revision, text))
+            .collect();
+        self.control.accept_all(&news);
         if batch.revision > self.seen_revision.get() {
             self.seen_revision.set(batch.revision);
         }
     }
 
-    /// Takes as gone what a whole read no longer names.
-    fn take_missing(&self, batch: &Batch) {
+    /// Returns the backend servers that a whole read no longer names, which are gone.
+    fn missing(&self, batch: &Batch) -> Vec<String> {
         let store = self.control.store.borrow();
         let named = |name: &str| batch.values.iter().any(|value| value.name == name);
-        let missing: Vec<String> = store
-            .values()
-            .iter()
+        let values = store.values().iter();
+        values
             .filter(|value| value.name.starts_with(BACKEND_PREFIX))
             .filter(|value| value.text != GONE_TEXT && value.revision <= batch.revision)
             .filter(|value| !named(&value.name))
             .map(|value| value.name.clone())
-            .collect();
-        drop(store);
-        for name in missing {
-            self.accept(&name, batch.revision, GONE_TEXT);
-        }
+            .collect()
     }
 
-    fn accept(&self, name: &str, revision: u64, text: &str) {
+    /// Tells whether a value is new; what changed in fields that the product does not use is no news.
+    fn is_news(&self, name: &str, revision: u64, text: &str) -> bool {
         let store = self.control.store.borrow();
-        // What changed in fields that the product does not use is no news.
         let same = store.get(name).is_some_and(|value| value.text == text);
-        let wanted = store.wants(name, revision);
-        drop(store);
-        if same || !wanted {
-            return;
-        }
-        // A rejected value is counted and kept as rejected; the next ones still count.
-        if self.control.accept(name, revision, text) == Ok(Acceptance::Accepted) {
-            relay::tell_peers(&self.control, name);
-        }
+        !same && store.wants(name, revision)
     }
 
     fn standing(&self) -> Standing {
--- a/src/opaque/side.rs
+++ b/src/opaque/side.rs
@@ -14,7 +14,9 @@
 use crate::opaque::action::Action;
 use crate::opaque::backend_watch::{self, BackendSign};
 use crate::opaque::keeper::{Keeper, KeeperIdentity, Scene};
+use crate::opaque::lookup::MAX_ASKED;
 use crate::opaque::message::{Message, MessageKind};
+use crate::opaque::published::START_SETTLE_MS;
 use crate::opaque::ticker::Ticker;
 use crate::opaque::{Adapter, Node, readiness};
 use crate::service_id::ServiceId;
@@ -25,6 +27,9 @@
 const LEAVING: Duration = Duration::from_millis(200);
 /// How often flows are tidied, in milliseconds.
 const TIDY_MS: u64 = 1_000;
+/// How often an agent tells others of a backend server that is not published, in milliseconds: twice in
+/// the time for which processes that start wait for it.
+const ANNOUNCE_MS: u64 = START_SETTLE_MS / 2;
 
 struct Side {
     node: Rc<Node>,
@@ -104,6 +109,9 @@
     fn subscribe(self: &Rc<Self>) {
         self.node.subscribe();
         let side = self.clone();
+        let announce = move || side.announce_unlisted();
+        self.node.control.timers.every(ANNOUNCE_MS, announce);
+        let side = self.clone();
         let lifetime_ms = self.node.control.settings.opaque.flow_lifetime_ms();
         self.node.control.timers.every(TIDY_MS, move || {
             let now_ms = side.node.control.now_ms();
@@ -115,6 +123,24 @@
         });
     }
 
+    /// Tells all others of a backend server that is not published.
+    ///
+    /// Without it, processes that start while lapsed entries are not back yet reset flows that it holds.
+    fn announce_unlisted(&self) {
+        let directory = self.node.directory.borrow();
+        let hosts = directory.current_hosts();
+        if hosts.len() > MAX_ASKED || !self.keeper.borrow().is_unlisted(&directory) {
+            return;
+        }
+        let own = self.node.control.settings.host;
+        let others: Vec<Ipv4Addr> = hosts.iter().copied().filter(|host| *host != own).collect();
+        drop(directory);
+        for host in others {
+            let message = Message::new(MessageKind::Unlisted);
+            self.node.send(host, message, Vec::new());
+        }
+    }
+
     fn watch_backend(self: Rc<Self>) {
         compio::runtime::spawn(async move {
             let backend = self.backend;
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -99,15 +99,25 @@
         .await
     }
 
-    pub(crate) async fn fetch(&self, host: Ipv4Addr, name: &str, have: u64) -> Result<ValueUpdate> {
-        let name = name.to_owned();
+    /// Fetches values, each against the revision that is held here, in one answer.
+    ///
+    /// Returns for how many of them the answer speaks: it is bounded, and may leave some to the next one.
+    pub(crate) async fn fetch(
+        &self,
+        host: Ipv4Addr,
+        wanted: &[(String, u64)],
+    ) -> Result<(Vec<ValueUpdate>, usize)> {
+        let wanted = wanted.to_vec();
         self.call(host, CALL_TIMEOUT_MS, |client| async move {
             let mut request = client.fetch_request();
-            request.get().set_name(&name);
-            request.get().set_have(have);
+            let entries = request.get().init_wanted(wanted.len() as u32);
+            node_codec::write_entries(entries, wanted.iter().map(|(name, have)| (&**name, *have)));
             let response = request.send().promise.await?;
-            let value = response.get()?.get_value()?;
-            node_codec::read_value(value).map_err(node_codec::to_capnp)
+            let answer = response.get()?;
+            let values = answer.get_values()?.iter();
+            let updates: Result<Vec<_>> = values.map(node_codec::read_value).collect();
+            let updates = updates.map_err(node_codec::to_capnp)?;
+            Ok((updates, answer.get_handled() as usize))
         })
         .await
     }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -20,6 +20,8 @@
 const RECENT_REVISIONS: u64 = 64;
 /// From how many peers a starting process takes what they hold.
 const START_PEERS: usize = 3;
+/// The most values that are asked for at once.
+const MAX_WANTED: usize = 1_024;
 
 /// Returns the peers of this process, without those that are suspected.
 pub(crate) fn links(control: &Control) -> Vec<Ipv4Addr> {
@@ -112,15 +114,27 @@
 
 /// Takes from a peer what has a revision above `floor` and is news here.
 pub(crate) async fn pull(control: &Rc<Control>, host: Ipv4Addr, floor: u64) -> Result<()> {
-    for (name, revision) in control.peers.changes(host, floor).await? {
-        if !control.store.borrow().wants(&name, revision) {
-            continue;
+    let changes = control.peers.changes(host, floor).await?;
+    let mut wanted: Vec<(String, u64)> = {
+        let store = control.store.borrow();
+        let news = changes.into_iter();
+        let news = news.filter(|(name, revision)| store.wants(name, *revision));
+        news.map(|(name, _)| {
+            let have = store.revision(&name);
+            (name, have)
+        })
+        .collect()
+    };
+    while !wanted.is_empty() {
+        let asked = wanted.len().min(MAX_WANTED);
+        let (updates, handled) = control.peers.fetch(host, &wanted[..asked]).await?;
+        if handled == 0 {
+            return Ok(());
         }
-        let have = control.store.borrow().revision(&name);
-        let update = control.peers.fetch(host, &name, have).await?;
+        wanted.drain(..handled.min(asked));
         // A rejection is counted and kept in the store; the other values still count.
-        if control.accept_update(&update) == Ok(crate::config_store::Acceptance::Accepted) {
-            tell_peers(control, &name);
+        for name in control.accept_updates(&updates) {
+            tell_peers(control, name);
         }
     }
     Ok(())
--- a/tests/opaque/directory.rs
+++ b/tests/opaque/directory.rs
@@ -128,3 +128,29 @@
     directory.expire(3_500, 12_000);
     assert_eq!(takers(&directory), [host(2)]);
 }
+
+#[test]
+fn a_backend_server_that_says_itself_that_it_runs_is_asked_for_flows() {
+    let mut directory = directory(2);
+    directory.note_unlisted(host(3), 1_000);
+    assert!(directory.is_current(host(3)));
+    assert_eq!(takers(&directory), [host(1), host(2)], "it takes no flow");
+    directory.expire(3_400, 3_400);
+    assert!(directory.is_current(host(3)));
+    directory.expire(3_500, 3_500);
+    assert!(!directory.is_current(host(3)), "it is quiet");
+    assert_eq!(directory.current_hosts(), [host(1), host(2)]);
+}
+
+#[test]
+fn one_whose_address_a_newer_one_has_taken_does_not_come_back() {
+    let mut directory = directory(2);
+    let text = state_text(1, BackendState::Ready);
+    let backend = Backend::parse(&text).expect("sound text");
+    directory.apply("i-new", backend, 9, 1_000);
+    vanish(&mut directory, 1, 10, 1_100);
+    directory.expire(1_200, 1_200);
+    assert_eq!(directory.lapse_ms(), 0);
+    vanish(&mut directory, 2, 11, 1_300);
+    assert_eq!(directory.lapse_ms(), 2_600, "nobody took its address");
+}
