Notice by the outcomes that a backend server fails, and keep room for what is urgent

Looked at with every line written (a trial), two faults of what agents read off the packets came up: an answer whose flow's end overtook it was logged as lost (each claim was), and requests that nobody answers held their place until their flow was forgotten, 60 s later.

Wasted places: no opener was taken twice, and 1,050 feeds and 410 claims a second were answered while the servers were cold, which is what their slots can do.

Agents keep decaying counts of answered and failed requests: broken off without an answer, answered with a server's error, or without an answer for a second. While their server fails a fifth or three in a row, openers go on to others, but for one in 200 ms of a kind that may run twice, and for those that two agents have passed on already. Balancers are told a load that nobody prefers. Numbers of the bytes show what is a new request, and whether data was overtaken. Routes carry the priority that operators gave them: openers of a more urgent route have a third place a slot.

--- a/src/code.rs
+++ b/src/code.rs
@@ -72,7 +72,7 @@
     2301 RevisionOld "value: the revision is not above the one in force", "none: the one in force stays";
     2302 DeltaMismatch "value: the change does not fit the text in force", "none: the whole value is fetched";
     2303 ValueTooLarge "value: larger than one megabyte", "split the service";
-    2401 RoutesSyntax "routes: a row is malformed or an address stands twice", "write address,service,weight";
+    2401 RoutesSyntax "routes: a row is malformed or an address stands twice", "write address,service,weight,priority,repeatable";
     2402 BackendSyntax "backend server: the published value is malformed", "write service,address,zone,slots,state";
     3001 SettingsSyntax "settings: the file is not INI", "correct the line named";
     3002 SettingsUnknown "settings: unknown section or key", "remove or correct the key named";
--- a/src/opaque/flow_book.rs
+++ b/src/opaque/flow_book.rs
@@ -4,13 +4,20 @@
 
 use crate::opaque::flow_map::FlowMap;
 use crate::opaque::metrics::OpaqueMetrics;
-use crate::opaque::segment::FlowKey;
+use crate::opaque::segment::{FlowKey, Segment};
 
 /// How many flows an agent remembers: eight times the connections of the largest backend servers.
 const MAX_FLOWS: usize = 16_384;
 /// How long a flow is remembered after its backend server has ended it, in milliseconds: for its last
 /// acknowledgements.
 const CLOSED_MS: u64 = 2_000;
+/// How long a request may stay without an answer before it counts as failed, in milliseconds: a full
+/// queue of the users' slowest requests at a cold backend server takes half of it.
+const OVERDUE_MS: u64 = 1_000;
+/// How long a request without an answer counts as work, in milliseconds: callers of the users' short
+/// requests give up after 2.5 to 3 seconds. One of a backend server that swallowed it would otherwise
+/// hold its place for as long as a flow lives.
+const ABANDONED_MS: u64 = 3_000;
 /// How long a taken opener counts as a request before its caller has sent one, in milliseconds.
 const EXPECTED_MS: u64 = 500;
 
@@ -49,7 +56,10 @@
 pub(crate) struct Running {
     /// The caller's name for it, where its packet showed one.
     pub(crate) id: String,
+    /// When its last new data came.
     pub(crate) since_ms: u64,
+    /// Whether it was noted as one that takes too long.
+    pub(crate) overdue: bool,
 }
 
 /// One flow.
@@ -63,6 +73,10 @@
     pub(crate) closed: bool,
     /// Whether the backend server showed that it holds the flow; silence shows nothing.
     pub(crate) shown: bool,
+    /// The number after the last byte that the caller sent, where one was seen.
+    pub(crate) caller_next: Option<u32>,
+    /// The number after the last byte that the backend server sent, where one was seen.
+    pub(crate) backend_next: Option<u32>,
 }
 
 impl Flow {
@@ -74,23 +88,75 @@
             running: None,
             closed: false,
             shown: false,
+            caller_next: None,
+            backend_next: None,
         }
     }
 
+    /// Tells whether a packet of the caller brings data that was not seen before.
+    pub(crate) fn takes_new_data(&mut self, segment: &Segment) -> bool {
+        let end = segment.end_sequence();
+        let is_new =
+            segment.payload_bytes > 0 && self.caller_next.is_none_or(|next| is_after(end, next));
+        if is_new {
+            self.caller_next = Some(end);
+        }
+        is_new
+    }
+
+    /// Tells whether a packet of the backend server shows that an answer has begun: it carries data, or
+    /// ends the flow behind data that was overtaken on its way.
+    pub(crate) fn takes_answer(&mut self, segment: &Segment) -> bool {
+        let overtook = segment.ends
+            && self
+                .backend_next
+                .is_none_or(|next| is_after(segment.sequence, next));
+        let end = segment.end_sequence().wrapping_add(segment.accepts.into());
+        if self.backend_next.is_none_or(|next| is_after(end, next)) {
+            self.backend_next = Some(end);
+        }
+        segment.payload_bytes > 0 || overtook
+    }
+
     /// Tells whether the flow is open at the backend server.
     fn is_open(&self) -> bool {
         self.holding == Holding::Open && !self.closed
     }
 
+    /// Notes a request that takes too long; says so once.
+    fn became_overdue(&mut self, key: &FlowKey, now_ms: u64) -> bool {
+        let Some(running) = self.running.as_mut().filter(|_| !self.closed) else {
+            return false;
+        };
+        if running.overdue || now_ms < running.since_ms + OVERDUE_MS {
+            return false;
+        }
+        running.overdue = true;
+        log::warn!(
+            "event=request_overdue request={} flow={key} waited_ms={}",
+            running.id,
+            now_ms.saturating_sub(running.since_ms)
+        );
+        true
+    }
+
     /// Tells whether it takes or will soon take a slot there.
     fn is_busy(&self, now_ms: u64) -> bool {
         match &self.holding {
             Holding::Opening(opening) => now_ms < opening.since_ms + EXPECTED_MS,
-            _ => self.is_open() && self.running.is_some(),
+            _ => {
+                let waits = |running: &Running| now_ms < running.since_ms + ABANDONED_MS;
+                self.is_open() && self.running.as_ref().is_some_and(waits)
+            }
         }
     }
 }
 
+/// Tells whether one number of a flow's bytes comes after another; numbers wrap.
+fn is_after(number: u32, other: u32) -> bool {
+    (1..=u32::MAX / 2).contains(&number.wrapping_sub(other))
+}
+
 /// A flow whose backend server has ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct EndedFlow {
@@ -206,9 +272,10 @@
         remains
     }
 
-    /// Forgets flows of which nothing was heard for long, and counts anew.
-    pub(crate) fn expire(&mut self, now_ms: u64) {
-        let (mut open, mut busy) = (0, 0);
+    /// Forgets flows of which nothing was heard for long, counts anew, and returns how many requests
+    /// have become overdue.
+    pub(crate) fn expire(&mut self, now_ms: u64) -> u32 {
+        let (mut open, mut busy, mut overdue) = (0, 0, 0);
         let lifetime_ms = self.lifetime_ms;
         self.flows.retain(|key, flow| {
             let kept_ms = if flow.closed { CLOSED_MS } else { lifetime_ms };
@@ -216,6 +283,7 @@
             if keeps {
                 open += u32::from(flow.is_open());
                 busy += u32::from(flow.is_busy(now_ms));
+                overdue += u32::from(flow.became_overdue(key, now_ms));
             } else if let Some(running) = &flow.running {
                 log::warn!(
                     "event=request_unanswered request={} flow={key} waited_ms={}",
@@ -227,6 +295,7 @@
         });
         (self.open, self.busy) = (open, busy);
         self.show();
+        overdue
     }
 
     fn count(&mut self, open: bool, busy: bool, sign: i32) {
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -15,9 +15,10 @@
 use crate::opaque::directory::Directory;
 use crate::opaque::flow_book::{Flow, FlowBook, Holding, Running};
 use crate::opaque::lookup::Lookups;
-use crate::opaque::mean_load::MeanLoad;
+use crate::opaque::mean_load::{FAILING_LOAD, MeanLoad};
 use crate::opaque::message::{Message, MessageKind, UNKNOWN_LOAD};
 use crate::opaque::metrics::OpaqueMetrics;
+use crate::opaque::recent_outcomes::RecentOutcomes;
 use crate::opaque::segment::{FlowKey, Segment, WireFormat};
 use crate::service_id::ServiceId;
 use crate::suspicion::Suspicion;
@@ -67,6 +68,8 @@
     metrics: OpaqueMetrics,
     flows: FlowBook,
     load: MeanLoad,
+    outcomes: RecentOutcomes,
+    failing: bool,
     lookups: Lookups,
     pending: Vec<FlowKey>,
     knows_all: bool,
@@ -94,6 +97,8 @@
             metrics: metrics.clone(),
             flows: FlowBook::new(metrics, identity.flow_lifetime_ms),
             load: MeanLoad::default(),
+            outcomes: RecentOutcomes::default(),
+            failing: false,
             lookups: Lookups::new(metrics),
             pending: Vec::new(),
             knows_all,
@@ -116,6 +121,10 @@
     /// Returns the mean load of the backend server, for balancers to choose by.
     pub fn load_permille(&mut self, scene: &Scene<'_>) -> u16 {
         self.load.changed(self.flows.busy(), scene.now_ms);
+        if self.outcomes.is_failing(scene.now_ms) {
+            // What fails at once looks idle, and would attract what others could serve.
+            return FAILING_LOAD;
+        }
         let table = scene.directory.table(self.identity.service);
         let row = table.and_then(|table| table.row_on(self.identity.host));
         row.map_or(UNKNOWN_LOAD, |row| self.load.permille(row.slots))
@@ -323,7 +332,27 @@
 
     /// Forgets flows of which nothing was heard for as long as a flow lives.
     pub fn expire(&mut self, now_ms: u64) {
-        self.flows.expire(now_ms);
+        for _ in 0..self.flows.expire(now_ms) {
+            self.note_failed(now_ms);
+        }
+    }
+
+    /// Notes that a request failed at the backend server.
+    fn note_failed(&mut self, now_ms: u64) {
+        self.outcomes.note_failed(now_ms);
+        let failing = self.outcomes.is_failing(now_ms);
+        if failing && !std::mem::replace(&mut self.failing, true) {
+            log::warn!("event=backend_fails busy={}", self.flows.busy());
+        }
+    }
+
+    /// Notes that a request was answered by the backend server.
+    fn note_served(&mut self, now_ms: u64) {
+        self.outcomes.note_served(now_ms);
+        if self.failing && !self.outcomes.is_failing(now_ms) {
+            self.failing = false;
+            log::warn!("event=backend_serves busy={}", self.flows.busy());
+        }
     }
 
     /// Takes any other packet of a caller.
@@ -370,11 +399,18 @@
             }
             flow.seen_ms = now_ms;
             flow.caller_acknowledgement = segment.acknowledgement;
-            if segment.payload_bytes > 0 && flow.running.is_none() {
-                flow.running = Some(Running {
-                    id: request_id(packet).unwrap_or("unknown").to_owned(),
-                    since_ms: now_ms,
-                });
+            // A packet that is sent again is no request of its own, also when its answer has begun.
+            if flow.takes_new_data(segment) {
+                match &mut flow.running {
+                    Some(running) => running.since_ms = now_ms,
+                    None => {
+                        flow.running = Some(Running {
+                            id: request_id(packet).unwrap_or("unknown").to_owned(),
+                            since_ms: now_ms,
+                            overdue: false,
+                        });
+                    }
+                }
             }
             true
         });
--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -13,6 +13,8 @@
 const SLOW_MS: u64 = 500;
 /// The status from which an answer is logged.
 const FIRST_ERROR_STATUS: u16 = 400;
+/// The status from which an answer is the backend server's failure and not its caller's.
+const FIRST_SERVER_ERROR_STATUS: u16 = 500;
 
 impl Keeper {
     /// Takes a packet that the backend server returned.
@@ -79,29 +81,37 @@
                 holding => *holding = Holding::Open,
             }
             flow.closed |= segment.ends || segment.resets;
-            let begins = segment.payload_bytes > 0 || flow.closed;
-            flow.running.take_if(|_| begins)
+            let answers = flow.takes_answer(segment);
+            let running = flow.running.take_if(|_| answers || flow.closed);
+            running.map(|running| (running, answers))
         });
         match answered.flatten() {
-            Some(running) if segment.payload_bytes > 0 => {
+            Some((running, true)) => {
                 self.note_answer(&key, &running, (self.wire.status)(packet), now_ms);
             }
-            Some(running) => {
+            Some((running, false)) => {
                 self.metrics.requests_lost.inc();
                 let (id, waited_ms) = (running.id, now_ms.saturating_sub(running.since_ms));
                 log::warn!(
                     "event=request_lost request={id} flow={key} waited_ms={waited_ms} reason=closed"
                 );
+                self.note_failed(now_ms);
             }
             None => {}
         }
     }
 
-    fn note_answer(&self, key: &FlowKey, running: &Running, status: Option<u16>, now_ms: u64) {
+    fn note_answer(&mut self, key: &FlowKey, running: &Running, status: Option<u16>, now_ms: u64) {
         let took_ms = now_ms.saturating_sub(running.since_ms);
         self.metrics
             .request_seconds
             .observe(took_ms as f64 / 1_000.0);
+        let broken = status.is_some_and(|status| status >= FIRST_SERVER_ERROR_STATUS);
+        if broken {
+            self.note_failed(now_ms);
+        } else {
+            self.note_served(now_ms);
+        }
         // An answer whose status does not show is an ordinary one: refusals are short and show theirs.
         let failed = status.is_some_and(|status| status >= FIRST_ERROR_STATUS);
         if failed || took_ms >= SLOW_MS {
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -8,7 +8,7 @@
 use crate::opaque::opener_order::next_host;
 use crate::opaque::segment::{FlowKey, Segment};
 
-/// How often a silent backend server is tried with an opener, in milliseconds.
+/// How often a silent or failing backend server is tried with an opener, in milliseconds.
 const PROBE_MS: u64 = 200;
 /// The requests for each slot, running or waiting, from which a backend server takes no opener, for
 /// each copy that a caller sends of it.
@@ -17,11 +17,19 @@
 /// Later copies come from callers that have waited 200 or 600 ms already, most of their aim or more:
 /// while there is not room for all, those that can still be served in time go first.
 const CROWDED_PER_SLOT: [f64; 3] = [2.0, 1.5, 1.0];
+/// The same for openers of a route that is more urgent than another one to the same service.
+///
+/// While there is not room for all, what is less urgent leaves these a second place behind each running
+/// request, in which they still end within about three service times.
+const URGENT_PER_SLOT: [f64; 3] = [3.0, 2.5, 1.0];
 /// By how many agents an opener may be passed on.
 const MAX_HOPS: usize = 8;
 /// By how many agents it may be passed on for want of room: four draws find room where there is some,
 /// and where there is none, each further hop costs the agents time that they don't have then.
 const CROWDED_HOPS: usize = 3;
+/// After how many agents an opener is taken also by one whose backend server fails requests: the others
+/// do no better then.
+const FAILING_HOPS: u8 = 2;
 /// The number of the last copy that a caller sends of an opener.
 const LAST_COPY: u32 = 2;
 
@@ -33,6 +41,7 @@
     OtherService,
     NotPublished,
     Silent,
+    Failing,
     Crowded,
     /// Who handed the opener over knows a newer configuration, by which it may belong here.
     Behind,
@@ -64,7 +73,7 @@
             answered: false,
             backend_sequence: 0,
         };
-        let checked = self.check_opener(scene, &key, opening.copy);
+        let checked = self.check_opener(scene, &key, &opening);
         let behind = message.digest.highest > scene.revision;
         match checked {
             // Handed on by the older configuration it would run at a service that the newer one has
@@ -130,7 +139,7 @@
         &mut self,
         scene: &Scene<'_>,
         key: &FlowKey,
-        copy: u32,
+        opening: &Opening,
     ) -> Result<(), NotTaken> {
         if self.leaving {
             return Err(NotTaken::Leaving);
@@ -149,22 +158,42 @@
             return Err(NotTaken::NotPublished);
         }
         if self.silent_since_ms.is_some() {
-            if scene.now_ms < self.last_probe_ms + PROBE_MS {
-                return Err(NotTaken::Silent);
+            return self.probe(scene, NotTaken::Silent);
+        }
+        let is_first_choice = opening.hops < FAILING_HOPS;
+        if is_first_choice && self.outcomes.is_failing(scene.now_ms) {
+            let routes = scene.directory.routes();
+            if !routes.may_probe(key.called, self.identity.service) {
+                return Err(NotTaken::Failing);
             }
-            self.last_probe_ms = scene.now_ms;
-            return Ok(());
+            return self.probe(scene, NotTaken::Failing);
         }
-        if self.is_crowded(scene, copy) {
+        if self.is_crowded(scene, key, opening.copy) {
             return Err(NotTaken::Crowded);
         }
         Ok(())
     }
 
-    fn is_crowded(&self, scene: &Scene<'_>, copy: u32) -> bool {
-        let table = scene.directory.table(self.identity.service);
+    /// Lets an opener through now and then, to see whether the backend server works again.
+    fn probe(&mut self, scene: &Scene<'_>, otherwise: NotTaken) -> Result<(), NotTaken> {
+        if scene.now_ms < self.last_probe_ms + PROBE_MS {
+            return Err(otherwise);
+        }
+        self.last_probe_ms = scene.now_ms;
+        Ok(())
+    }
+
+    fn is_crowded(&self, scene: &Scene<'_>, key: &FlowKey, copy: u32) -> bool {
+        let service = self.identity.service;
+        let routes = scene.directory.routes();
+        let route = routes.get(key.called);
+        let per_slot = match route {
+            Some(route) if routes.is_urgent(route, service) => URGENT_PER_SLOT,
+            _ => CROWDED_PER_SLOT,
+        };
+        let table = scene.directory.table(service);
         let row = table.and_then(|table| table.row_on(self.identity.host));
-        let per_slot = CROWDED_PER_SLOT[copy.min(LAST_COPY) as usize];
+        let per_slot = per_slot[copy.min(LAST_COPY) as usize];
         row.is_some_and(|row| f64::from(self.flows.busy()) >= f64::from(row.slots) * per_slot)
     }
 
--- a/src/opaque/mean_load.rs
+++ b/src/opaque/mean_load.rs
@@ -4,6 +4,10 @@
 /// requests, and a few of the intervals in which balancers hear of each agent.
 const SPAN_MS: f64 = 1_000.0;
 
+/// The load that is told of a backend server which fails, in thousandths: far above any load that
+/// differs in what follows from it.
+pub(crate) const FAILING_LOAD: u16 = 60_000;
+
 /// An exponentially weighted mean of the requests at a backend server.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct MeanLoad {
@@ -25,7 +29,6 @@
     /// Returns the mean for each of `slots`, in thousandths.
     pub(crate) fn permille(&self, slots: u32) -> u16 {
         let permille = 1_000.0 * self.mean / f64::from(slots.max(1));
-        // Far above any load that differs in what follows from it.
-        permille.min(60_000.0) as u16
+        permille.min(f64::from(FAILING_LOAD)) as u16
     }
 }
--- a/src/opaque/mod.rs
+++ b/src/opaque/mod.rs
@@ -23,6 +23,7 @@
 mod opener_order;
 mod published;
 mod readiness;
+mod recent_outcomes;
 mod route_table;
 mod segment;
 mod side;
--- a/src/opaque/route_table.rs
+++ b/src/opaque/route_table.rs
@@ -8,7 +8,7 @@
 use crate::service_id::ServiceId;
 
 /// The first line of the published routes.
-pub const ROUTES_HEADER: &str = "address,service,weight";
+pub const ROUTES_HEADER: &str = "address,service,weight,priority,repeatable";
 
 /// A salt that keeps the choice of a service independent of the choice of its target.
 const SPLIT_SALT: u64 = 0x7370_6c69;
@@ -29,6 +29,10 @@
     pub address: SocketAddrV4,
     /// The services, in order of their ids.
     pub shares: Vec<RouteShare>,
+    /// How urgent its requests are; 0 is served first.
+    pub priority: u8,
+    /// Whether its requests may run more than once, so that callers send them again after any failure.
+    pub repeatable: bool,
 }
 
 impl Route {
@@ -54,7 +58,7 @@
     }
 
     /// Tells whether a service takes a part of this route.
-    pub fn has(&self, service: ServiceId) -> bool {
+    fn has(&self, service: ServiceId) -> bool {
         let mut shares = self.shares.iter();
         shares.any(|share| share.service == service && share.weight > 0)
     }
@@ -80,13 +84,10 @@
         }
         let mut routes: Vec<Route> = Vec::new();
         for (index, line) in lines.filter(|(_, line)| !line.trim().is_empty()) {
-            let (address, share) = parse_share(index, line)?;
+            let row = parse_row(index, line)?;
             match routes.last_mut() {
-                Some(route) if route.address == address => route.shares.push(share),
-                _ => routes.push(Route {
-                    address,
-                    shares: vec![share],
-                }),
+                Some(route) if route.address == row.address => route.shares.extend(row.shares),
+                _ => routes.push(row),
             }
         }
         routes.sort_by_key(|route| route.address);
@@ -108,6 +109,19 @@
         index.ok().map(|index| &self.routes[index])
     }
 
+    /// Tells whether another route to a service has requests that are less urgent than those of `route`.
+    pub fn is_urgent(&self, route: &Route, service: ServiceId) -> bool {
+        let less_urgent = |other: &Route| other.priority > route.priority && other.has(service);
+        self.routes.iter().any(less_urgent)
+    }
+
+    /// Tells whether a request to `called` may be risked to see whether a backend server of a service works
+    /// again: if it may run twice, or if no request to that service may.
+    pub fn may_probe(&self, called: SocketAddrV4, service: ServiceId) -> bool {
+        let repeatable = |route: &Route| route.repeatable && route.has(service);
+        self.get(called).is_some_and(repeatable) || !self.routes.iter().any(repeatable)
+    }
+
     /// Returns all routes in order of their addresses.
     pub fn all(&self) -> &[Route] {
         &self.routes
@@ -118,18 +132,24 @@
     Error::new(Code::RoutesSyntax, format!("line {}: {line:?}", index + 1))
 }
 
-fn parse_share(index: usize, line: &str) -> Result<(SocketAddrV4, RouteShare)> {
+/// Parses a row: a route with one of its shares.
+fn parse_row(index: usize, line: &str) -> Result<Route> {
     let fields: Vec<&str> = line.split(',').map(str::trim).collect();
-    let &[address, service, weight] = fields.as_slice() else {
+    let &[address, service, weight, priority, repeatable] = fields.as_slice() else {
         return Err(syntax(index, line));
     };
-    let address = address.parse().map_err(|_| syntax(index, line))?;
-    let weight = weight.parse().map_err(|_| syntax(index, line))?;
-    Ok((
-        address,
-        RouteShare {
+    let repeatable = match repeatable {
+        "yes" => true,
+        "no" => false,
+        _ => return Err(syntax(index, line)),
+    };
+    Ok(Route {
+        address: address.parse().map_err(|_| syntax(index, line))?,
+        shares: vec![RouteShare {
             service: ServiceId::of(service),
-            weight,
-        },
-    ))
+            weight: weight.parse().map_err(|_| syntax(index, line))?,
+        }],
+        priority: priority.parse().map_err(|_| syntax(index, line))?,
+        repeatable,
+    })
 }
--- a/src/opaque/segment.rs
+++ b/src/opaque/segment.rs
@@ -80,6 +80,11 @@
 }
 
 impl Segment {
+    /// Returns the number after its last byte.
+    pub(crate) fn end_sequence(&self) -> u32 {
+        self.sequence.wrapping_add(self.payload_bytes.into())
+    }
+
     /// Returns the flow of a packet that a caller sent.
     pub fn flow_from_caller(&self) -> FlowKey {
         FlowKey {
