Reset the flows of a backend server that restarts at once

The agent notes when its connection to the backend server breaks. Once a newer lifetime is published at that address, the one before has ended, and flows from before the first break since then are reset; their callers' next attempts go on at once. A packet on an older flow shows that its process lives, as one that closed an idle connection, and takes the note back.

--- a/src/opaque/backend_watch.rs
+++ b/src/opaque/backend_watch.rs
@@ -16,6 +16,8 @@
 pub(crate) enum BackendSign {
     /// It accepted a connection.
     Listens,
+    /// The connection broke: its process ended, or closed what was idle.
+    Breaks,
     /// Nothing listens at its address.
     Refuses,
 }
@@ -32,6 +34,7 @@
             Ok(Ok(stream)) => {
                 see(BackendSign::Listens);
                 wait_until_closed(stream).await;
+                see(BackendSign::Breaks);
             }
             Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
                 see(BackendSign::Refuses);
--- a/src/opaque/directory.rs
+++ b/src/opaque/directory.rs
@@ -57,6 +57,8 @@
     pub takes_flows: bool,
     /// Whether it is no longer published.
     pub is_gone: bool,
+    /// The revision at which it was published first, which tells its lifetime from those before.
+    pub first_revision: u64,
 }
 
 /// What is published anew of a backend server.
@@ -200,6 +202,7 @@
             service: newest.backend.service,
             takes_flows: newest.takes_flows(self.clock_ms),
             is_gone: newest.gone.is_some(),
+            first_revision: newest.first_revision,
         })
     }
 
--- a/src/opaque/flow_book.rs
+++ b/src/opaque/flow_book.rs
@@ -66,6 +66,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Flow {
     pub(crate) holding: Holding,
+    /// Since when it is known here.
+    pub(crate) since_ms: u64,
     pub(crate) seen_ms: u64,
     /// The next number that the caller expects, which a reset must fit.
     pub(crate) caller_acknowledgement: u32,
@@ -83,6 +85,7 @@
     pub(crate) fn new(holding: Holding, now_ms: u64) -> Self {
         Self {
             holding,
+            since_ms: now_ms,
             seen_ms: now_ms,
             caller_acknowledgement: 0,
             running: None,
@@ -242,10 +245,13 @@
         Some(flow)
     }
 
-    /// Takes out everything that a backend server held which has ended.
-    pub(crate) fn take_remains(&mut self) -> Remains {
+    /// Takes out everything that a backend server held which has ended before `end_ms`.
+    pub(crate) fn take_remains(&mut self, end_ms: u64, now_ms: u64) -> Remains {
         let mut remains = Remains::default();
         self.flows.retain(|key, flow| {
+            if flow.since_ms >= end_ms {
+                return true;
+            }
             match &flow.holding {
                 Holding::Elsewhere(_) | Holding::Absent => return true,
                 Holding::Opening(opening) if !flow.closed => {
@@ -268,21 +274,19 @@
             }
             false
         });
-        (self.open, self.busy) = (0, 0);
+        self.count_anew(now_ms);
         remains
     }
 
     /// Forgets flows of which nothing was heard for long, counts anew, and returns how many requests
     /// have become overdue.
     pub(crate) fn expire(&mut self, now_ms: u64) -> u32 {
-        let (mut open, mut busy, mut overdue) = (0, 0, 0);
+        let mut overdue = 0;
         let lifetime_ms = self.lifetime_ms;
         self.flows.retain(|key, flow| {
             let kept_ms = if flow.closed { CLOSED_MS } else { lifetime_ms };
             let keeps = now_ms < flow.seen_ms + kept_ms;
             if keeps {
-                open += u32::from(flow.is_open());
-                busy += u32::from(flow.is_busy(now_ms));
                 overdue += u32::from(flow.became_overdue(key, now_ms));
             } else if let Some(running) = &flow.running {
                 log::warn!(
@@ -293,9 +297,19 @@
             }
             keeps
         });
+        self.count_anew(now_ms);
+        overdue
+    }
+
+    fn count_anew(&mut self, now_ms: u64) {
+        let (mut open, mut busy) = (0, 0);
+        self.flows.retain(|_, flow| {
+            open += u32::from(flow.is_open());
+            busy += u32::from(flow.is_busy(now_ms));
+            true
+        });
         (self.open, self.busy) = (open, busy);
         self.show();
-        overdue
     }
 
     fn count(&mut self, open: bool, busy: bool, sign: i32) {
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -13,7 +13,7 @@
 use crate::error::Result;
 use crate::opaque::action::Action;
 use crate::opaque::directory::Directory;
-use crate::opaque::flow_book::{Flow, FlowBook, Holding, Running};
+use crate::opaque::flow_book::{Flow, FlowBook, Holding, Remains, Running};
 use crate::opaque::lookup::Lookups;
 use crate::opaque::mean_load::{FAILING_LOAD, MeanLoad};
 use crate::opaque::message::{Message, MessageKind, UNKNOWN_LOAD};
@@ -79,6 +79,10 @@
     refused_since_ms: Option<u64>,
     refusing: bool,
     listens: bool,
+    /// When the connection to the backend server first broke in the lifetime that is published.
+    broke_ms: Option<u64>,
+    /// The revision at which the published lifetime of the backend server began.
+    lifetime: Option<u64>,
     last_heard_ms: u64,
     last_probe_ms: u64,
 }
@@ -108,6 +112,8 @@
             refused_since_ms: None,
             refusing: false,
             listens: false,
+            broke_ms: None,
+            lifetime: None,
             last_heard_ms: 0,
             last_probe_ms: 0,
         }
@@ -276,7 +282,8 @@
         if !std::mem::replace(&mut self.backend_up, false) {
             return Vec::new();
         }
-        let remains = self.flows.take_remains();
+        // Whatever came in until now was for the process that has ended.
+        let remains = self.flows.take_remains(u64::MAX, scene.now_ms);
         self.pending.clear();
         log::info!(
             "event=backend_ended flows={} openers={} last_packet_ms_ago={} revision={}",
@@ -285,6 +292,11 @@
             scene.now_ms.saturating_sub(self.last_heard_ms),
             scene.revision
         );
+        self.close_remains(scene, remains)
+    }
+
+    /// Resets the flows that are left of a backend server, and passes its openers on.
+    fn close_remains(&self, scene: &Scene<'_>, remains: Remains) -> Vec<Action> {
         let mut actions = Vec::new();
         for ended in remains.flows {
             self.reset(
@@ -300,6 +312,39 @@
         actions
     }
 
+    /// Notes that the connection to the backend server broke.
+    pub fn backend_breaks(&mut self, now_ms: u64) {
+        self.listens = false;
+        self.broke_ms.get_or_insert(now_ms);
+    }
+
+    /// Looks whether a new lifetime of the backend server is published at its address.
+    ///
+    /// It shows that the one before has ended, so that flows from before the first break of the connection
+    /// since then are gone. Without it, a backend server that restarts at once leaves callers waiting whose
+    /// requests it had acknowledged: they send nothing more that could be returned.
+    pub fn published_changed(&mut self, scene: &Scene<'_>) -> Vec<Action> {
+        let Some(own) = scene.directory.own(self.identity.backend) else {
+            return Vec::new();
+        };
+        let before = self.lifetime.replace(own.first_revision);
+        if before.is_none_or(|before| before >= own.first_revision) {
+            return Vec::new();
+        }
+        let Some(broke_ms) = self.broke_ms.take() else {
+            return Vec::new();
+        };
+        let remains = self.flows.take_remains(broke_ms, scene.now_ms);
+        log::info!(
+            "event=backend_restarted flows={} openers={} broke_ms_ago={} revision={}",
+            remains.flows.len(),
+            remains.openers.len(),
+            scene.now_ms.saturating_sub(broke_ms),
+            scene.revision
+        );
+        self.close_remains(scene, remains)
+    }
+
     /// Does what is due: openers without an answer, packets that were not returned, questions.
     pub fn tick(&mut self, scene: &Scene<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -69,6 +69,7 @@
             }
             return;
         }
+        let broke_ms = self.broke_ms;
         let answered = self.flows.update(&key, now_ms, |flow| {
             flow.seen_ms = now_ms;
             flow.shown |= !segment.accepts;
@@ -81,11 +82,17 @@
                 holding => *holding = Holding::Open,
             }
             flow.closed |= segment.ends || segment.resets;
+            let outlived = broke_ms.is_some_and(|broke_ms| flow.since_ms < broke_ms);
             let answers = flow.takes_answer(segment);
             let running = flow.running.take_if(|_| answers || flow.closed);
-            running.map(|running| (running, answers))
+            (outlived, running.map(|running| (running, answers)))
         });
-        match answered.flatten() {
+        let (outlived, answered) = answered.unwrap_or_default();
+        if outlived {
+            // Its process lives: it closed an idle connection.
+            self.broke_ms = None;
+        }
+        match answered {
             Some((running, true)) => {
                 self.note_answer(&key, &running, (self.wire.status)(packet), now_ms);
             }
--- a/src/opaque/side.rs
+++ b/src/opaque/side.rs
@@ -109,6 +109,10 @@
     fn subscribe(self: &Rc<Self>) {
         self.node.subscribe();
         let side = self.clone();
+        let look = move || side.decide(|keeper, scene| Ok(keeper.published_changed(scene)));
+        look();
+        self.node.control.on_change(move |_| look());
+        let side = self.clone();
         let announce = move || side.announce_unlisted();
         self.node.control.timers.every(ANNOUNCE_MS, announce);
         let side = self.clone();
@@ -152,6 +156,10 @@
     fn backend_sign(self: &Rc<Self>, sign: BackendSign) {
         match sign {
             BackendSign::Listens => self.keeper.borrow_mut().backend_listens(),
+            BackendSign::Breaks => {
+                let now_ms = self.node.control.now_ms();
+                self.keeper.borrow_mut().backend_breaks(now_ms);
+            }
             BackendSign::Refuses => self.decide(|keeper, scene| Ok(keeper.backend_refuses(scene))),
         }
     }
--- a/tests/opaque/builder.rs
+++ b/tests/opaque/builder.rs
@@ -317,6 +317,10 @@
         self.with(|keeper, scene| keeper.leave(scene))
     }
 
+    pub(crate) fn published_changed(&mut self) -> Vec<Action> {
+        self.with(|keeper, scene| keeper.published_changed(scene))
+    }
+
     pub(crate) fn tick_at(&mut self, now_ms: u64) -> Vec<Action> {
         self.now_ms = now_ms;
         self.with(|keeper, scene| keeper.tick(scene))
--- a/tests/opaque/keeper.rs
+++ b/tests/opaque/keeper.rs
@@ -2,7 +2,7 @@
 
 use endivedyke::ServiceId;
 use endivedyke::opaque::{
-    BackendState, FlowKey, KeeperIdentity, Message, MessageKind, ROUTES_HEADER, RouteTable,
+    Backend, BackendState, FlowKey, KeeperIdentity, Message, MessageKind, ROUTES_HEADER, RouteTable,
 };
 
 use crate::builder::{self, host};
@@ -505,3 +505,42 @@
     };
     assert!(!reaches_backend(&agent.deliver(&opener(&urgent, 0))));
 }
+
+/// Publishes a new lifetime of the backend server beside the agent.
+fn publish_next_lifetime(agent: &mut AgentUnderTest) -> Vec<endivedyke::opaque::Action> {
+    let text = state_text(1, BackendState::Ready);
+    let backend = Backend::parse(&text).expect("sound text");
+    agent.directory.apply("i-next", backend, 50, agent.now_ms);
+    agent.revision = 50;
+    agent.published_changed()
+}
+
+#[test]
+fn flows_of_a_lifetime_before_are_reset_once_the_next_is_published() {
+    let mut agent = AgentUnderTest::new(1, true);
+    agent.published_changed();
+    request_that_ends(&mut agent, 1, true);
+    agent.open(&flow(2), 500);
+    agent.answer_from_backend(&flow(2));
+    agent.now_ms += 10;
+    agent.keeper.backend_breaks(agent.now_ms);
+    agent.keeper.backend_listens();
+    agent.now_ms += 10;
+    agent.open(&flow(3), 900);
+    agent.answer_from_backend(&flow(3));
+    let actions = publish_next_lifetime(&mut agent);
+    assert_eq!(resets(&actions), [flow(2)], "the third opened after it");
+    assert!(agent.published_changed().is_empty());
+}
+
+#[test]
+fn a_lifetime_that_outlived_a_break_keeps_its_flows() {
+    let mut agent = AgentUnderTest::new(1, true);
+    agent.published_changed();
+    agent.open(&flow(2), 500);
+    agent.now_ms += 10;
+    agent.keeper.backend_breaks(agent.now_ms);
+    agent.now_ms += 10;
+    agent.answer_from_backend(&flow(2));
+    assert!(resets(&publish_next_lifetime(&mut agent)).is_empty());
+}
