Follow a failed request through the logs: endivedyke explain

Following requests over ids in all lines: openers come before any id shows.

`endivedyke explain ID FILE...` finds the flows of a request id (or takes a flow), picks their lines from the logs of all processes, adds what changed the beliefs of the processes that dealt with them around that time, and prints the cause first: the most telling line in words, the remedy of its code, and what stood beside it (a start, lost lines, a lost platform). Unknown ids give code 2501.

Tests: `tests/explain.rs`.

--- a/src/code.rs
+++ b/src/code.rs
@@ -74,6 +74,7 @@
     2303 ValueTooLarge "value: larger than one megabyte", "split the service";
     2401 RoutesSyntax "routes: a row is malformed or an address stands twice", "write address,service,weight,priority,repeatable";
     2402 BackendSyntax "backend server: the published value is malformed", "write service,address,zone,slots,state";
+    2501 LogSilent "logs: no line names this request or flow", "give the log files of all processes, and the id as callers know it";
     3001 SettingsSyntax "settings: the file is not INI", "correct the line named";
     3002 SettingsUnknown "settings: unknown section or key", "remove or correct the key named";
     3003 SettingsValue "settings: a value is malformed or out of range", "write a value in the range named";
--- /dev/null
+++ b/src/explain/cause.rs
@@ -0,0 +1,215 @@
+//! What the lines of a story mean, in words.
+
+use crate::code::Code;
+use crate::explain::log_line::LogLine;
+use crate::explain::story::Story;
+
+/// The meaning of an event, where a field has a value that begins so; the empty field always fits.
+struct Meaning {
+    event: &'static str,
+    field: &'static str,
+    value: &'static str,
+    text: &'static str,
+}
+
+const fn meaning(
+    event: &'static str,
+    field: &'static str,
+    value: &'static str,
+    text: &'static str,
+) -> Meaning {
+    Meaning {
+        event,
+        field,
+        value,
+        text,
+    }
+}
+
+/// What ends a request, the most telling first.
+const MEANINGS: [Meaning; 17] = [
+    meaning(
+        "request_lost",
+        "reason",
+        "backend_ended",
+        "its backend server's process ended while the request was there",
+    ),
+    meaning(
+        "request_lost",
+        "reason",
+        "flow_not_held",
+        "its backend server had restarted and no longer held the flow",
+    ),
+    meaning(
+        "request_lost",
+        "reason",
+        "closed",
+        "its backend server closed the flow without an answer",
+    ),
+    meaning(
+        "flow_reset",
+        "code",
+        "4010",
+        "no route led to the address that it called, by the values of that process",
+    ),
+    meaning(
+        "flow_reset",
+        "code",
+        "4012",
+        "the backend server that held its flow ended, and its caller was told at once",
+    ),
+    meaning(
+        "flow_reset",
+        "code",
+        "4011",
+        "every agent said that its backend server does not hold the flow",
+    ),
+    meaning(
+        "flow_reset",
+        "code",
+        "4013",
+        "nobody took its opener, and its caller was told so; nothing ran",
+    ),
+    meaning(
+        "request_answered",
+        "status",
+        "5",
+        "its backend server answered with an error of its own",
+    ),
+    meaning(
+        "lookup_given_up",
+        "settled",
+        "false",
+        "the flow was not found, and not reset: the agent could not yet know who may hold it",
+    ),
+    meaning(
+        "lookup_given_up",
+        "",
+        "",
+        "the flow was not found, and not reset, since not every agent answered",
+    ),
+    meaning(
+        "request_unanswered",
+        "",
+        "",
+        "its backend server never answered",
+    ),
+    meaning(
+        "request_overdue",
+        "",
+        "",
+        "its backend server took over a second and may be stuck or slow",
+    ),
+    meaning(
+        "request_answered",
+        "",
+        "",
+        "it was answered, slowly: compare `busy` with the server's slots",
+    ),
+    meaning(
+        "opener_dropped",
+        "",
+        "",
+        "nobody had room for a copy of its opener, and its caller sent the next one",
+    ),
+    meaning(
+        "opener_unanswered",
+        "",
+        "",
+        "an agent did not answer for its opener in time, and another got it",
+    ),
+    meaning(
+        "opener_not_taken",
+        "",
+        "",
+        "an agent passed its opener on, for the reason in its line",
+    ),
+    meaning(
+        "opener_taken",
+        "",
+        "",
+        "it was taken and nothing went wrong that would be logged",
+    ),
+];
+
+/// What changes of belief beside a story add to it.
+const CIRCUMSTANCES: [Meaning; 7] = [
+    meaning(
+        "lines_dropped",
+        "",
+        "",
+        "lines are missing there: more was to be said than the budget allows",
+    ),
+    meaning("resumed", "", "", "the process had stood still before"),
+    meaning("start", "", "", "the process had just started"),
+    meaning(
+        "backend_fails",
+        "",
+        "",
+        "its backend server failed many requests then",
+    ),
+    meaning(
+        "backend_silent",
+        "",
+        "",
+        "its backend server did not answer openers then",
+    ),
+    meaning(
+        "platform_fails",
+        "",
+        "",
+        "it had lost touch with the platform",
+    ),
+    meaning(
+        "unsettled",
+        "",
+        "",
+        "it waited for lapsed backend servers to come back",
+    ),
+];
+
+/// Returns the causes that a story shows, a line each.
+pub(crate) fn causes(story: &Story<'_>) -> Vec<String> {
+    let mut causes = Vec::new();
+    if let Some((meaning, line)) = first_that_fits(&MEANINGS, story) {
+        causes.push(format!("cause: {} ({})", meaning.text, line.process));
+        if let Some(code) = line.field("code").and_then(|code| code.parse().ok())
+            && let Some(code) = Code::from_number(code)
+        {
+            causes.push(format!("remedy of E{}: {}", code.number(), code.remedy()));
+        }
+    }
+    for meaning in &CIRCUMSTANCES {
+        let mut processes: Vec<&str> = story
+            .lines
+            .iter()
+            .filter(|line| fits(meaning, line))
+            .map(|line| line.process)
+            .collect();
+        processes.sort_unstable();
+        processes.dedup();
+        for process in processes {
+            causes.push(format!("beside it: {} ({process})", meaning.text));
+        }
+    }
+    causes
+}
+
+fn first_that_fits<'a, 'b>(
+    meanings: &'b [Meaning],
+    story: &'b Story<'a>,
+) -> Option<(&'b Meaning, &'b LogLine<'a>)> {
+    meanings.iter().find_map(|meaning| {
+        let mut lines = story.lines.iter();
+        let line = lines.find(|line| fits(meaning, line))?;
+        Some((meaning, line))
+    })
+}
+
+fn fits(meaning: &Meaning, line: &LogLine<'_>) -> bool {
+    if line.event != meaning.event {
+        return false;
+    }
+    let value = line.field(meaning.field);
+    meaning.field.is_empty() || value.is_some_and(|value| value.starts_with(meaning.value))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 mod drain_signal;
 mod envelope;
 mod error;
+mod explain;
 mod flow;
 mod flow_history;
 mod flow_socket;
@@ -104,6 +105,7 @@
 pub use crate::delta::Delta;
 pub use crate::envelope::{ENVELOPE_BYTES, Envelope, EnvelopeKey, EnvelopeKind};
 pub use crate::error::{Error, Result};
+pub use crate::explain::{LogLine, explain, parse_log};
 pub use crate::hash::{bytes_hash, name_hash};
 pub use crate::health::Health;
 pub use crate::hosts::{HOSTS_HEADER, Host, HostList, HostRole, HostState};
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -12,6 +12,7 @@
 use crate::config_store::HOSTS_NAME;
 use crate::daemon::EXIT_USAGE;
 use crate::error::{Error, Result};
+use crate::explain;
 use crate::hosts::HostList;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -39,6 +40,8 @@
     Settings(Words),
     #[options(help = "state ADDRESS: print the whole state of the process on a host")]
     State(StateOptions),
+    #[options(help = "explain ID FILE...: follow a request or flow through log files")]
+    Explain(Words),
     #[options(help = "status: revision, load and drains of all processes at a glance")]
     Status(StatusOptions),
 }
@@ -89,6 +92,7 @@
     let result = match &options.command {
         Some(Command::Table(words)) => table_command(&words.words),
         Some(Command::Settings(words)) => settings_command(&words.words),
+        Some(Command::Explain(words)) => explain_command(&words.words),
         Some(Command::State(options)) => state_command(options),
         Some(Command::Status(options)) => status_command(options),
         None => Err(Error::new(Code::Usage, "name a command")),
@@ -111,6 +115,17 @@
     text.map_err(|error| Error::new(Code::Io, format!("{path}: {error}")))
 }
 
+fn explain_command(words: &[String]) -> Result<String> {
+    let Some((id, files)) = words.split_first().filter(|(_, files)| !files.is_empty()) else {
+        return Err(Error::new(Code::Usage, "explain ID FILE..."));
+    };
+    let logs: Result<Vec<_>> = files
+        .iter()
+        .map(|file| Ok((file.clone(), read(file)?)))
+        .collect();
+    explain::explain(id, &logs?)
+}
+
 fn table_command(words: &[String]) -> Result<String> {
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     match words.as_slice() {
--- /dev/null
+++ b/tests/explain.rs
@@ -0,0 +1,118 @@
+//! From the id of a failed request to its cause.
+
+use endivedyke::{Code, explain, parse_log};
+
+const FLOW: &str = "100.64.0.7:1027>198.18.0.1:443";
+
+/// Log lines of processes under construction.
+#[derive(Default)]
+struct Logs {
+    files: Vec<(String, String)>,
+}
+
+impl Logs {
+    /// Adds lines to the log of a process, each a time and what follows it.
+    fn process(mut self, host: &str, lines: &[(u64, &str)]) -> Self {
+        let mut text = format!("time_ms=1 level=INFO part=daemon event=start host={host}\n");
+        for (time_ms, line) in lines {
+            text += &format!("time_ms={time_ms} level=INFO part=x {line}\n");
+        }
+        self.files.push((format!("{host}.log"), text));
+        self
+    }
+}
+
+#[test]
+fn a_story_begins_with_its_cause() {
+    let taken = format!("event=opener_taken flow={FLOW} copy=0");
+    let lost = format!("event=request_lost request=r-1 flow={FLOW} reason=backend_ended");
+    let closed = format!("event=request_lost request=r-1 flow={FLOW} waited_ms=3 reason=closed");
+    let gone = format!("event=flow_reset flow={FLOW} code=4011");
+    let no_room = format!("event=flow_reset flow={FLOW} code=4013");
+    let overdue = format!("event=request_overdue request=r-1 flow={FLOW} waited_ms=1200");
+    let given_up = format!("event=lookup_given_up flow={FLOW} unanswered=0 settled=false");
+    let refused = format!("event=request_answered request=r-1 flow={FLOW} status=503 took_ms=4");
+    let cases = [
+        (&lost, "process ended while the request was there"),
+        (&closed, "closed the flow without an answer"),
+        (&gone, "every agent said"),
+        (&no_room, "nobody took its opener"),
+        (&overdue, "took over a second"),
+        (&given_up, "could not yet know"),
+        (&refused, "an error of its own"),
+        (&taken, "nothing went wrong"),
+    ];
+    for (line, cause) in cases {
+        let logs = Logs::default().process("10.0.0.1", &[(5_000, &taken), (5_300, line)]);
+        let text = explain(FLOW, &logs.files).expect("a story");
+        let first = text.lines().next().expect("a line");
+        assert!(first.contains(cause), "{line}: {first}");
+        assert!(first.contains("10.0.0.1"), "{first}");
+    }
+}
+
+#[test]
+fn a_request_is_followed_over_its_processes() {
+    let logs = Logs::default()
+        .process(
+            "10.0.0.1",
+            &[
+                (
+                    5_000,
+                    &format!("event=opener_not_taken flow={FLOW} reason=Crowded"),
+                ),
+                (5_100, "event=opener_taken flow=100.64.0.9:1>198.18.0.1:443"),
+            ],
+        )
+        .process(
+            "10.0.0.2",
+            &[
+                (
+                    4_000,
+                    "event=platform_fails error=E5002 the service does not answer",
+                ),
+                (5_001, &format!("event=opener_taken flow={FLOW} hops=1")),
+                (
+                    5_400,
+                    &format!("event=request_lost request=r-1 flow={FLOW} reason=closed"),
+                ),
+                (
+                    5_500,
+                    &format!("event=request_lost request=r-2 flow={FLOW} reason=closed"),
+                ),
+                (9_000, "event=platform_fails error=later"),
+            ],
+        )
+        .process(
+            "10.0.0.3",
+            &[(5_200, "event=platform_fails error=elsewhere")],
+        );
+    let text = explain("r-1", &logs.files).expect("a story");
+    for part in [
+        "Crowded",
+        "hops=1",
+        "r-1",
+        "lost touch with the platform (10.0.0.2)",
+    ] {
+        assert!(text.contains(part), "{part}: {text}");
+    }
+    for part in ["100.64.0.9", "r-2", "later", "elsewhere"] {
+        assert!(!text.contains(part), "{part}: {text}");
+    }
+}
+
+#[test]
+fn nothing_about_an_id_is_an_error_with_its_code() {
+    let logs = Logs::default().process("10.0.0.1", &[(1, "event=ready revision=3")]);
+    let error = explain("r-9", &logs.files).expect_err("no line");
+    assert_eq!(error.code, Code::LogSilent);
+}
+
+#[test]
+fn names_before_lines_and_words_in_errors_are_read() {
+    let text = " 35.8 edge-a-1 time_ms=7 level=WARN part=x event=platform_fails read=Whole error=E5002 no answer in 4 ms\nnoise\n";
+    let lines = parse_log("file", text);
+    assert_eq!(lines.len(), 1);
+    assert_eq!(lines[0].process, "edge-a-1");
+    assert_eq!(lines[0].field("error"), Some("E5002 no answer in 4 ms"));
+}
