Look anew whether a backend server listens when it falls silent; harm connections in the soak

The agent learned of a crash from the connection that it keeps to its backend server: on one that shows nothing it waited for ever, and callers whose flows were there waited for their limits.

An opener without an answer, or a request without one for a second, makes the agent connect anew; what is refused then is proof as before. The stand-ins get a proxy before the store that delays, cuts, cuts one way, resets and silences connections, and backend servers that crash behind a silent connection; the soak draws all of these.

--- a/lab/src/opaque/backend.rs
+++ b/lab/src/opaque/backend.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use compio::net::TcpListener;
+use compio::net::{TcpListener, TcpStream};
 use compio::runtime::JoinHandle;
 use endivedyke::Result;
 
@@ -33,6 +33,9 @@
 /// The flows that backend servers hold open, by caller and called address, for whoever judges resets.
 pub(crate) type OpenFlows = Rc<RefCell<Vec<(SocketAddrV4, SocketAddrV4)>>>;
 
+/// The connections that a backend server accepted.
+pub(crate) type Connections = Rc<RefCell<Vec<TcpStream>>>;
+
 /// Settings of a backend server.
 #[derive(Debug, Clone)]
 pub(crate) struct BackendSpec {
@@ -93,6 +96,7 @@
     server: Rc<RefCell<Server>>,
     pub(crate) spec: BackendSpec,
     pub(crate) id: String,
+    connections: Connections,
     _serving: JoinHandle<()>,
     _listening: JoinHandle<()>,
 }
@@ -120,7 +124,10 @@
         }));
         let listener = TcpListener::bind(spec.address).await?;
         let serving = server.clone();
+        let connections = Connections::default();
+        let accepted = connections.clone();
         Ok(Self {
+            connections,
             server,
             spec: spec.clone(),
             id: format!("i-{:08x}", rand::random::<u32>()),
@@ -131,10 +138,9 @@
                 }
             }),
             _listening: compio::runtime::spawn(async move {
-                let mut connections = Vec::new();
                 loop {
                     if let Ok((stream, _)) = listener.accept().await {
-                        connections.push(stream);
+                        accepted.borrow_mut().push(stream);
                     }
                 }
             }),
@@ -151,6 +157,11 @@
         self.server.borrow().draining
     }
 
+    /// Returns the connections that were accepted, which close with their last owner.
+    pub(crate) fn connections(&self) -> Connections {
+        self.connections.clone()
+    }
+
     /// Returns the number of open flows.
     pub(crate) fn open_flows(&self) -> usize {
         self.server.borrow().flows.len()
--- a/lab/src/opaque/mod.rs
+++ b/lab/src/opaque/mod.rs
@@ -6,6 +6,7 @@
 mod flow_end;
 mod load;
 mod packet;
+mod proxy;
 mod quickstart;
 mod routers;
 mod site;
@@ -15,6 +16,7 @@
 pub(crate) use crate::opaque::load::{OpaqueLoadPlan, run as run_opaque_load};
 
 pub use crate::opaque::callers::{CallPlan, CallTally};
+pub use crate::opaque::proxy::{LinkFault, ProxyHandle};
 pub use crate::opaque::quickstart::run_opaque_quickstart;
 pub use crate::opaque::site::{OpaqueSite, OpaqueSiteBuilder};
 pub use crate::opaque::soak::run_soak;
--- a/lab/src/opaque/site.rs
+++ b/lab/src/opaque/site.rs
@@ -13,14 +13,17 @@
 use serde_json::json;
 use tempfile::TempDir;
 
-use crate::opaque::backend::{BackendHandle, BackendJournal, BackendSpec, OpenFlows};
+use crate::opaque::backend::{BackendHandle, BackendJournal, BackendSpec, Connections, OpenFlows};
 use crate::opaque::callers::{CallPlan, CallTally, CallersHandle};
+use crate::opaque::proxy::ProxyHandle;
 use crate::opaque::routers::Routers;
 use crate::opaque::store::StoreHandle;
 use crate::process::Process;
 use crate::site::free_net;
 
 const STORE_PORT: u16 = 8_169;
+/// Where processes reach the store, through the proxy.
+const PROXY_PORT: u16 = 8_170;
 const PACKET_PORT: u16 = 8_172;
 const READY_PORT: u16 = 8_167;
 const OUTBOUND_PORT: u16 = 8_162;
@@ -112,13 +115,17 @@
         let net = free_net(STORE_PORT)?;
         let ip = |last: usize| Ipv4Addr::new(127, net.0, net.1, last as u8);
         let store = StoreHandle::start((ip(2), STORE_PORT).into()).await?;
+        let proxy =
+            ProxyHandle::start((ip(2), PROXY_PORT).into(), (ip(2), STORE_PORT).into()).await?;
         let hosts: Vec<Ipv4Addr> = (0..self.balancers).map(|index| ip(10 + index)).collect();
         let routers = Routers::start(ip(1), &hosts, PACKET_PORT, READY_PORT)?;
         let mut site = OpaqueSite {
             net,
             folder: tempfile::tempdir()?,
             store,
+            proxy,
             routers,
+            silent_connections: Vec::new(),
             balancers: (0..self.balancers).map(|_| None).collect(),
             agents: Vec::new(),
             backends: Vec::new(),
@@ -146,7 +153,10 @@
     folder: TempDir,
     spec: OpaqueSiteBuilder,
     store: StoreHandle,
+    proxy: ProxyHandle,
     routers: Routers,
+    /// Connections to backend servers that ended without a sign on them.
+    silent_connections: Vec<Connections>,
     balancers: Vec<Option<Process>>,
     agents: Vec<Option<Process>>,
     backends: Vec<Option<BackendHandle>>,
@@ -180,6 +190,11 @@
         &self.store
     }
 
+    /// Returns what harms the connections to the store.
+    pub fn proxy(&self) -> &ProxyHandle {
+        &self.proxy
+    }
+
     /// Returns the address that callers call for a service.
     pub fn called(&self, service: usize) -> SocketAddrV4 {
         SocketAddrV4::new(
@@ -317,6 +332,13 @@
         Some(backend.id)
     }
 
+    /// Ends a backend server as a crash behind a cut would: connections to it stay open, and are silent.
+    pub fn crash_backend_silently(&mut self, index: usize) -> Option<String> {
+        let backend = self.backends[index].take()?;
+        self.silent_connections.push(backend.connections());
+        Some(backend.id)
+    }
+
     /// Removes a backend server's entry from the store.
     pub fn expire_entry(&self, id: &str) {
         self.store.remove(&format!("servers/{id}"));
--- a/lab/src/opaque/site/settings.rs
+++ b/lab/src/opaque/site/settings.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 
 use crate::opaque::site::{
-    APP_PORT, OUTBOUND_PORT, OpaqueSite, PACKET_PORT, PEER_PORT, READY_PORT, STORE_PORT,
+    APP_PORT, OUTBOUND_PORT, OpaqueSite, PACKET_PORT, PEER_PORT, PROXY_PORT, READY_PORT,
 };
 
 impl OpaqueSite {
@@ -23,7 +23,7 @@
             ("service", service.to_owned()),
             ("bounds.maxFlowS", "60".to_owned()),
             ("bootstrap", "false".to_owned()),
-            ("platform.address", format!("{}:{STORE_PORT}", self.ip(2))),
+            ("platform.address", format!("{}:{PROXY_PORT}", self.ip(2))),
             ("seeds", seeds.join(",")),
         ];
         let mut text = template.to_owned();
--- a/lab/src/opaque/soak.rs
+++ b/lab/src/opaque/soak.rs
@@ -9,6 +9,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::opaque::callers::CallTally;
+use crate::opaque::proxy::LinkFault;
 use crate::opaque::site::{OpaqueSite, OpaqueSiteBuilder};
 use crate::opaque::store::StoreFault;
 use crate::process::Process;
@@ -46,9 +47,13 @@
     ForgetHistory,
     HangUp,
     KillAll,
+    Link(LinkFault),
+    ResetLinks,
+    SilenceLinks,
+    CrashSilently,
 }
 
-const FAULTS: [Fault; 16] = [
+const FAULTS: [Fault; 22] = [
     Fault::KillBalancer,
     Fault::StopBalancer,
     Fault::FreezeBalancer,
@@ -65,6 +70,12 @@
     Fault::ForgetHistory,
     Fault::HangUp,
     Fault::KillAll,
+    Fault::Link(LinkFault::Delay(300)),
+    Fault::Link(LinkFault::CutAnswers),
+    Fault::Link(LinkFault::Cut),
+    Fault::ResetLinks,
+    Fault::SilenceLinks,
+    Fault::CrashSilently,
 ];
 
 /// What ends a fault.
@@ -78,6 +89,7 @@
     EndDrain(usize),
     Register(usize),
     Store,
+    Link,
     Serve,
 }
 
@@ -171,6 +183,18 @@
                         .push((due_ms, Heal::StartBackend { index, old_id }));
                 }
             }
+            Fault::CrashSilently => {
+                if let Some(old_id) = self.site.crash_backend_silently(index) {
+                    self.heals
+                        .push((due_ms, Heal::StartBackend { index, old_id }));
+                }
+            }
+            Fault::Link(fault) => {
+                self.site.proxy().set_fault(Some(fault));
+                self.heals.push((due_ms, Heal::Link));
+            }
+            Fault::ResetLinks => self.site.proxy().reset(),
+            Fault::SilenceLinks => self.site.proxy().silence_open(),
             Fault::DrainBackend => {
                 self.site.drain_backend(index);
                 self.heals
@@ -267,6 +291,11 @@
                 self.site.store().set_fault(None);
                 Ok(())
             }
+            Heal::Link if self.heals.iter().any(|(_, other)| *other == Heal::Link) => Ok(()),
+            Heal::Link => {
+                self.site.proxy().set_fault(None);
+                Ok(())
+            }
             Heal::Serve => {
                 self.site.store().turn_away(&[]);
                 Ok(())
--- a/lab/tests/opaque_site.rs
+++ b/lab/tests/opaque_site.rs
@@ -127,6 +127,44 @@
     });
 }
 
+#[test]
+fn callers_are_told_of_a_crash_that_its_connections_do_not_show() {
+    run(async {
+        let mut site = site(3).await;
+        site.call(&[site.plan(0, 12, 4)]).expect("callers");
+        sleep_ms(800).await;
+        assert!(site.open_flows(0) > 0);
+        let id = site.crash_backend_silently(0).expect("runs");
+        sleep_ms(2_000).await;
+        site.expire_entry(&id);
+        sleep_ms(500).await;
+        let tally = site.finish().await;
+        assert_promises(&site, &tally);
+        assert!(tally.reset > 0, "{}", summary(&tally));
+        // A claim that ran there when it crashed can't be sent again.
+        assert!(tally.failed <= 4, "{}", summary(&tally));
+    });
+}
+
+#[test]
+fn changes_arrive_though_open_connections_to_the_store_go_silent() {
+    run(async {
+        let mut site = site(2).await;
+        site.call(&[site.plan(0, 4, 2)]).expect("callers");
+        sleep_ms(500).await;
+        site.proxy().silence_open();
+        let added = site.add_backend(0).await.expect("starts");
+        site.start_agent(added).expect("starts");
+        // A watch that waits, its limit, and a read that takes its place.
+        sleep_ms(6_000).await;
+        let host = site.agent_host(added);
+        let taken = site.metric(host, "openers_taken_total").await;
+        assert!(taken.expect("answers") > 0.0);
+        let tally = site.finish().await;
+        assert_unnoticed(&site, &tally);
+    });
+}
+
 #[test]
 fn a_restarted_backend_server_s_old_flows_are_reset() {
     run(async {
--- a/src/opaque/backend_watch.rs
+++ b/src/opaque/backend_watch.rs
@@ -10,6 +10,9 @@
 use compio::BufResult;
 use compio::io::AsyncRead;
 use compio::net::TcpStream;
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use futures_util::future::{Either, select};
 
 /// What a connection to the backend server shows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,14 +30,23 @@
 /// How soon a refused connection is tried again.
 const RETRY: Duration = Duration::from_millis(100);
 
-/// Watches forever and says what it sees.
-pub(crate) async fn run(backend: SocketAddrV4, see: impl Fn(BackendSign)) {
+/// Watches forever and says what it sees; each word in `doubts` makes it connect anew.
+///
+/// A connection may go silent for good and not show the end of the other side.
+pub(crate) async fn run(
+    backend: SocketAddrV4,
+    see: impl Fn(BackendSign),
+    mut doubts: mpsc::Receiver<()>,
+) {
     loop {
         match compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(backend)).await {
             Ok(Ok(stream)) => {
                 see(BackendSign::Listens);
-                wait_until_closed(stream).await;
-                see(BackendSign::Breaks);
+                let closed = Box::pin(wait_until_closed(stream));
+                match select(closed, doubts.next()).await {
+                    Either::Left(_) => see(BackendSign::Breaks),
+                    Either::Right(_) => log::debug!("event=backend_doubted backend={backend}"),
+                }
             }
             Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
                 see(BackendSign::Refuses);
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -79,6 +79,8 @@
     refused_since_ms: Option<u64>,
     refusing: bool,
     listens: bool,
+    /// Whether its silence says that the connection to it should be made anew.
+    doubted: bool,
     /// When the connection to the backend server first broke in the lifetime that is published.
     broke_ms: Option<u64>,
     /// The revision at which the published lifetime of the backend server began.
@@ -112,6 +114,7 @@
             refused_since_ms: None,
             refusing: false,
             listens: false,
+            doubted: false,
             broke_ms: None,
             lifetime: None,
             last_heard_ms: 0,
@@ -149,6 +152,11 @@
         self.flows.open()
     }
 
+    /// Tells whether the backend server gave a reason since the last call to look whether it still listens.
+    pub fn take_doubt(&mut self) -> bool {
+        std::mem::take(&mut self.doubted)
+    }
+
     /// Tells whether this agent knows every flow of its backend server.
     pub fn knows_all(&self) -> bool {
         self.knows_all
@@ -378,6 +386,7 @@
     /// Forgets flows of which nothing was heard for as long as a flow lives.
     pub fn expire(&mut self, now_ms: u64) {
         for _ in 0..self.flows.expire(now_ms) {
+            self.doubted = true;
             self.note_failed(now_ms);
         }
     }
--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -147,6 +147,7 @@
                     return false;
                 }
                 if self.silent_since_ms.replace(opening.since_ms).is_none() {
+                    self.doubted = true;
                     log::warn!("event=backend_silent flow={key} waited_ms={BACKEND_TIMEOUT_MS}");
                 }
                 self.hand_on(scene, key, opening, actions);
--- a/src/opaque/side.rs
+++ b/src/opaque/side.rs
@@ -7,6 +7,7 @@
 
 use compio::BufResult;
 use compio::net::UdpSocket;
+use futures_channel::mpsc;
 
 use crate::code::Code;
 use crate::control::Control;
@@ -36,6 +37,7 @@
     keeper: RefCell<Keeper>,
     backend: SocketAddrV4,
     backend_sender: std::net::UdpSocket,
+    doubts: RefCell<mpsc::Sender<()>>,
     ticker: Rc<Ticker>,
 }
 
@@ -53,6 +55,7 @@
     let (from_backend, backend_sender) = udp::bind_pair(outbound)?;
     let ready = readiness::serve(&control).await?;
     let fresh = control.settings.opaque.fresh_site;
+    let (doubts, doubted) = mpsc::channel(1);
     let side = Rc::new(Side {
         keeper: RefCell::new(Keeper::new(
             node.wire,
@@ -63,10 +66,11 @@
         node: node.clone(),
         backend: identity.backend,
         backend_sender,
+        doubts: RefCell::new(doubts),
         ticker: Rc::default(),
     });
     side.clone().receive(from_backend);
-    side.clone().watch_backend();
+    side.clone().watch_backend(doubted);
     node.start().await;
     side.subscribe();
     ready.set(true);
@@ -145,10 +149,10 @@
         }
     }
 
-    fn watch_backend(self: Rc<Self>) {
+    fn watch_backend(self: Rc<Self>, doubts: mpsc::Receiver<()>) {
         compio::runtime::spawn(async move {
             let backend = self.backend;
-            backend_watch::run(backend, |sign| self.backend_sign(sign)).await;
+            backend_watch::run(backend, |sign| self.backend_sign(sign), doubts).await;
         })
         .detach();
     }
@@ -206,6 +210,10 @@
             let mut keeper = self.keeper.borrow_mut();
             let result = decision(&mut keeper, &scene);
             self.node.load_permille.set(keeper.load_permille(&scene));
+            if keeper.take_doubt() {
+                // One that waits already says the same.
+                let _ = self.doubts.borrow_mut().try_send(());
+            }
             result
         };
         match result {
