Group the modules of the library by subsystem

`src/` held 69 files on one level, so that a newcomer had no way in.

Crates of their own: the parts share their private types.

Moves only: `decisions` (plain structs that are told the time), `config` (what is published and how processes stay level), `links` (control links), `process` (plumbing), `quic` (the product's own form of flows) beside `opaque` and `explain`; `code`, `error` and the generated `node_capnp` stay at the root, which lists what is public. Paths change with them and nothing else does.

The cycle of ten around `agent` stands within `quic`.

--- a/src/delta.rs
+++ b/src/config/delta.rs
@@ -1,8 +1,8 @@
 //! A published value as a change of lines, so that an edit of one row costs one row on the wire.
 
 use crate::code::Code;
+use crate::decisions::hash;
 use crate::error::{Error, Result};
-use crate::hash;
 
 /// A change from one text to the next: lines kept at the start, lines removed, lines put in.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/hosts.rs
+++ b/src/config/hosts.rs
@@ -5,8 +5,8 @@
 use serde::Serialize;
 
 use crate::code::Code;
+use crate::config::table;
 use crate::error::{Error, Result};
-use crate::table;
 
 /// The first line of the host list.
 pub const HOSTS_HEADER: &str = "host,zone,role,state";
--- a/src/platform.rs
+++ b/src/config/platform.rs
@@ -7,7 +7,7 @@
 
 use crate::code::Code;
 use crate::error::{Error, Result};
-use crate::http_client;
+use crate::process::http_client;
 
 /// How long the service may take to answer, in milliseconds.
 const READ_TIMEOUT_MS: u64 = 1_500;
--- a/src/platform_reader.rs
+++ b/src/config/platform_reader.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use crate::code::Code;
-use crate::config_store::{Acceptance, HOSTS_NAME};
-use crate::control::Control;
+use crate::config::config_store::{Acceptance, HOSTS_NAME};
+use crate::config::membership;
+use crate::config::platform;
+use crate::config::relay;
 use crate::error::{Error, Result};
-use crate::membership;
-use crate::platform;
-use crate::relay;
+use crate::process::control::Control;
 
 /// How long one watch waits for a change, in milliseconds.
 const WATCH_WAIT_MS: u64 = 10_000;
--- a/src/relay.rs
+++ b/src/config/relay.rs
@@ -9,10 +9,10 @@
 
 use rand::seq::IndexedRandom;
 
-use crate::config_store::ValueUpdate;
-use crate::control::Control;
+use crate::config::config_store::ValueUpdate;
+use crate::config::membership;
 use crate::error::Result;
-use crate::membership;
+use crate::process::control::Control;
 
 /// How often a process compares its revisions with one peer, in milliseconds.
 pub(crate) const COMPARE_PERIOD_MS: u64 = 1_000;
--- a/src/reload.rs
+++ b/src/config/reload.rs
@@ -3,8 +3,8 @@
 use std::path::Path;
 use std::rc::Rc;
 
-use crate::control::Control;
-use crate::settings::Settings;
+use crate::config::settings::Settings;
+use crate::process::control::Control;
 
 const SIGHUP: i32 = 1;
 
--- a/src/service_id.rs
+++ b/src/config/service_id.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::hash;
+use crate::decisions::hash;
 
 /// A 32-bit hash of the service's name.
 ///
--- a/src/settings.rs
+++ b/src/config/settings.rs
@@ -6,9 +6,9 @@
 use ini::Ini;
 
 use crate::code::Code;
+use crate::config::keys::{CLUSTER_KEY_BYTES, ClusterKey};
+use crate::config::table;
 use crate::error::{Error, Result};
-use crate::keys::{CLUSTER_KEY_BYTES, ClusterKey};
-use crate::table;
 
 /// All sections and keys that a settings file may have; see docs/OPERATORS.md, "Settings".
 const KNOWN_KEYS: &[(&str, &str)] = &[
--- a/src/table.rs
+++ b/src/config/table.rs
@@ -5,9 +5,9 @@
 use serde::Serialize;
 
 use crate::code::Code;
+use crate::config::service_id::ServiceId;
+use crate::decisions::hash;
 use crate::error::{Error, Result};
-use crate::hash;
-use crate::service_id::ServiceId;
 
 /// The first line of every table.
 pub const TABLE_HEADER: &str = "service,address,target,host,backend,weight,slots,connections";
--- a/src/table_diff.rs
+++ b/src/config/table_diff.rs
@@ -1,6 +1,6 @@
 //! What an edit of a table will do: to shares, limits and open flows.
 
-use crate::table::{Row, Table};
+use crate::config::table::{Row, Table};
 
 /// What an edit does to one target.
 #[derive(Debug, Clone, PartialEq)]
--- /dev/null
+++ b/src/decisions/mod.rs
@@ -0,0 +1,14 @@
+//! The choices of the product as plain structs that are told the time and do no input or output:
+//! placement, admission, slots, suspicion, what ran once.
+
+pub(crate) mod admission;
+pub(crate) mod hash;
+pub(crate) mod ledger;
+pub(crate) mod load_board;
+pub(crate) mod move_share;
+pub(crate) mod placement;
+pub(crate) mod retry_budget;
+pub(crate) mod slot_queue;
+pub(crate) mod slots;
+pub(crate) mod steering;
+pub(crate) mod suspicion;
--- a/src/slot_queue.rs
+++ b/src/decisions/slot_queue.rs
@@ -5,9 +5,9 @@
 
 use futures_channel::oneshot;
 
-use crate::clock::Clock;
 use crate::code::Code;
-use crate::slots::{Arrival, Refusal, RequestId, Slots};
+use crate::decisions::slots::{Arrival, Refusal, RequestId, Slots};
+use crate::process::clock::Clock;
 
 type Grant = Result<SlotGuard, Refusal>;
 
--- a/src/link.rs
+++ b/src/links/link.rs
@@ -12,12 +12,12 @@
 use futures_util::AsyncReadExt;
 
 use crate::code::Code;
-use crate::counted_stream::CountedStream;
+use crate::config::keys::ClusterKey;
 use crate::error::{Error, Result};
-use crate::keys::ClusterKey;
-use crate::link_auth::{self, LinkSide};
-use crate::metrics::Metrics;
+use crate::links::link_auth::{self, LinkSide};
 use crate::node_capnp::node;
+use crate::process::counted_stream::CountedStream;
+use crate::process::metrics::Metrics;
 
 /// How long a connection may take to be made, in milliseconds.
 pub(crate) const CONNECT_TIMEOUT_MS: u64 = 1_000;
--- a/src/link_auth.rs
+++ b/src/links/link_auth.rs
@@ -9,8 +9,8 @@
 use ring::hmac;
 
 use crate::code::Code;
+use crate::config::keys::ClusterKey;
 use crate::error::{Error, Result};
-use crate::keys::ClusterKey;
 
 const NONCE_BYTES: usize = 16;
 const PROOF_BYTES: usize = 32;
--- a/src/node_codec.rs
+++ b/src/links/node_codec.rs
@@ -6,10 +6,10 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 
 use crate::code::Code;
-use crate::config_store::{Digest, ValueUpdate};
-use crate::delta::Delta;
+use crate::config::config_store::{Digest, ValueUpdate};
+use crate::config::delta::Delta;
+use crate::decisions::load_board::LoadReport;
 use crate::error::{Error, Result};
-use crate::load_board::LoadReport;
 use crate::node_capnp::{digest, entry, header, load_report, value};
 
 /// The most load reports that a message may hold.
--- a/src/node_server.rs
+++ b/src/links/node_server.rs
@@ -8,19 +8,19 @@
 use serde_json::Value;
 
 use crate::code::Code;
-use crate::config_store::Acceptance;
-use crate::control::Control;
+use crate::config::config_store::Acceptance;
+use crate::config::relay;
+use crate::config::service_id::ServiceId;
+use crate::decisions::load_board::LoadReport;
 use crate::error::Result;
-use crate::link;
-use crate::link_auth::{self, LinkSide};
-use crate::load_board::LoadReport;
+use crate::links::link;
+use crate::links::link_auth::{self, LinkSide};
+use crate::links::node_codec::{self, to_capnp};
+use crate::links::peer_request::{PeerAnswer, PeerRequest};
+use crate::links::peers::{OfferReply, ticket_bytes};
 use crate::node_capnp::node;
-use crate::node_codec::{self, to_capnp};
-use crate::peer_request::{PeerAnswer, PeerRequest};
-use crate::peers::{OfferReply, ticket_bytes};
-use crate::relay;
-use crate::sealed_id::SealedBytes;
-use crate::service_id::ServiceId;
+use crate::process::control::Control;
+use crate::quic::sealed_id::SealedBytes;
 
 /// The most control links that a process accepts at once.
 const MAX_INBOUND_LINKS: usize = 1_024;
@@ -262,9 +262,9 @@
     NodeHooks {
         exchange_load: Box::new(|_, _| Vec::new()),
         offer: Box::new(|_, _| {
-            OfferReply::Refused(crate::slots::Refusal {
+            OfferReply::Refused(crate::decisions::slots::Refusal {
                 code: Code::NoTarget,
-                retry_after_ms: crate::slots::MIN_RETRY_MS,
+                retry_after_ms: crate::decisions::slots::MIN_RETRY_MS,
             })
         }),
         run: Box::new(|_, _| Box::pin(async { refused_answer(Code::NoTarget, 0) })),
--- a/src/peer_request.rs
+++ b/src/links/peer_request.rs
@@ -4,7 +4,7 @@
 use http::HeaderMap;
 
 use crate::code::Code;
-use crate::service_id::ServiceId;
+use crate::config::service_id::ServiceId;
 
 /// The largest body that is handed to a peer, in bytes; larger requests run where they arrived.
 pub(crate) const MAX_MOVED_BODY_BYTES: usize = 256 * 1024;
--- a/src/peers.rs
+++ b/src/links/peers.rs
@@ -7,18 +7,18 @@
 use std::time::Duration;
 
 use crate::code::Code;
-use crate::config_store::{Digest, ValueUpdate};
+use crate::config::config_store::{Digest, ValueUpdate};
+use crate::config::keys::ClusterKey;
+use crate::config::service_id::ServiceId;
+use crate::decisions::load_board::LoadReport;
+use crate::decisions::slots::Refusal;
 use crate::error::{Error, Result};
-use crate::keys::ClusterKey;
-use crate::link::{self, Link};
-use crate::load_board::LoadReport;
-use crate::metrics::Metrics;
+use crate::links::link::{self, Link};
+use crate::links::node_codec;
+use crate::links::peer_request::{PeerAnswer, PeerRequest};
 use crate::node_capnp::node;
-use crate::node_codec;
-use crate::peer_request::{PeerAnswer, PeerRequest};
-use crate::sealed_id::{SEALED_ID_BYTES, SealedBytes};
-use crate::service_id::ServiceId;
-use crate::slots::Refusal;
+use crate::process::metrics::Metrics;
+use crate::quic::sealed_id::{SEALED_ID_BYTES, SealedBytes};
 
 /// How long a peer may take to answer a call, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 1_000;
--- a/src/opaque/backend.rs
+++ b/src/opaque/backend.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddrV4;
 
 use crate::code::Code;
+use crate::config::service_id::ServiceId;
+use crate::config::table;
 use crate::error::{Error, Result};
-use crate::service_id::ServiceId;
-use crate::table;
 
 /// The text of a value whose backend server is no longer published.
 pub const GONE_TEXT: &str = "gone";
--- a/src/opaque/directory.rs
+++ b/src/opaque/directory.rs
@@ -2,12 +2,12 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use crate::hash;
-use crate::hosts::{Host, HostList, HostRole, HostState};
+use crate::config::hosts::{Host, HostList, HostRole, HostState};
+use crate::config::service_id::ServiceId;
+use crate::config::table::{Row, Table};
+use crate::decisions::hash;
 use crate::opaque::backend::{Backend, BackendState};
 use crate::opaque::route_table::RouteTable;
-use crate::service_id::ServiceId;
-use crate::table::{Row, Table};
 
 /// How long a backend server that vanished without draining still takes flows, in milliseconds.
 ///
--- a/src/opaque/entry.rs
+++ b/src/opaque/entry.rs
@@ -9,13 +9,13 @@
 use compio::net::UdpSocket;
 
 use crate::code::Code;
-use crate::control::Control;
 use crate::error::{Error, Result};
 use crate::opaque::forwarder::{Forwarder, named_flow};
 use crate::opaque::message::{Message, MessageKind};
 use crate::opaque::ticker::Ticker;
 use crate::opaque::{Adapter, Node, readiness};
-use crate::udp::{self, BUFFER_BYTES};
+use crate::process::control::Control;
+use crate::process::udp::{self, BUFFER_BYTES};
 
 /// How long a balancer goes on forwarding after it said that it takes no traffic: the platform asks
 /// twice a second and believes the second answer.
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -8,6 +8,8 @@
 use std::net::Ipv4Addr;
 
 use crate::code::Code;
+use crate::decisions::placement;
+use crate::decisions::suspicion::Suspicion;
 use crate::error::{Error, Result};
 use crate::opaque::action::Action;
 use crate::opaque::directory::Directory;
@@ -16,8 +18,6 @@
 use crate::opaque::message::{Message, MessageKind};
 use crate::opaque::metrics::OpaqueMetrics;
 use crate::opaque::segment::{FLOW_KEY_BYTES, FlowKey, Segment, WireFormat};
-use crate::placement;
-use crate::suspicion::Suspicion;
 
 /// How many hints a balancer keeps; the brief speaks of hundreds of thousands of flows for each.
 const MAX_HINTS: usize = 262_144;
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -10,6 +10,8 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use crate::code::Code;
+use crate::config::service_id::ServiceId;
+use crate::decisions::suspicion::Suspicion;
 use crate::error::Result;
 use crate::opaque::action::Action;
 use crate::opaque::directory::Directory;
@@ -20,8 +22,6 @@
 use crate::opaque::metrics::OpaqueMetrics;
 use crate::opaque::recent_outcomes::RecentOutcomes;
 use crate::opaque::segment::{FlowKey, Segment, WireFormat};
-use crate::service_id::ServiceId;
-use crate::suspicion::Suspicion;
 
 /// How long a backend server may take to answer an opener or to return a packet, in milliseconds:
 /// it does so in under one, and the agent itself may wait for its share of a core.
--- a/src/opaque/message.rs
+++ b/src/opaque/message.rs
@@ -7,7 +7,7 @@
 use std::net::Ipv4Addr;
 
 use crate::code::Code;
-use crate::config_store::Digest;
+use crate::config::config_store::Digest;
 use crate::error::{Error, Result};
 
 const VERSION: u8 = 1;
--- a/src/opaque/node.rs
+++ b/src/opaque/node.rs
@@ -7,7 +7,6 @@
 use compio::BufResult;
 use compio::net::UdpSocket;
 
-use crate::control::Control;
 use crate::error::{Error, Result};
 use crate::opaque::action::Action;
 use crate::opaque::backend::Backend;
@@ -18,7 +17,8 @@
 use crate::opaque::route_table::RouteTable;
 use crate::opaque::segment::WireFormat;
 use crate::opaque::{Adapter, BACKEND_PREFIX, ROUTES_NAME};
-use crate::udp::{self, BUFFER_BYTES};
+use crate::process::control::Control;
+use crate::process::udp::{self, BUFFER_BYTES};
 
 /// How often what is remembered is tidied, in milliseconds.
 const TIDY_MS: u64 = 500;
--- a/src/opaque/readiness.rs
+++ b/src/opaque/readiness.rs
@@ -8,9 +8,9 @@
 use http::{Response, StatusCode};
 use http_body_util::Full;
 
-use crate::control::Control;
 use crate::error::Result;
-use crate::http_server;
+use crate::process::control::Control;
+use crate::process::http_server;
 
 /// Whether a process takes traffic.
 pub(crate) type Ready = Rc<Cell<bool>>;
--- a/src/opaque/route_table.rs
+++ b/src/opaque/route_table.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddrV4;
 
 use crate::code::Code;
+use crate::config::service_id::ServiceId;
+use crate::decisions::hash;
 use crate::error::{Error, Result};
-use crate::hash;
-use crate::service_id::ServiceId;
 
 /// The first line of the published routes.
 pub const ROUTES_HEADER: &str = "address,service,weight,priority,repeatable";
--- a/src/opaque/segment.rs
+++ b/src/opaque/segment.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
+use crate::decisions::hash;
 use crate::error::Result;
-use crate::hash;
 
 /// The bytes of a [`FlowKey`] on the wire.
 pub(crate) const FLOW_KEY_BYTES: usize = 12;
--- a/src/opaque/side.rs
+++ b/src/opaque/side.rs
@@ -10,7 +10,7 @@
 use futures_channel::mpsc;
 
 use crate::code::Code;
-use crate::control::Control;
+use crate::config::service_id::ServiceId;
 use crate::error::{Error, Result};
 use crate::opaque::action::Action;
 use crate::opaque::backend_watch::{self, BackendSign};
@@ -20,8 +20,8 @@
 use crate::opaque::published::START_SETTLE_MS;
 use crate::opaque::ticker::Ticker;
 use crate::opaque::{Adapter, Node, readiness};
-use crate::service_id::ServiceId;
-use crate::udp::{self, BUFFER_BYTES};
+use crate::process::control::Control;
+use crate::process::udp::{self, BUFFER_BYTES};
 
 /// How long an agent that stops still hands packets to its backend server while openers go
 /// elsewhere: their balancers hear of it with the first one.
--- a/src/opaque/state.rs
+++ b/src/opaque/state.rs
@@ -4,9 +4,9 @@
 
 use serde_json::{Value, json};
 
-use crate::balancer::packet_counts;
-use crate::control::Control;
-use crate::node_server::{self, NodeHooks};
+use crate::links::node_server::{self, NodeHooks};
+use crate::process::control::Control;
+use crate::quic::balancer::packet_counts;
 
 /// Returns what a process in this role answers on control links.
 pub(crate) fn hooks(control: &Rc<Control>, role: &'static str) -> NodeHooks {
--- a/src/control.rs
+++ b/src/process/control.rs
@@ -6,15 +6,15 @@
 
 use serde_json::{Value, json};
 
-use crate::clock::{self, Clock};
-use crate::config_store::{Acceptance, ConfigStore, HOSTS_NAME, ValueUpdate};
+use crate::config::config_store::{Acceptance, ConfigStore, HOSTS_NAME, ValueUpdate};
+use crate::config::hosts::HostRole;
+use crate::config::settings::Settings;
+use crate::decisions::suspicion::Suspicion;
 use crate::error::Result;
-use crate::hosts::HostRole;
-use crate::metrics::Metrics;
-use crate::peers::Peers;
-use crate::settings::Settings;
-use crate::suspicion::Suspicion;
-use crate::timers::Timers;
+use crate::links::peers::Peers;
+use crate::process::clock::{self, Clock};
+use crate::process::metrics::Metrics;
+use crate::process::timers::Timers;
 
 /// How many hosts that made links to this process are remembered.
 const MAX_LINKING_HOSTS: usize = 64;
--- a/src/counted_stream.rs
+++ b/src/process/counted_stream.rs
@@ -9,7 +9,7 @@
 use compio::net::TcpStream;
 use futures_util::io::{AsyncRead, AsyncWrite};
 
-use crate::metrics::Metrics;
+use crate::process::metrics::Metrics;
 
 /// A TCP stream of a control link.
 pub(crate) struct CountedStream {
--- a/src/daemon.rs
+++ b/src/process/daemon.rs
@@ -11,17 +11,18 @@
 use http::Response;
 use http_body_util::Full;
 
-use crate::agent::Agent;
-use crate::control::Control;
+use crate::config::platform_reader::ReaderDuty;
+use crate::config::settings::Settings;
+use crate::config::{platform_reader, relay, reload};
 use crate::error::Result;
-use crate::metrics::Metrics;
-use crate::node_server::NodeHooks;
+use crate::links::node_server;
+use crate::links::node_server::NodeHooks;
 use crate::opaque::{self, Adapter};
-use crate::platform_reader::ReaderDuty;
-use crate::settings::Settings;
-use crate::{
-    balancer, http_server, logging, node_server, peer_service, platform_reader, relay, reload,
-};
+use crate::process::control::Control;
+use crate::process::metrics::Metrics;
+use crate::process::{http_server, logging};
+use crate::quic::agent::Agent;
+use crate::quic::{balancer, peer_service};
 
 /// The exit code for a command line or settings file that can't be used.
 pub const EXIT_USAGE: u8 = 2;
@@ -200,7 +201,7 @@
     });
     let tidied = control.clone();
     control.on_change(move |names| {
-        if names.contains(&crate::config_store::HOSTS_NAME) {
+        if names.contains(&crate::config::config_store::HOSTS_NAME) {
             let store = tidied.store.borrow();
             tidied
                 .peers
--- a/src/log_output.rs
+++ b/src/process/log_output.rs
@@ -7,7 +7,7 @@
 use prometheus_client::metrics::counter::Counter;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
-use crate::log_budget::LogBudget;
+use crate::process::log_budget::LogBudget;
 
 /// The longest line, in bytes: a pipe that says it is writable takes this much without blocking
 /// (`PIPE_BUF` of Linux).
--- a/src/logging.rs
+++ b/src/process/logging.rs
@@ -5,9 +5,9 @@
 use prometheus_client::metrics::counter::Counter;
 
 use crate::code::Code;
+use crate::config::settings::Settings;
 use crate::error::{Error, Result};
-use crate::log_output::LogOutput;
-use crate::settings::Settings;
+use crate::process::log_output::LogOutput;
 
 /// Starts logging as the settings say.
 ///
--- a/src/operator.rs
+++ b/src/process/operator.rs
@@ -9,18 +9,18 @@
 use serde_json::Value;
 
 use crate::code::Code;
-use crate::config_store::HOSTS_NAME;
-use crate::daemon::EXIT_USAGE;
+use crate::config::config_store::HOSTS_NAME;
+use crate::config::hosts::HostList;
+use crate::config::platform;
+use crate::config::settings::Settings;
+use crate::config::table::{self, TABLE_HEADER, Table};
+use crate::config::table_diff::TableDiff;
 use crate::error::{Error, Result};
 use crate::explain;
-use crate::hosts::HostList;
-use crate::metrics::Metrics;
-use crate::peers::Peers;
-use crate::platform;
-use crate::settings::Settings;
-use crate::state_view::{self, columns_of};
-use crate::table::{self, TABLE_HEADER, Table};
-use crate::table_diff::TableDiff;
+use crate::links::peers::Peers;
+use crate::process::daemon::EXIT_USAGE;
+use crate::process::metrics::Metrics;
+use crate::process::state_view::{self, columns_of};
 
 #[derive(Debug, Options)]
 struct OperatorOptions {
--- a/src/timers.rs
+++ b/src/process/timers.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::clock::Clock;
-use crate::metrics::Metrics;
-use crate::timer::{TimerEvent, TimerId, TimerService};
+use crate::process::clock::Clock;
+use crate::process::metrics::Metrics;
+use crate::process::timer::{TimerEvent, TimerId, TimerService};
 
 type Action = Rc<dyn Fn()>;
 
--- a/src/udp.rs
+++ b/src/process/udp.rs
@@ -6,8 +6,8 @@
 use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::code::Code;
-use crate::envelope::ENVELOPE_BYTES;
 use crate::error::{Error, Result};
+use crate::quic::envelope::ENVELOPE_BYTES;
 
 /// The largest datagram taken from a caller, in bytes: what an Ethernet frame carries, and more.
 pub(crate) const MAX_PACKET_BYTES: usize = 2_048;
--- a/src/agent.rs
+++ b/src/quic/agent.rs
@@ -10,22 +10,22 @@
 use compio::quic::ServerConfig;
 use serde_json::{Value, json};
 
-use crate::balancer::packet_counts;
-use crate::config_store::{HOSTS_NAME, KEYS_NAME, TABLE_PREFIX};
-use crate::control::Control;
-use crate::envelope::EnvelopeKey;
+use crate::config::config_store::{HOSTS_NAME, KEYS_NAME, TABLE_PREFIX};
+use crate::config::hosts::HostState;
+use crate::config::relay::RevisionChaser;
+use crate::config::service_id::ServiceId;
+use crate::config::table::{Row, Table};
 use crate::error::Result;
-use crate::flow_socket::{FLOW_IDLE_MS, FlowSocket};
-use crate::hosts::HostState;
-use crate::relay::RevisionChaser;
-use crate::return_path::ReturnPath;
-use crate::sealed_id::{Purpose, SealedId};
-use crate::service_id::ServiceId;
-use crate::table::{Row, Table};
-use crate::target::Target;
-use crate::token_source::{SharedRing, TokenSource};
-use crate::udp;
-use crate::{flow, load_exchange, quic_endpoint};
+use crate::process::control::Control;
+use crate::process::udp;
+use crate::quic::balancer::packet_counts;
+use crate::quic::envelope::EnvelopeKey;
+use crate::quic::flow_socket::{FLOW_IDLE_MS, FlowSocket};
+use crate::quic::return_path::ReturnPath;
+use crate::quic::sealed_id::{Purpose, SealedId};
+use crate::quic::target::Target;
+use crate::quic::token_source::{SharedRing, TokenSource};
+use crate::quic::{flow, load_exchange, quic_endpoint};
 
 /// How often an agent tidies what it remembers, in milliseconds.
 const PRUNE_PERIOD_MS: u64 = 1_000;
--- a/src/agent_datagrams.rs
+++ b/src/quic/agent_datagrams.rs
@@ -6,18 +6,18 @@
 use compio::BufResult;
 use compio::net::UdpSocket;
 
-use crate::admission::{Decision, Handed, Opener};
-use crate::agent::Agent;
 use crate::code::Code;
-use crate::envelope::{Envelope, EnvelopeKind};
+use crate::config::service_id::ServiceId;
+use crate::decisions::admission::{Decision, Handed, Opener};
 use crate::error::{Error, Result};
-use crate::flow_socket::{FlowKey, FlowSocket};
-use crate::packet::{self, PacketView};
-use crate::sealed_id::{Purpose, SealedId};
-use crate::service_id::ServiceId;
-use crate::stateless_reset::stateless_reset;
-use crate::target::Target;
-use crate::udp::BUFFER_BYTES;
+use crate::process::udp::BUFFER_BYTES;
+use crate::quic::agent::Agent;
+use crate::quic::envelope::{Envelope, EnvelopeKind};
+use crate::quic::flow_socket::{FlowKey, FlowSocket};
+use crate::quic::packet::{self, PacketView};
+use crate::quic::sealed_id::{Purpose, SealedId};
+use crate::quic::stateless_reset::stateless_reset;
+use crate::quic::target::Target;
 
 /// How many sockets an agent keeps beyond the connections that its rows allow.
 const SPARE_FLOW_SOCKETS: usize = 1_024;
--- a/src/backend.rs
+++ b/src/quic/backend.rs
@@ -9,8 +9,8 @@
 use hyper::body::Incoming;
 
 use crate::error::Error;
-use crate::http_client;
-use crate::request_spec::{CODE_HEADER, REPEATABLE_HEADER, TICKET_HEADER, TIMEOUT_HEADER};
+use crate::process::http_client;
+use crate::quic::request_spec::{CODE_HEADER, REPEATABLE_HEADER, TICKET_HEADER, TIMEOUT_HEADER};
 
 /// The body of a request on its way to the backend server.
 pub(crate) type RequestBody = UnsyncBoxBody<Bytes, Error>;
--- a/src/balancer.rs
+++ b/src/quic/balancer.rs
@@ -11,16 +11,16 @@
 use serde_json::{Value, json};
 
 use crate::code::Code;
-use crate::config_store::TABLE_PREFIX;
-use crate::control::Control;
-use crate::envelope::{ENVELOPE_BYTES, Envelope, EnvelopeKey, EnvelopeKind};
+use crate::config::config_store::TABLE_PREFIX;
+use crate::config::relay::RevisionChaser;
+use crate::config::service_id::ServiceId;
+use crate::decisions::steering;
 use crate::error::Result;
-use crate::metrics::Metrics;
-use crate::node_server;
-use crate::relay::RevisionChaser;
-use crate::service_id::ServiceId;
-use crate::steering;
-use crate::udp::{self, BUFFER_BYTES, MAX_PACKET_BYTES};
+use crate::links::node_server;
+use crate::process::control::Control;
+use crate::process::metrics::Metrics;
+use crate::process::udp::{self, BUFFER_BYTES, MAX_PACKET_BYTES};
+use crate::quic::envelope::{ENVELOPE_BYTES, Envelope, EnvelopeKey, EnvelopeKind};
 
 /// How long a balancer goes on forwarding after it has said that it leaves.
 const LEAVING_GRACE: Duration = Duration::from_millis(300);
--- a/src/caller_body.rs
+++ b/src/quic/caller_body.rs
@@ -9,10 +9,10 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Frame;
 
-use crate::backend::RequestBody;
 use crate::code::Code;
 use crate::error::{Error, Result};
-use crate::peer_request::MAX_MOVED_BODY_BYTES;
+use crate::links::peer_request::MAX_MOVED_BODY_BYTES;
+use crate::quic::backend::RequestBody;
 
 /// How many pieces of a streamed body may wait for the backend server.
 const PIECES_AHEAD: usize = 4;
--- a/src/envelope.rs
+++ b/src/quic/envelope.rs
@@ -10,9 +10,9 @@
 use siphasher::sip::SipHasher24;
 
 use crate::code::Code;
+use crate::config::keys::ClusterKey;
+use crate::config::service_id::ServiceId;
 use crate::error::{Error, Result};
-use crate::keys::ClusterKey;
-use crate::service_id::ServiceId;
 
 /// The length of the trailer, in bytes.
 pub const ENVELOPE_BYTES: usize = 46;
--- a/src/flow.rs
+++ b/src/quic/flow.rs
@@ -10,13 +10,13 @@
 use futures_util::stream::FuturesUnordered;
 use futures_util::{FutureExt, StreamExt, select};
 
-use crate::admission::Decision;
-use crate::agent::Agent;
 use crate::code::Code;
-use crate::drain_signal::DrainStarted;
-use crate::hash;
-use crate::request;
-use crate::target::Target;
+use crate::decisions::admission::Decision;
+use crate::decisions::hash;
+use crate::quic::agent::Agent;
+use crate::quic::drain_signal::DrainStarted;
+use crate::quic::request;
+use crate::quic::target::Target;
 
 /// How long a flow without requests stays after it was told to move, so that a request which
 /// crosses the message on the way is still answered.
--- a/src/flow_socket.rs
+++ b/src/quic/flow_socket.rs
@@ -11,9 +11,9 @@
 use compio::net::UdpSocket;
 use compio::runtime::JoinHandle;
 
-use crate::envelope::{Envelope, EnvelopeKind};
+use crate::config::service_id::ServiceId;
 use crate::error::Result;
-use crate::service_id::ServiceId;
+use crate::quic::envelope::{Envelope, EnvelopeKind};
 
 /// How long a flow may be silent before its socket is closed: longer than QUIC's idle timeout, in
 /// milliseconds.
--- a/src/load_exchange.rs
+++ b/src/quic/load_exchange.rs
@@ -5,10 +5,10 @@
 
 use rand::seq::IteratorRandom;
 
-use crate::agent::Agent;
-use crate::load_board::LoadReport;
-use crate::service_id::ServiceId;
-use crate::target::Target;
+use crate::config::service_id::ServiceId;
+use crate::decisions::load_board::LoadReport;
+use crate::quic::agent::Agent;
+use crate::quic::target::Target;
 
 /// How often an agent exchanges load with one random peer of one target, in milliseconds.
 ///
--- a/src/local_run.rs
+++ b/src/quic/local_run.rs
@@ -7,12 +7,12 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
-use crate::backend::{self, BackendFailure, BackendRequest, RequestBody};
-use crate::clock::Clock;
 use crate::code::Code;
-use crate::slot_queue::SlotGuard;
-use crate::slots::Refusal;
-use crate::target::Target;
+use crate::decisions::slot_queue::SlotGuard;
+use crate::decisions::slots::Refusal;
+use crate::process::clock::Clock;
+use crate::quic::backend::{self, BackendFailure, BackendRequest, RequestBody};
+use crate::quic::target::Target;
 
 /// The largest answer that is read whole, in bytes.
 pub(crate) const MAX_WHOLE_ANSWER_BYTES: usize = 8 << 20;
--- a/src/move_request.rs
+++ b/src/quic/move_request.rs
@@ -5,14 +5,14 @@
 use bytes::Bytes;
 use http::HeaderMap;
 
-use crate::answer::{Answer, AnswerBody};
-use crate::backend;
 use crate::code::Code;
-use crate::load_board::LoadReport;
-use crate::local_run::WholeAnswer;
-use crate::peer_request::{MAX_MOVED_BODY_BYTES, PeerAnswer, PeerRequest};
-use crate::peers::OfferReply;
-use crate::request::RequestContext;
+use crate::decisions::load_board::LoadReport;
+use crate::links::peer_request::{MAX_MOVED_BODY_BYTES, PeerAnswer, PeerRequest};
+use crate::links::peers::OfferReply;
+use crate::quic::answer::{Answer, AnswerBody};
+use crate::quic::backend;
+use crate::quic::local_run::WholeAnswer;
+use crate::quic::request::RequestContext;
 
 /// To how many peers a request is offered.
 const MAX_OFFERS: usize = 2;
--- a/src/peer_service.rs
+++ b/src/quic/peer_service.rs
@@ -4,24 +4,24 @@
 
 use http::Method;
 
-use crate::agent::Agent;
-use crate::answer::{Answer, AnswerBody};
-use crate::caller_body::whole_body;
 use crate::code::Code;
-use crate::ledger::Begin;
-use crate::load_exchange;
-use crate::local_run::{self, LocalRequest};
-use crate::node_server::{NodeHooks, refused_answer};
-use crate::peer_request::{PeerAnswer, PeerRequest};
-use crate::peers::OfferReply;
-use crate::request::new_ticket;
-use crate::request_spec;
-use crate::run_once::LedgerEntry;
-use crate::sealed_id::SealedBytes;
-use crate::service_id::ServiceId;
-use crate::slot_queue::SlotGuard;
-use crate::slots::{MIN_RETRY_MS, Refusal};
-use crate::target::Target;
+use crate::config::service_id::ServiceId;
+use crate::decisions::ledger::Begin;
+use crate::decisions::slot_queue::SlotGuard;
+use crate::decisions::slots::{MIN_RETRY_MS, Refusal};
+use crate::links::node_server::{NodeHooks, refused_answer};
+use crate::links::peer_request::{PeerAnswer, PeerRequest};
+use crate::links::peers::OfferReply;
+use crate::quic::agent::Agent;
+use crate::quic::answer::{Answer, AnswerBody};
+use crate::quic::caller_body::whole_body;
+use crate::quic::load_exchange;
+use crate::quic::local_run::{self, LocalRequest};
+use crate::quic::request::new_ticket;
+use crate::quic::request_spec;
+use crate::quic::run_once::LedgerEntry;
+use crate::quic::sealed_id::SealedBytes;
+use crate::quic::target::Target;
 
 /// How long a slot is held for an accepted offer, in milliseconds.
 const OFFER_HOLD_MS: u64 = 1_000;
@@ -103,7 +103,7 @@
     let answer = match begin {
         Begin::Run => run_begun(agent, &target, id.nonce, &ticket, request).await,
         Begin::Stop(code) => Answer::refusal(code, target.slots.retry_after_ms()),
-        Begin::Answered(kept) => crate::run_once::kept_answer(kept),
+        Begin::Answered(kept) => crate::quic::run_once::kept_answer(kept),
     };
     into_peer_answer(answer)
 }
--- a/src/quic_endpoint.rs
+++ b/src/quic/quic_endpoint.rs
@@ -14,9 +14,9 @@
 };
 
 use crate::code::Code;
+use crate::config::settings::Settings;
 use crate::error::{Error, Result};
-use crate::settings::Settings;
-use crate::token_source::TokenSource;
+use crate::quic::token_source::TokenSource;
 
 /// How long a flow may be silent before it has ended, in milliseconds.
 const IDLE_TIMEOUT_MS: u32 = 30_000;
--- a/src/repeatable.rs
+++ b/src/quic/repeatable.rs
@@ -6,16 +6,16 @@
 use http::Response;
 use hyper::body::Incoming;
 
-use crate::answer::{Answer, AnswerBody};
-use crate::backend::{self, BackendFailure, BackendRequest};
-use crate::caller_body::{CallerBody, whole_body};
 use crate::code::Code;
-use crate::health::PROBE_MS;
-use crate::local_run::{self, Outcome};
-use crate::move_request::{self, Moved};
-use crate::request::RequestContext;
-use crate::slot_queue::SlotGuard;
-use crate::slots::Refusal;
+use crate::decisions::slot_queue::SlotGuard;
+use crate::decisions::slots::Refusal;
+use crate::quic::answer::{Answer, AnswerBody};
+use crate::quic::backend::{self, BackendFailure, BackendRequest};
+use crate::quic::caller_body::{CallerBody, whole_body};
+use crate::quic::health::PROBE_MS;
+use crate::quic::local_run::{self, Outcome};
+use crate::quic::move_request::{self, Moved};
+use crate::quic::request::RequestContext;
 
 /// Answers a request that may be repeated.
 pub(crate) async fn answer(context: &RequestContext<'_>, body: CallerBody) -> Answer {
--- a/src/request.rs
+++ b/src/quic/request.rs
@@ -9,15 +9,15 @@
 use http::request::Parts;
 use http_body_util::BodyExt;
 
-use crate::agent::Agent;
-use crate::answer::{Answer, AnswerBody};
-use crate::caller_body::{BodyStream, CallerBody};
 use crate::code::Code;
-use crate::local_run::LocalRequest;
-use crate::request_spec::RequestSpec;
-use crate::sealed_id::{Purpose, SealedBytes, SealedId};
-use crate::target::Target;
-use crate::{repeatable, run_once};
+use crate::quic::agent::Agent;
+use crate::quic::answer::{Answer, AnswerBody};
+use crate::quic::caller_body::{BodyStream, CallerBody};
+use crate::quic::local_run::LocalRequest;
+use crate::quic::request_spec::RequestSpec;
+use crate::quic::sealed_id::{Purpose, SealedBytes, SealedId};
+use crate::quic::target::Target;
+use crate::quic::{repeatable, run_once};
 
 type AnswerStream = RequestStream<<BidiStream<Bytes> as QuicStream<Bytes>>::SendStream, Bytes>;
 
--- a/src/run_once.rs
+++ b/src/quic/run_once.rs
@@ -5,20 +5,20 @@
 
 use futures_channel::oneshot;
 
-use crate::agent::Agent;
-use crate::answer::{Answer, AnswerBody};
-use crate::caller_body::CallerBody;
 use crate::code::Code;
-use crate::ledger::{Begin, KeptAnswer};
-use crate::local_run::{self, LocalRequest, Outcome, WholeAnswer};
-use crate::move_request::{self, Moved};
-use crate::peer_request::MAX_MOVED_BODY_BYTES;
-use crate::repeatable::{self, Place};
-use crate::request::{RequestContext, ticket_for};
-use crate::sealed_id::{SealedBytes, SealedId};
-use crate::slot_queue::SlotGuard;
-use crate::slots::Refusal;
-use crate::target::Target;
+use crate::decisions::ledger::{Begin, KeptAnswer};
+use crate::decisions::slot_queue::SlotGuard;
+use crate::decisions::slots::Refusal;
+use crate::links::peer_request::MAX_MOVED_BODY_BYTES;
+use crate::quic::agent::Agent;
+use crate::quic::answer::{Answer, AnswerBody};
+use crate::quic::caller_body::CallerBody;
+use crate::quic::local_run::{self, LocalRequest, Outcome, WholeAnswer};
+use crate::quic::move_request::{self, Moved};
+use crate::quic::repeatable::{self, Place};
+use crate::quic::request::{RequestContext, ticket_for};
+use crate::quic::sealed_id::{SealedBytes, SealedId};
+use crate::quic::target::Target;
 
 /// Answers a request with a ticket, here or at the incarnation that the ticket names.
 pub(crate) async fn answer(
--- a/src/sealed_id.rs
+++ b/src/quic/sealed_id.rs
@@ -9,8 +9,8 @@
 use aes::Aes128;
 use aes::cipher::{BlockDecrypt, BlockEncrypt};
 
-use crate::keys::KeyRing;
-use crate::service_id::ServiceId;
+use crate::config::keys::KeyRing;
+use crate::config::service_id::ServiceId;
 
 /// The length of a sealed id, in bytes: the longest connection id that QUIC version 1 allows.
 pub const SEALED_ID_BYTES: usize = 20;
@@ -86,7 +86,7 @@
     }
 }
 
-fn cipher(keys: &crate::keys::EpochKeys, purpose: Purpose) -> &Aes128 {
+fn cipher(keys: &crate::config::keys::EpochKeys, purpose: Purpose) -> &Aes128 {
     match purpose {
         Purpose::Token => &keys.token,
         Purpose::Ticket => &keys.ticket,
--- a/src/target.rs
+++ b/src/quic/target.rs
@@ -7,18 +7,18 @@
 use compio::quic::Endpoint;
 use serde_json::{Value, json};
 
-use crate::admission::Admission;
-use crate::clock::Clock;
-use crate::drain_signal::DrainSignal;
-use crate::health::Health;
-use crate::ledger::{LEDGER_ENTRIES, Ledger};
-use crate::load_board::{LoadBoard, LoadReport};
-use crate::move_share::{BusyStanding, MoveShare};
-use crate::peer_service::Reservation;
-use crate::retry_budget::RetryBudget;
-use crate::service_id::ServiceId;
-use crate::slot_queue::SlotQueue;
-use crate::table::{Row, Table};
+use crate::config::service_id::ServiceId;
+use crate::config::table::{Row, Table};
+use crate::decisions::admission::Admission;
+use crate::decisions::ledger::{LEDGER_ENTRIES, Ledger};
+use crate::decisions::load_board::{LoadBoard, LoadReport};
+use crate::decisions::move_share::{BusyStanding, MoveShare};
+use crate::decisions::retry_budget::RetryBudget;
+use crate::decisions::slot_queue::SlotQueue;
+use crate::process::clock::Clock;
+use crate::quic::drain_signal::DrainSignal;
+use crate::quic::health::Health;
+use crate::quic::peer_service::Reservation;
 
 /// A target that this agent serves.
 pub(crate) struct Target {
--- a/src/token_source.rs
+++ b/src/quic/token_source.rs
@@ -6,9 +6,9 @@
 use compio::quic::{ConnectionId, ConnectionIdGenerator};
 use rand::Rng;
 
-use crate::keys::KeyRing;
-use crate::sealed_id::{Purpose, SEALED_ID_BYTES, SealedId};
-use crate::service_id::ServiceId;
+use crate::config::keys::KeyRing;
+use crate::config::service_id::ServiceId;
+use crate::quic::sealed_id::{Purpose, SEALED_ID_BYTES, SealedId};
 
 /// The keys in force, shared with the endpoints.
 pub(crate) type SharedRing = Arc<RwLock<KeyRing>>;
