Let a failing backend server take openers where there is no other

Taking them by chance: others do better wherever there are some.

An opener is passed on for failures only if an agent is left that was not offered it.

Test: `a_failing_backend_server_without_another_takes_every_opener` (red before).

--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -160,8 +160,8 @@
         if self.silent_since_ms.is_some() {
             return self.probe(scene, NotTaken::Silent);
         }
-        let is_first_choice = opening.hops < FAILING_HOPS;
-        if is_first_choice && self.outcomes.is_failing(scene.now_ms) {
+        if self.outcomes.is_failing(scene.now_ms) && self.others_may_do_better(scene, key, opening)
+        {
             let routes = scene.directory.routes();
             if !routes.may_probe(key.called, self.identity.service) {
                 return Err(NotTaken::Failing);
@@ -174,6 +174,13 @@
         Ok(())
     }
 
+    /// Tells whether an opener should rather go to an agent that has not been offered it.
+    fn others_may_do_better(&self, scene: &Scene<'_>, key: &FlowKey, opening: &Opening) -> bool {
+        let hops = opening.hops;
+        let next = next_host(scene, self.identity.host, key, hops, MAX_HOPS);
+        hops < FAILING_HOPS && next.is_some()
+    }
+
     /// Lets an opener through now and then, to see whether the backend server works again.
     fn probe(&mut self, scene: &Scene<'_>, otherwise: NotTaken) -> Result<(), NotTaken> {
         if scene.now_ms < self.last_probe_ms + PROBE_MS {
--- a/tests/opaque/keeper.rs
+++ b/tests/opaque/keeper.rs
@@ -544,3 +544,14 @@
     agent.answer_from_backend(&flow(2));
     assert!(resets(&publish_next_lifetime(&mut agent)).is_empty());
 }
+
+#[test]
+fn a_failing_backend_server_without_another_takes_every_opener() {
+    let mut agent = AgentUnderTest::new(1, true);
+    for port in 1..=4 {
+        request_that_ends(&mut agent, port, false);
+    }
+    for port in 100..105 {
+        assert!(reaches_backend(&agent.deliver(&opener(&flow(port), 0))));
+    }
+}
