--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -7,5 +7,6 @@
 mod keeper;
 mod lookup;
 mod message;
+mod message_bounds;
 mod model;
 mod route_table;
--- /dev/null
+++ b/tests/opaque/message_bounds.rs
@@ -0,0 +1,183 @@
+//! How many messages a flow costs stays below the bounds in `bounds.txt`, whatever the size of a site.
+
+use std::net::Ipv4Addr;
+
+use endivedyke::opaque::{
+    Action, Directory, FlowKey, Keeper, KeeperIdentity, Message, MessageKind, Scene,
+};
+use endivedyke::{ServiceId, Suspicion};
+
+use crate::builder::{
+    BALANCER, FLOW_LIFETIME_MS, SERVICE, acceptance, backend_address, directory, flow, forwarder,
+    host, opener, request,
+};
+
+const SIZES: [u8; 3] = [7, 45, 250];
+const FLOWS: u16 = 400;
+const NOW_MS: u64 = 1_000;
+const BOUNDS: &str = include_str!("../../bounds.txt");
+
+fn bound(name: &str) -> f64 {
+    let line = BOUNDS
+        .lines()
+        .find(|line| line.split_whitespace().next() == Some(name));
+    let bound = line.and_then(|line| line.split_whitespace().nth(2)?.parse().ok());
+    bound.unwrap_or_else(|| panic!("{name} is not in bounds.txt"))
+}
+
+/// Agents that hear each other at once.
+struct Site {
+    directory: Directory,
+    keepers: Vec<Keeper>,
+    suspicion: Suspicion,
+    messages: usize,
+}
+
+impl Site {
+    fn new(size: u8) -> Self {
+        let keeper = |index| {
+            crate::builder::keeper(KeeperIdentity {
+                host: host(index),
+                backend: backend_address(index),
+                service: ServiceId::of(SERVICE),
+                flow_lifetime_ms: FLOW_LIFETIME_MS,
+            })
+        };
+        Self {
+            directory: directory(size),
+            keepers: (1..=size).map(keeper).collect(),
+            suspicion: Suspicion::default(),
+            messages: 0,
+        }
+    }
+
+    /// Hands a message over and follows what comes of it; returns who handed it to a backend server.
+    fn say(
+        &mut self,
+        to: Ipv4Addr,
+        from: Ipv4Addr,
+        message: &Message,
+        payload: &[u8],
+    ) -> Option<Ipv4Addr> {
+        self.messages += 1;
+        let index = usize::from(to.octets()[3]) - 1;
+        let Some(keeper) = self.keepers.get_mut(index).filter(|_| to != BALANCER) else {
+            return None;
+        };
+        let scene = Scene {
+            directory: &self.directory,
+            suspicion: &self.suspicion,
+            revision: u64::MAX,
+            settled: true,
+            now_ms: NOW_MS,
+        };
+        let actions = keeper.peer_says(&scene, from, message, payload);
+        let mut taker = None;
+        for action in actions.expect("sound packet") {
+            match action {
+                Action::ToBackend(_) => taker = Some(to),
+                Action::ToPeer(next, message, payload) => {
+                    taker = taker.or(self.say(next, to, &message, &payload));
+                }
+                Action::ToCaller(..) => {}
+            }
+        }
+        taker
+    }
+
+    fn deliver(&mut self, to: Ipv4Addr, packet: &[u8]) -> Option<Ipv4Addr> {
+        let mut message = Message::new(MessageKind::Deliver);
+        message.host = BALANCER;
+        self.say(to, BALANCER, &message, packet)
+    }
+
+    fn first_choice(&mut self, packet: Vec<u8>) -> Ipv4Addr {
+        let action = forwarder().handle(&self.directory, &mut self.suspicion, packet, NOW_MS);
+        match action.expect("forwarded") {
+            Action::ToPeer(host, ..) => host,
+            other => panic!("not forwarded: {other:?}"),
+        }
+    }
+
+    /// Fills the places of every second backend server.
+    fn crowd(&mut self) {
+        let mut port = 20_000;
+        for index in (1..=self.keepers.len() as u8).step_by(2) {
+            for _ in 0..8 {
+                port += 1;
+                self.deliver(host(index), &opener(&flow(port), 0));
+            }
+        }
+        self.messages = 0;
+    }
+
+    fn open(&mut self, key: &FlowKey, at: Ipv4Addr) {
+        let index = usize::from(at.octets()[3]) - 1;
+        let scene = Scene {
+            directory: &self.directory,
+            suspicion: &self.suspicion,
+            revision: u64::MAX,
+            settled: true,
+            now_ms: NOW_MS,
+        };
+        let answer = self.keepers[index].backend_says(&scene, acceptance(key, 500));
+        answer.expect("sound packet");
+        self.deliver(at, &request(key, 501));
+    }
+}
+
+#[test]
+fn openers_find_room_within_few_messages_at_any_size() {
+    for size in SIZES {
+        let mut site = Site::new(size);
+        site.crowd();
+        // A quarter of the free places, so that there is room all along.
+        let openers = FLOWS.min(u16::from(size) / 2 * 2);
+        let mut taken = 0;
+        for port in 0..openers {
+            let packet = opener(&flow(port), 0);
+            let first = site.first_choice(packet.clone());
+            taken += u32::from(site.deliver(first, &packet).is_some());
+        }
+        let each = site.messages as f64 / f64::from(openers);
+        let share = f64::from(taken) / f64::from(openers);
+        assert!(
+            each <= bound("opaque_messages_an_opener_half_crowded"),
+            "{size}: {each}"
+        );
+        assert!(
+            share >= bound("opaque_openers_taken_half_crowded"),
+            "{size}: {share}"
+        );
+    }
+}
+
+#[test]
+fn a_flow_that_nobody_expects_there_is_found_by_one_question() {
+    for size in SIZES {
+        let mut site = Site::new(size);
+        let key = flow(7);
+        let holder = host(size);
+        site.deliver(holder, &opener(&key, 0));
+        site.open(&key, holder);
+        let asked = host(1);
+        site.messages = 0;
+        assert_eq!(
+            site.deliver(asked, &request(&key, 501)),
+            Some(holder),
+            "{size}"
+        );
+        let each = site.messages as f64 / f64::from(size);
+        assert!(
+            each <= bound("opaque_messages_a_question_an_agent"),
+            "{size}: {each}"
+        );
+        site.messages = 0;
+        assert_eq!(
+            site.deliver(asked, &request(&key, 501)),
+            Some(holder),
+            "{size}"
+        );
+        assert!(site.messages as f64 <= bound("opaque_messages_a_packet_held_elsewhere"));
+    }
+}
