--- /dev/null
+++ b/lab/src/opaque/site/faults.rs
@@ -0,0 +1,47 @@
+//! What may befall the backend servers of a site.
+
+use crate::opaque::backend::BackendHandle;
+use crate::opaque::site::OpaqueSite;
+
+impl OpaqueSite {
+    /// Lets a backend server report that it leaves, and close flows after their next answer.
+    pub fn drain_backend(&self, index: usize) {
+        self.register(index, "draining");
+        if let Some(backend) = &self.backends[index] {
+            backend.drain();
+        }
+    }
+
+    /// Ends a backend server as a crash would; its entry stays until it is removed.
+    pub fn crash_backend(&mut self, index: usize) -> Option<String> {
+        let backend = self.backends[index].take()?;
+        Some(backend.id)
+    }
+
+    /// Ends a backend server as a crash behind a cut would: connections to it stay open, and are silent.
+    pub fn crash_backend_silently(&mut self, index: usize) -> Option<String> {
+        let backend = self.backends[index].take()?;
+        self.silent_connections.push(backend.connections());
+        Some(backend.id)
+    }
+
+    /// Removes a backend server's entry from the store.
+    pub fn expire_entry(&self, id: &str) {
+        self.store.remove(&format!("servers/{id}"));
+    }
+
+    /// Takes a backend server's entry away while the server lives, as a store that was away does.
+    pub fn lapse(&self, index: usize) {
+        if let Some(backend) = &self.backends[index] {
+            self.expire_entry(&backend.id);
+        }
+    }
+
+    /// Publishes a backend server's entry again, if the server lives.
+    pub fn register_again(&self, index: usize) {
+        let draining = self.backends[index]
+            .as_ref()
+            .is_some_and(BackendHandle::is_draining);
+        self.register(index, if draining { "draining" } else { "ready" });
+    }
+}
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -4,6 +4,7 @@
 //! not hold. What the agent remembers saves asking it. See docs/OPAQUE.md, "Finding a flow".
 
 mod answers;
+mod backend_life;
 mod openers;
 mod questions;
 
@@ -15,7 +16,7 @@
 use crate::error::Result;
 use crate::opaque::action::Action;
 use crate::opaque::directory::Directory;
-use crate::opaque::flow_book::{Flow, FlowBook, Holding, Remains, Running};
+use crate::opaque::flow_book::{Flow, FlowBook, Holding, Running};
 use crate::opaque::lookup::Lookups;
 use crate::opaque::mean_load::{FAILING_LOAD, MeanLoad};
 use crate::opaque::message::{Message, MessageKind, UNKNOWN_LOAD};
@@ -26,13 +27,6 @@
 /// How long a backend server may take to answer an opener or to return a packet, in milliseconds:
 /// it does so in under one, and the agent itself may wait for its share of a core.
 const BACKEND_TIMEOUT_MS: u64 = 50;
-/// How long nothing must listen at the backend server's address, and no packet come from there, before
-/// its process counts as ended, in milliseconds: the connection attempt is repeated meanwhile.
-const REFUSED_MS: u64 = 150;
-/// How long a backend server that is no longer published must have sent nothing before its agent, when
-/// it is stopped, takes its flows for gone, in milliseconds: some copies of a packet that waits.
-const STILL_MS: u64 = 500;
-
 /// What an agent looks at while it decides.
 pub struct Scene<'a> {
     /// The published backend servers and routes.
@@ -139,24 +133,11 @@
         row.map_or(UNKNOWN_LOAD, |row| self.load.permille(row.slots))
     }
 
-    /// Tells whether the backend server runs and is not published, so that no other process knows of it.
-    ///
-    /// Its entry may have lapsed while the platform's service was away; who starts then finds none.
-    pub fn is_unlisted(&self, directory: &Directory) -> bool {
-        let own = directory.own(self.identity.backend);
-        self.listens && own.is_none_or(|own| own.is_gone)
-    }
-
     /// Returns the flows open at the backend server.
     pub fn open_flows(&self) -> u32 {
         self.flows.open()
     }
 
-    /// Tells whether the backend server gave a reason since the last call to look whether it still listens.
-    pub fn take_doubt(&mut self) -> bool {
-        std::mem::take(&mut self.doubted)
-    }
-
     /// Tells whether this agent knows every flow of its backend server.
     pub fn knows_all(&self) -> bool {
         self.knows_all
@@ -242,117 +223,6 @@
         Ok(actions)
     }
 
-    /// Notes that nothing listens at the backend server's address.
-    ///
-    /// One that drains stops listening long before it has ended its flows, so that this is proof only
-    /// of one that should be there.
-    pub fn backend_refuses(&mut self, scene: &Scene<'_>) -> Vec<Action> {
-        self.refusing = true;
-        self.listens = false;
-        let own = scene.directory.own(self.identity.backend);
-        if own.is_some_and(|own| !own.takes_flows) {
-            return Vec::new();
-        }
-        let since_ms = *self.refused_since_ms.get_or_insert(scene.now_ms);
-        if scene.now_ms < since_ms + REFUSED_MS {
-            return Vec::new();
-        }
-        self.backend_ended(scene)
-    }
-
-    /// Notes that something listens at the backend server's address.
-    pub fn backend_listens(&mut self) {
-        self.backend_up = true;
-        self.refusing = false;
-        self.listens = true;
-        self.refused_since_ms = None;
-    }
-
-    /// Notes that the process stops, and takes no new flow from now on.
-    ///
-    /// The agent of a backend server that has left is stopped after it, so that flows which still seem
-    /// open there are gone.
-    pub fn leave(&mut self, scene: &Scene<'_>) -> Vec<Action> {
-        self.leaving = true;
-        let own = scene.directory.own(self.identity.backend);
-        let gone = own.is_some_and(|own| own.is_gone && !own.takes_flows);
-        let still = scene.now_ms >= self.last_heard_ms + STILL_MS;
-        if gone && still && self.refusing {
-            return self.backend_ended(scene);
-        }
-        Vec::new()
-    }
-
-    /// Ends all flows of a backend server whose process is gone at once, so that their callers open
-    /// new ones instead of waiting.
-    fn backend_ended(&mut self, scene: &Scene<'_>) -> Vec<Action> {
-        self.knows_all = true;
-        if !std::mem::replace(&mut self.backend_up, false) {
-            return Vec::new();
-        }
-        // Whatever came in until now was for the process that has ended.
-        let remains = self.flows.take_remains(u64::MAX, scene.now_ms);
-        self.pending.clear();
-        log::info!(
-            "event=backend_ended flows={} openers={} last_packet_ms_ago={} revision={}",
-            remains.flows.len(),
-            remains.openers.len(),
-            scene.now_ms.saturating_sub(self.last_heard_ms),
-            scene.revision
-        );
-        self.close_remains(scene, remains)
-    }
-
-    /// Resets the flows that are left of a backend server, and passes its openers on.
-    fn close_remains(&self, scene: &Scene<'_>, remains: Remains) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for ended in remains.flows {
-            self.reset(
-                &ended.key,
-                ended.acknowledgement,
-                Code::BackendGone,
-                &mut actions,
-            );
-        }
-        for (key, opening) in remains.openers {
-            self.hand_on(scene, &key, opening, &mut actions);
-        }
-        actions
-    }
-
-    /// Notes that the connection to the backend server broke.
-    pub fn backend_breaks(&mut self, now_ms: u64) {
-        self.listens = false;
-        self.broke_ms.get_or_insert(now_ms);
-    }
-
-    /// Looks whether a new lifetime of the backend server is published at its address.
-    ///
-    /// It shows that the one before has ended, so that flows from before the first break of the connection
-    /// since then are gone. Without it, a backend server that restarts at once leaves callers waiting whose
-    /// requests it had acknowledged: they send nothing more that could be returned.
-    pub fn published_changed(&mut self, scene: &Scene<'_>) -> Vec<Action> {
-        let Some(own) = scene.directory.own(self.identity.backend) else {
-            return Vec::new();
-        };
-        let before = self.lifetime.replace(own.first_revision);
-        if before.is_none_or(|before| before >= own.first_revision) {
-            return Vec::new();
-        }
-        let Some(broke_ms) = self.broke_ms.take() else {
-            return Vec::new();
-        };
-        let remains = self.flows.take_remains(broke_ms, scene.now_ms);
-        log::info!(
-            "event=backend_restarted flows={} openers={} broke_ms_ago={} revision={}",
-            remains.flows.len(),
-            remains.openers.len(),
-            scene.now_ms.saturating_sub(broke_ms),
-            scene.revision
-        );
-        self.close_remains(scene, remains)
-    }
-
     /// Does what is due: openers without an answer, packets that were not returned, questions.
     pub fn tick(&mut self, scene: &Scene<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -391,24 +261,6 @@
         }
     }
 
-    /// Notes that a request failed at the backend server.
-    fn note_failed(&mut self, now_ms: u64) {
-        self.outcomes.note_failed(now_ms);
-        let failing = self.outcomes.is_failing(now_ms);
-        if failing && !std::mem::replace(&mut self.failing, true) {
-            log::warn!("event=backend_fails busy={}", self.flows.busy());
-        }
-    }
-
-    /// Notes that a request was answered by the backend server.
-    fn note_served(&mut self, now_ms: u64) {
-        self.outcomes.note_served(now_ms);
-        if self.failing && !self.outcomes.is_failing(now_ms) {
-            self.failing = false;
-            log::warn!("event=backend_serves busy={}", self.flows.busy());
-        }
-    }
-
     /// Takes any other packet of a caller.
     fn packet(
         &mut self,
--- a/tests/opaque/message_bounds.rs
+++ b/tests/opaque/message_bounds.rs
@@ -51,6 +51,17 @@
         }
     }
 
+    fn with<T>(&mut self, at: Ipv4Addr, decide: impl FnOnce(&mut Keeper, &Scene<'_>) -> T) -> T {
+        let scene = Scene {
+            directory: &self.directory,
+            suspicion: &self.suspicion,
+            revision: u64::MAX,
+            settled: true,
+            now_ms: NOW_MS,
+        };
+        decide(&mut self.keepers[usize::from(at.octets()[3]) - 1], &scene)
+    }
+
     /// Hands a message over and follows what comes of it; returns who handed it to a backend server.
     fn say(
         &mut self,
@@ -60,18 +71,12 @@
         payload: &[u8],
     ) -> Option<Ipv4Addr> {
         self.messages += 1;
-        let index = usize::from(to.octets()[3]) - 1;
-        let Some(keeper) = self.keepers.get_mut(index).filter(|_| to != BALANCER) else {
+        if to == BALANCER {
             return None;
-        };
-        let scene = Scene {
-            directory: &self.directory,
-            suspicion: &self.suspicion,
-            revision: u64::MAX,
-            settled: true,
-            now_ms: NOW_MS,
-        };
-        let actions = keeper.peer_says(&scene, from, message, payload);
+        }
+        let actions = self.with(to, |keeper, scene| {
+            keeper.peer_says(scene, from, message, payload)
+        });
         let mut taker = None;
         for action in actions.expect("sound packet") {
             match action {
@@ -112,15 +117,9 @@
     }
 
     fn open(&mut self, key: &FlowKey, at: Ipv4Addr) {
-        let index = usize::from(at.octets()[3]) - 1;
-        let scene = Scene {
-            directory: &self.directory,
-            suspicion: &self.suspicion,
-            revision: u64::MAX,
-            settled: true,
-            now_ms: NOW_MS,
-        };
-        let answer = self.keepers[index].backend_says(&scene, acceptance(key, 500));
+        let answer = self.with(at, |keeper, scene| {
+            keeper.backend_says(scene, acceptance(key, 500))
+        });
         answer.expect("sound packet");
         self.deliver(at, &request(key, 501));
     }
