Wait for backend servers before a site of the tests counts as started

A site counts as started when its daemons are ready, and these do not need their backend servers for that; the stand-in's process came up later than they.

The product: nothing of it was asked yet when the test failed.

The start of a site waits until each backend server answers. No expectation changes.

--- a/lab/src/site.rs
+++ b/lab/src/site.rs
@@ -204,9 +204,23 @@
             self.balancers.push(None);
             self.start_balancer(index)?;
         }
+        self.wait_backends().await?;
         self.wait_ready().await
     }
 
+    /// Waits until each backend server takes orders, which daemons do not need in order to be ready.
+    async fn wait_backends(&self) -> Result<()> {
+        for service in 0..self.spec.services.len() {
+            for host in 0..self.spec.services[service].targets {
+                self.until("a backend server", async |site| {
+                    site.backend_order(service, host, "counts").await.is_ok()
+                })
+                .await?;
+            }
+        }
+        Ok(())
+    }
+
     /// Starts the configuration service, empty as after a loss of all it had.
     ///
     /// # Errors
