--- a/lab/src/site.rs
+++ b/lab/src/site.rs
@@ -1,9 +1,11 @@
 //! A whole site on loopback: stand-ins, balancers and agents, each a process of its own.
 
+mod waits;
+
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use endivedyke::{Code, Error, HOSTS_NAME, Result, TABLE_PREFIX};
 use tempfile::TempDir;
@@ -208,19 +210,6 @@
         self.wait_ready().await
     }
 
-    /// Waits until each backend server takes orders, which daemons do not need in order to be ready.
-    async fn wait_backends(&self) -> Result<()> {
-        for service in 0..self.spec.services.len() {
-            for host in 0..self.spec.services[service].targets {
-                self.until("a backend server", async |site| {
-                    site.backend_order(service, host, "counts").await.is_ok()
-                })
-                .await?;
-            }
-        }
-        Ok(())
-    }
-
     /// Starts the configuration service, empty as after a loss of all it had.
     ///
     /// # Errors
@@ -497,22 +486,6 @@
         .await
     }
 
-    /// Waits until a condition holds.
-    ///
-    /// # Errors
-    ///
-    /// Returns code 5001, naming `what`, where that takes too long.
-    pub async fn until(&self, what: &str, holds: impl AsyncFn(&Site) -> bool) -> Result<()> {
-        let until = Instant::now() + READY_TIMEOUT;
-        while !holds(self).await {
-            if Instant::now() >= until {
-                return Err(Error::new(Code::Io, format!("{what}: not in time")));
-            }
-            compio::time::sleep(POLL).await;
-        }
-        Ok(())
-    }
-
     /// Returns the log of a daemon, such as `agent-0`.
     pub fn log(&self, daemon: &str) -> String {
         let path: &Path = &self.file(&format!("{daemon}.ini.log"));
