Split the tests of what an agent believes of its backend server from those of packets

Moves only: the tests of failing and restarted backend servers stand in `backend_life.rs`; each keeps its assertions.

--- a/tests/opaque/keeper.rs
+++ b/tests/opaque/keeper.rs
@@ -2,7 +2,7 @@
 
 use endivedyke::ServiceId;
 use endivedyke::opaque::{
-    Backend, BackendState, FlowKey, KeeperIdentity, Message, MessageKind, ROUTES_HEADER, RouteTable,
+    BackendState, FlowKey, KeeperIdentity, Message, MessageKind, ROUTES_HEADER, RouteTable,
 };
 
 use crate::builder::{self, host};
@@ -386,100 +386,6 @@
     assert_eq!(resets(&agent.tick_at(1_520)), [flow(1)]);
 }
 
-/// Opens a flow, sends a request on it and lets the backend server end it with or without an answer.
-fn request_that_ends(agent: &mut AgentUnderTest, port: u16, answered: bool) {
-    let key = flow(port);
-    agent.open(&key, 500);
-    let answer_bytes = if answered { 60 } else { 0 };
-    let end = PacketSpec {
-        flags: ACK | FIN,
-        sequence: 501 + answer_bytes,
-        ..PacketSpec::default()
-    };
-    // The bare packet that ends a flow overtakes the larger one with the answer.
-    agent.backend(from_backend(&key, end));
-    if answered {
-        let answer = PacketSpec {
-            flags: ACK,
-            sequence: 501,
-            data_bytes: 60,
-            ..PacketSpec::default()
-        };
-        agent.backend(from_backend(&key, answer));
-    }
-}
-
-#[test]
-fn a_backend_server_that_fails_requests_gets_but_a_few_to_try() {
-    let mut agent = AgentUnderTest::new(3, true);
-    for port in 1..=3 {
-        request_that_ends(&mut agent, port, false);
-    }
-    let mut taken = 0;
-    for port in 100..150 {
-        agent.now_ms += 10;
-        taken += u32::from(reaches_backend(&agent.deliver(&opener(&flow(port), 0))));
-    }
-    assert!((1..=3).contains(&taken), "{taken} of 50 in half a second");
-    let mut message = Message::new(MessageKind::HandOn);
-    message.hops = 2;
-    let actions = agent.hear(host(2), message, &opener(&flow(160), 0));
-    assert!(reaches_backend(&actions), "the others did no better");
-    for port in 200..220 {
-        agent.now_ms += 250;
-        request_that_ends(&mut agent, port, true);
-    }
-    assert!(reaches_backend(&agent.deliver(&opener(&flow(300), 0))));
-    assert!(reaches_backend(&agent.deliver(&opener(&flow(301), 0))));
-}
-
-#[test]
-fn an_answer_that_the_end_of_its_flow_overtakes_is_no_failure() {
-    let mut agent = AgentUnderTest::new(3, true);
-    for port in 1..=20 {
-        request_that_ends(&mut agent, port, true);
-    }
-    for port in 100..104 {
-        assert!(reaches_backend(&agent.deliver(&opener(&flow(port), 0))));
-    }
-}
-
-#[test]
-fn requests_without_an_answer_count_as_failed_and_give_their_places_back() {
-    let mut agent = AgentUnderTest::new(3, true);
-    for port in 1..=4 {
-        agent.open(&flow(port), 500);
-    }
-    assert_eq!(agent.keeper.busy(), 4);
-    agent.now_ms += 1_000;
-    agent.keeper.expire(agent.now_ms);
-    agent.deliver(&opener(&flow(50), 0));
-    assert!(
-        !reaches_backend(&agent.deliver(&opener(&flow(51), 0))),
-        "only one is tried"
-    );
-    agent.now_ms += 2_000;
-    agent.keeper.expire(agent.now_ms);
-    assert_eq!(agent.keeper.busy(), 0);
-}
-
-#[test]
-fn a_packet_sent_again_after_its_answer_is_no_new_request() {
-    let mut agent = AgentUnderTest::new(1, true);
-    let key = flow(1);
-    agent.open(&key, 500);
-    let answer = PacketSpec {
-        flags: ACK,
-        sequence: 501,
-        data_bytes: 60,
-        ..PacketSpec::default()
-    };
-    agent.backend(from_backend(&key, answer));
-    assert_eq!(agent.keeper.busy(), 0);
-    agent.deliver(&request(&key, 501));
-    assert_eq!(agent.keeper.busy(), 0);
-}
-
 #[test]
 fn urgent_openers_have_room_where_others_have_none() {
     let mut agent = AgentUnderTest::new(1, true);
@@ -505,53 +411,3 @@
     };
     assert!(!reaches_backend(&agent.deliver(&opener(&urgent, 0))));
 }
-
-/// Publishes a new lifetime of the backend server beside the agent.
-fn publish_next_lifetime(agent: &mut AgentUnderTest) -> Vec<endivedyke::opaque::Action> {
-    let text = state_text(1, BackendState::Ready);
-    let backend = Backend::parse(&text).expect("sound text");
-    agent.directory.apply("i-next", backend, 50, agent.now_ms);
-    agent.revision = 50;
-    agent.published_changed()
-}
-
-#[test]
-fn flows_of_a_lifetime_before_are_reset_once_the_next_is_published() {
-    let mut agent = AgentUnderTest::new(1, true);
-    agent.published_changed();
-    request_that_ends(&mut agent, 1, true);
-    agent.open(&flow(2), 500);
-    agent.answer_from_backend(&flow(2));
-    agent.now_ms += 10;
-    agent.keeper.backend_breaks(agent.now_ms);
-    agent.keeper.backend_listens();
-    agent.now_ms += 10;
-    agent.open(&flow(3), 900);
-    agent.answer_from_backend(&flow(3));
-    let actions = publish_next_lifetime(&mut agent);
-    assert_eq!(resets(&actions), [flow(2)], "the third opened after it");
-    assert!(agent.published_changed().is_empty());
-}
-
-#[test]
-fn a_lifetime_that_outlived_a_break_keeps_its_flows() {
-    let mut agent = AgentUnderTest::new(1, true);
-    agent.published_changed();
-    agent.open(&flow(2), 500);
-    agent.now_ms += 10;
-    agent.keeper.backend_breaks(agent.now_ms);
-    agent.now_ms += 10;
-    agent.answer_from_backend(&flow(2));
-    assert!(resets(&publish_next_lifetime(&mut agent)).is_empty());
-}
-
-#[test]
-fn a_failing_backend_server_without_another_takes_every_opener() {
-    let mut agent = AgentUnderTest::new(1, true);
-    for port in 1..=4 {
-        request_that_ends(&mut agent, port, false);
-    }
-    for port in 100..105 {
-        assert!(reaches_backend(&agent.deliver(&opener(&flow(port), 0))));
-    }
-}
--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -1,5 +1,6 @@
 //! The decisions about opaque flows, without input or output.
 
+mod backend_life;
 mod builder;
 mod directory;
 mod forwarder;
