Break the two circles of modules around the agent and the lab's command line

Cause: ten modules of src/quic knew each other, since Agent's struct stood beside the code that runs it, RequestContext beside the code that hands requests out, and Reservation beside the code that fills it; in lab/src the experiments took the runtime from the command line.

Ruled out: a trait between agent and its users, which would hide the circle and not break it.

Change: moves only. agent_run holds the agent's run, request_context and reservation the two structs, Agent::issue_ticket the function new_ticket; lab/src/runtime the runtime.

Between folders they still do.

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -1,6 +1,5 @@
 //! The command line of `endivedyke-lab`.
 
-use std::future::Future;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -16,6 +15,7 @@
 use crate::load_report;
 use crate::opaque::{OpaqueLoadPlan, run_opaque_load, run_opaque_quickstart, run_soak};
 use crate::quickstart::run_quickstart;
+use crate::runtime::block_on;
 use crate::{config_service, fabric};
 
 #[derive(Debug, Options)]
@@ -245,10 +245,6 @@
     }
 }
 
-pub(crate) fn block_on<T>(future: impl Future<Output = Result<T>>) -> Result<T> {
-    compio::runtime::Runtime::new()?.block_on(future)
-}
-
 fn given<T>(option: Option<T>) -> Result<T> {
     option.ok_or_else(|| Error::new(Code::Usage, "an option is missing"))
 }
--- a/lab/src/experiments.rs
+++ b/lab/src/experiments.rs
@@ -3,8 +3,8 @@
 use endivedyke::{Code, Error, Result};
 use gumdrop::Options;
 
-use crate::cli::block_on;
 use crate::relay_model::{self, RelayPlan};
+use crate::runtime::block_on;
 use crate::{control_cost, datagram_rate, imbalance};
 
 /// Losses, dead daemons and cuts of the relay experiment.
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -24,6 +24,7 @@
 mod process;
 mod quickstart;
 mod relay_model;
+mod runtime;
 mod service_model;
 mod site;
 mod site_files;
--- a/src/quic/mod.rs
+++ b/src/quic/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod agent;
 pub(crate) mod agent_datagrams;
+pub(crate) mod agent_run;
 pub(crate) mod answer;
 pub(crate) mod backend;
 pub(crate) mod balancer;
@@ -21,7 +22,9 @@
 pub(crate) mod quic_endpoint;
 pub(crate) mod repeatable;
 pub(crate) mod request;
+pub(crate) mod request_context;
 pub(crate) mod request_spec;
+pub(crate) mod reservation;
 pub(crate) mod return_path;
 pub(crate) mod run_once;
 pub(crate) mod sealed_id;
--- a/src/quic/move_request.rs
+++ b/src/quic/move_request.rs
@@ -12,7 +12,7 @@
 use crate::quic::answer::{Answer, AnswerBody};
 use crate::quic::backend;
 use crate::quic::local_run::WholeAnswer;
-use crate::quic::request::RequestContext;
+use crate::quic::request_context::RequestContext;
 
 /// To how many peers a request is offered.
 const MAX_OFFERS: usize = 2;
--- a/src/quic/peer_service.rs
+++ b/src/quic/peer_service.rs
@@ -17,22 +17,15 @@
 use crate::quic::caller_body::whole_body;
 use crate::quic::load_exchange;
 use crate::quic::local_run::{self, LocalRequest};
-use crate::quic::request::new_ticket;
 use crate::quic::request_spec;
-use crate::quic::run_once::LedgerEntry;
+use crate::quic::reservation::Reservation;
+use crate::quic::run_once::{self, LedgerEntry};
 use crate::quic::sealed_id::SealedBytes;
 use crate::quic::target::Target;
 
 /// How long a slot is held for an accepted offer, in milliseconds.
 const OFFER_HOLD_MS: u64 = 1_000;
 
-/// A slot held for an accepted offer.
-pub(crate) struct Reservation {
-    pub(crate) ticket: SealedBytes,
-    pub(crate) slot: SlotGuard,
-    pub(crate) expires_ms: u64,
-}
-
 /// Returns what an agent answers on control links.
 pub(crate) fn hooks(agent: &Rc<Agent>) -> NodeHooks {
     let (loads, offers) = (agent.clone(), agent.clone());
@@ -62,7 +55,7 @@
     let Some(slot) = target.slots.try_acquire(now_ms + u64::from(timeout_ms)) else {
         return refuse(Code::Overloaded, target.slots.retry_after_ms());
     };
-    let Some(ticket) = new_ticket(agent, &target) else {
+    let Some(ticket) = agent.issue_ticket(&target) else {
         return refuse(Code::NoTarget, MIN_RETRY_MS);
     };
     target.reservations.borrow_mut().push(Reservation {
@@ -103,7 +96,7 @@
     let answer = match begin {
         Begin::Run => run_begun(agent, &target, id.nonce, &ticket, request).await,
         Begin::Stop(code) => Answer::refusal(code, target.slots.retry_after_ms()),
-        Begin::Answered(kept) => crate::quic::run_once::kept_answer(kept),
+        Begin::Answered(kept) => run_once::kept_answer(kept),
     };
     into_peer_answer(answer)
 }
--- a/src/quic/repeatable.rs
+++ b/src/quic/repeatable.rs
@@ -15,7 +15,7 @@
 use crate::quic::health::PROBE_MS;
 use crate::quic::local_run::{self, Outcome};
 use crate::quic::move_request::{self, Moved};
-use crate::quic::request::RequestContext;
+use crate::quic::request_context::RequestContext;
 
 /// Answers a request that may be repeated.
 pub(crate) async fn answer(context: &RequestContext<'_>, body: CallerBody) -> Answer {
--- a/src/quic/request.rs
+++ b/src/quic/request.rs
@@ -13,43 +13,13 @@
 use crate::quic::agent::Agent;
 use crate::quic::answer::{Answer, AnswerBody};
 use crate::quic::caller_body::{BodyStream, CallerBody};
-use crate::quic::local_run::LocalRequest;
+use crate::quic::request_context::{RequestContext, ticket_for};
 use crate::quic::request_spec::RequestSpec;
-use crate::quic::sealed_id::{Purpose, SealedBytes, SealedId};
 use crate::quic::target::Target;
 use crate::quic::{repeatable, run_once};
 
 type AnswerStream = RequestStream<<BidiStream<Bytes> as QuicStream<Bytes>>::SendStream, Bytes>;
 
-/// A request with what is known of it.
-pub(crate) struct RequestContext<'a> {
-    pub(crate) agent: &'a Rc<Agent>,
-    pub(crate) target: &'a Rc<Target>,
-    pub(crate) head: &'a Parts,
-    pub(crate) path: &'a str,
-    pub(crate) spec: &'a RequestSpec,
-    pub(crate) deadline_ms: u64,
-}
-
-impl RequestContext<'_> {
-    /// Returns the time that the request has left, in milliseconds.
-    pub(crate) fn left_ms(&self) -> u64 {
-        self.deadline_ms.saturating_sub(self.agent.control.now_ms())
-    }
-
-    /// Returns the request as it runs at this host's backend server.
-    pub(crate) fn local_request(&self, body: CallerBody) -> LocalRequest {
-        LocalRequest {
-            target: self.target.clone(),
-            method: self.head.method.clone(),
-            path: self.path.to_owned(),
-            headers: self.head.headers.clone(),
-            body: body.into_request_body(),
-            deadline_ms: self.deadline_ms,
-        }
-    }
-}
-
 /// A step that lets a request pass or gives its final answer.
 type Filter = fn(&RequestContext<'_>) -> Option<Answer>;
 
@@ -122,26 +92,6 @@
     missing.then(|| Answer::refusal(Code::TicketNeeded, 0).with_ticket(ticket_for(context)))
 }
 
-/// Returns a ticket for a request that may not be repeated.
-pub(crate) fn ticket_for(context: &RequestContext<'_>) -> Option<SealedBytes> {
-    if context.spec.repeatable {
-        return None;
-    }
-    new_ticket(context.agent, context.target)
-}
-
-/// Issues a ticket of this incarnation.
-pub(crate) fn new_ticket(agent: &Agent, target: &Target) -> Option<SealedBytes> {
-    let ticket = SealedId {
-        host: target.host,
-        incarnation: agent.control.incarnation,
-        service: target.service,
-        nonce: target.ledger.borrow_mut().issue()?,
-    };
-    let store = agent.control.store.borrow();
-    Some(ticket.seal(store.ring(), Purpose::Ticket, rand::random()))
-}
-
 async fn send(mut stream: AnswerStream, answer: Answer) -> Option<()> {
     stream.send_response(answer.head()).await.ok()?;
     let _slot = answer.slot;
--- a/src/quic/run_once.rs
+++ b/src/quic/run_once.rs
@@ -16,7 +16,7 @@
 use crate::quic::local_run::{self, LocalRequest, Outcome, WholeAnswer};
 use crate::quic::move_request::{self, Moved};
 use crate::quic::repeatable::{self, Place};
-use crate::quic::request::{RequestContext, ticket_for};
+use crate::quic::request_context::{RequestContext, ticket_for};
 use crate::quic::sealed_id::{SealedBytes, SealedId};
 use crate::quic::target::Target;
 
--- a/src/quic/target.rs
+++ b/src/quic/target.rs
@@ -18,7 +18,7 @@
 use crate::process::clock::Clock;
 use crate::quic::drain_signal::DrainSignal;
 use crate::quic::health::Health;
-use crate::quic::peer_service::Reservation;
+use crate::quic::reservation::Reservation;
 
 /// A target that this agent serves.
 pub(crate) struct Target {
