Order the folders of the library from the bottom up

Cause: folders named each other in all directions (six of seven stood in one circle): plumbing knew the programs and both forms of flows, values knew the controllers, decisions knew the QUIC form.

Ruled out: crates of their own for each layer, which would make every item between them public.

Change: moves, and what they need. process keeps plumbing alone; programs has daemon and operator; controllers has control, platform_reader, relay, reload and node_server; what is published (backend_entry, route_table) and what names it (hash, sealed_id) stand in config; flow_history in decisions, steering in quic.

--- a/src/opaque/backend.rs
+++ b/src/config/backend_entry.rs
@@ -7,6 +7,8 @@
 use crate::config::table;
 use crate::error::{Error, Result};
 
+/// What the name of a published backend server starts with; its id follows.
+pub const BACKEND_PREFIX: &str = "backend/";
 /// The text of a value whose backend server is no longer published.
 pub const GONE_TEXT: &str = "gone";
 
--- a/src/config/config_store.rs
+++ b/src/config/config_store.rs
@@ -1,14 +1,15 @@
 //! The published values that a process holds, whose revisions only rise.
 
 use crate::code::Code;
+use crate::config::backend_entry::{BACKEND_PREFIX, Backend};
 use crate::config::delta::Delta;
+use crate::config::hash;
 use crate::config::hosts::HostList;
 use crate::config::keys::{ClusterKey, KeyRing};
+use crate::config::route_table::{ROUTES_NAME, RouteTable};
 use crate::config::service_id::ServiceId;
 use crate::config::table::Table;
-use crate::decisions::hash;
 use crate::error::{Error, Result};
-use crate::opaque::{BACKEND_PREFIX, Backend, ROUTES_NAME, RouteTable};
 
 /// The largest value that the platform holds, in bytes.
 pub(crate) const MAX_VALUE_BYTES: usize = 1 << 20;
--- a/src/config/delta.rs
+++ b/src/config/delta.rs
@@ -1,7 +1,7 @@
 //! A published value as a change of lines, so that an edit of one row costs one row on the wire.
 
 use crate::code::Code;
-use crate::decisions::hash;
+use crate::config::hash;
 use crate::error::{Error, Result};
 
 /// A change from one text to the next: lines kept at the start, lines removed, lines put in.
--- a/src/config/membership.rs
+++ b/src/config/membership.rs
@@ -5,8 +5,8 @@
 
 use std::net::Ipv4Addr;
 
+use crate::config::hash;
 use crate::config::hosts::{Host, HostList};
-use crate::decisions::hash;
 
 /// How many processes of an availability zone watch the platform.
 pub const READERS_PER_ZONE: usize = 3;
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,15 +1,16 @@
-//! What is published and how it stays level among processes: values, tables, hosts, keys, settings,
-//! relay.
+//! What is published, as values: tables, hosts, keys, routes, entries of backend servers, settings, and
+//! the ids and hashes by which they are named. Nothing here keeps state but the store of values.
 
+pub(crate) mod backend_entry;
 pub(crate) mod config_store;
 pub(crate) mod delta;
+pub(crate) mod hash;
 pub(crate) mod hosts;
 pub(crate) mod keys;
 pub(crate) mod membership;
 pub(crate) mod platform;
-pub(crate) mod platform_reader;
-pub(crate) mod relay;
-pub(crate) mod reload;
+pub(crate) mod route_table;
+pub(crate) mod sealed_id;
 pub(crate) mod service_id;
 pub(crate) mod settings;
 pub(crate) mod table;
--- a/src/opaque/route_table.rs
+++ b/src/config/route_table.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddrV4;
 
 use crate::code::Code;
+use crate::config::hash;
 use crate::config::service_id::ServiceId;
-use crate::decisions::hash;
 use crate::error::{Error, Result};
 
+/// The name of the published routes.
+pub const ROUTES_NAME: &str = "routes";
 /// The first line of the published routes.
 pub const ROUTES_HEADER: &str = "address,service,weight,priority,repeatable";
 
--- a/src/config/service_id.rs
+++ b/src/config/service_id.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::decisions::hash;
+use crate::config::hash;
 
 /// A 32-bit hash of the service's name.
 ///
--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -5,8 +5,8 @@
 use serde::Serialize;
 
 use crate::code::Code;
+use crate::config::hash;
 use crate::config::service_id::ServiceId;
-use crate::decisions::hash;
 use crate::error::{Error, Result};
 
 /// The first line of every table.
--- a/src/links/node_server.rs
+++ b/src/controllers/node_server.rs
@@ -9,8 +9,10 @@
 
 use crate::code::Code;
 use crate::config::config_store::Acceptance;
-use crate::config::relay;
+use crate::config::sealed_id::SealedBytes;
 use crate::config::service_id::ServiceId;
+use crate::controllers::control::Control;
+use crate::controllers::relay;
 use crate::decisions::load_board::LoadReport;
 use crate::error::Result;
 use crate::links::link;
@@ -19,8 +21,6 @@
 use crate::links::peer_request::{PeerAnswer, PeerRequest};
 use crate::links::peers::{OfferReply, ticket_bytes};
 use crate::node_capnp::node;
-use crate::process::control::Control;
-use crate::quic::sealed_id::SealedBytes;
 
 /// The most control links that a process accepts at once.
 const MAX_INBOUND_LINKS: usize = 1_024;
--- a/src/config/platform_reader.rs
+++ b/src/controllers/platform_reader.rs
@@ -8,9 +8,9 @@
 use crate::config::config_store::{Acceptance, HOSTS_NAME};
 use crate::config::membership;
 use crate::config::platform;
-use crate::config::relay;
+use crate::controllers::control::Control;
+use crate::controllers::relay;
 use crate::error::{Error, Result};
-use crate::process::control::Control;
 
 /// How long one watch waits for a change, in milliseconds.
 const WATCH_WAIT_MS: u64 = 10_000;
--- a/src/config/relay.rs
+++ b/src/controllers/relay.rs
@@ -11,8 +11,8 @@
 
 use crate::config::config_store::ValueUpdate;
 use crate::config::membership;
+use crate::controllers::control::Control;
 use crate::error::Result;
-use crate::process::control::Control;
 
 /// How often a process compares its revisions with one peer, in milliseconds.
 pub(crate) const COMPARE_PERIOD_MS: u64 = 1_000;
--- a/src/config/reload.rs
+++ b/src/controllers/reload.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use crate::config::settings::Settings;
-use crate::process::control::Control;
+use crate::controllers::control::Control;
 
 const SIGHUP: i32 = 1;
 
--- a/src/decisions/admission.rs
+++ b/src/decisions/admission.rs
@@ -10,9 +10,9 @@
 
 use crate::code::Code;
 use crate::config::table::{Row, Table};
+use crate::decisions::flow_history::FlowHistory;
 use crate::decisions::load_board::{FULL_SHARE_PERMILLE, KnownLoad, LoadBoard};
 use crate::decisions::placement;
-use crate::quic::flow_history::FlowHistory;
 
 /// How long a decision about an opener is remembered, in milliseconds: longer than a handshake.
 pub(crate) const DECISION_MS: u64 = 10_000;
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -2,7 +2,7 @@
 //! placement, admission, slots, suspicion, what ran once.
 
 pub(crate) mod admission;
-pub(crate) mod hash;
+pub(crate) mod flow_history;
 pub(crate) mod ledger;
 pub(crate) mod load_board;
 pub(crate) mod move_share;
@@ -10,5 +10,4 @@
 pub(crate) mod retry_budget;
 pub(crate) mod slot_queue;
 pub(crate) mod slots;
-pub(crate) mod steering;
 pub(crate) mod suspicion;
--- a/src/decisions/placement.rs
+++ b/src/decisions/placement.rs
@@ -3,8 +3,8 @@
 //! The choice depends on the opener and the table alone, so that two balancers that each see one
 //! datagram of an opener agree without talking; see docs/DESIGN.md, "Owner of an opener".
 
+use crate::config::hash;
 use crate::config::table::{Row, Table};
-use crate::decisions::hash;
 
 /// The owner of an opener and the target that takes it when the owner can't.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,11 +8,13 @@
 
 mod code;
 mod config;
+mod controllers;
 mod decisions;
 mod error;
 mod explain;
 mod links;
 mod process;
+mod programs;
 mod quic;
 #[allow(
     clippy::all,
@@ -32,16 +34,17 @@
     Acceptance, ConfigStore, Digest, HOSTS_NAME, KEYS_NAME, TABLE_PREFIX, ValueUpdate,
 };
 pub use crate::config::delta::Delta;
+pub use crate::config::hash::{bytes_hash, name_hash};
 pub use crate::config::hosts::{HOSTS_HEADER, Host, HostList, HostRole, HostState};
 pub use crate::config::keys::{CLUSTER_KEY_BYTES, ClusterKey, KEYS_HEADER, KeyRing};
 pub use crate::config::membership::{PEER_LINKS, READERS_PER_ZONE, links, readers};
 pub use crate::config::platform::{PlatformChanges, read_value, watch};
+pub use crate::config::sealed_id::{Purpose, SEALED_ID_BYTES, SealedBytes, SealedId};
 pub use crate::config::service_id::ServiceId;
 pub use crate::config::settings::Settings;
 pub use crate::config::table::{Row, TABLE_HEADER, Table, parse_tables};
 pub use crate::config::table_diff::{RowChange, TableDiff};
 pub use crate::decisions::admission::{Admission, Decision, Handed, Opener, RAMP_MS};
-pub use crate::decisions::hash::{bytes_hash, name_hash};
 pub use crate::decisions::ledger::{
     Begin, KeptAnswer, Ledger, MAX_KEPT_ANSWER_BYTES, MAX_KEPT_BYTES,
 };
@@ -52,20 +55,19 @@
 pub use crate::decisions::placement::{Candidates, candidates, ranked};
 pub use crate::decisions::retry_budget::RetryBudget;
 pub use crate::decisions::slots::{Arrival, Next, Refusal, RequestId, Slots};
-pub use crate::decisions::steering::{Route, owner, steer};
 pub use crate::decisions::suspicion::{ANSWER_TIMEOUT_MS, SUSPICION_MS, Suspicion};
 pub use crate::error::{Error, Result};
 pub use crate::explain::{LogLine, explain, parse_log};
 pub use crate::links::link_auth::{LinkSide, authenticate};
-pub use crate::process::daemon::{
-    EXIT_USAGE, run_agent, run_balancer, run_opaque_agent, run_opaque_balancer,
-};
 pub use crate::process::http_client::{call, connect, get};
 pub use crate::process::http_server::{serve, serve_connection};
 pub use crate::process::log_budget::LogBudget;
-pub use crate::process::operator::run_operator;
 pub use crate::process::timer::{PAUSE_MS, TimerEvent, TimerId, TimerService};
 pub use crate::process::udp::bind as bind_udp;
+pub use crate::programs::daemon::{
+    EXIT_USAGE, run_agent, run_balancer, run_opaque_agent, run_opaque_balancer,
+};
+pub use crate::programs::operator::run_operator;
 pub use crate::quic::envelope::{ENVELOPE_BYTES, Envelope, EnvelopeKey, EnvelopeKind};
 pub use crate::quic::health::Health;
 pub use crate::quic::packet::{PacketView, parse as parse_packet};
@@ -73,4 +75,4 @@
     CODE_HEADER, REPEATABLE_HEADER, RequestSpec, TICKET_HEADER, TIMEOUT_HEADER,
 };
 pub use crate::quic::return_path::ReturnPath;
-pub use crate::quic::sealed_id::{Purpose, SEALED_ID_BYTES, SealedBytes, SealedId};
+pub use crate::quic::steering::{Route, owner, steer};
--- a/src/links/peers.rs
+++ b/src/links/peers.rs
@@ -9,6 +9,7 @@
 use crate::code::Code;
 use crate::config::config_store::{Digest, ValueUpdate};
 use crate::config::keys::ClusterKey;
+use crate::config::sealed_id::{SEALED_ID_BYTES, SealedBytes};
 use crate::config::service_id::ServiceId;
 use crate::decisions::load_board::LoadReport;
 use crate::decisions::slots::Refusal;
@@ -18,7 +19,6 @@
 use crate::links::peer_request::{PeerAnswer, PeerRequest};
 use crate::node_capnp::node;
 use crate::process::metrics::Metrics;
-use crate::quic::sealed_id::{SEALED_ID_BYTES, SealedBytes};
 
 /// How long a peer may take to answer a call, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 1_000;
--- a/src/opaque/directory.rs
+++ b/src/opaque/directory.rs
@@ -2,12 +2,12 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
+use crate::config::backend_entry::{Backend, BackendState};
+use crate::config::hash;
 use crate::config::hosts::{Host, HostList, HostRole, HostState};
+use crate::config::route_table::RouteTable;
 use crate::config::service_id::ServiceId;
 use crate::config::table::{Row, Table};
-use crate::decisions::hash;
-use crate::opaque::backend::{Backend, BackendState};
-use crate::opaque::route_table::RouteTable;
 
 /// How long a backend server that vanished without draining still takes flows, in milliseconds.
 ///
--- a/src/opaque/entry.rs
+++ b/src/opaque/entry.rs
@@ -9,12 +9,12 @@
 use compio::net::UdpSocket;
 
 use crate::code::Code;
+use crate::controllers::control::Control;
 use crate::error::{Error, Result};
 use crate::opaque::forwarder::{Forwarder, named_flow};
 use crate::opaque::message::{Message, MessageKind};
 use crate::opaque::ticker::Ticker;
 use crate::opaque::{Adapter, Node, readiness};
-use crate::process::control::Control;
 use crate::process::udp::{self, BUFFER_BYTES};
 
 /// How long a balancer goes on forwarding after it said that it takes no traffic: the platform asks
--- a/src/opaque/flow_book.rs
+++ b/src/opaque/flow_book.rs
@@ -3,8 +3,8 @@
 use std::net::Ipv4Addr;
 
 use crate::opaque::flow_map::FlowMap;
-use crate::opaque::metrics::OpaqueMetrics;
 use crate::opaque::segment::{FlowKey, Segment};
+use crate::process::opaque_metrics::OpaqueMetrics;
 
 /// How many flows an agent remembers: eight times the connections of the largest backend servers.
 const MAX_FLOWS: usize = 16_384;
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -16,8 +16,8 @@
 use crate::opaque::flow_map::FlowMap;
 use crate::opaque::known_loads::KnownLoads;
 use crate::opaque::message::{Message, MessageKind};
-use crate::opaque::metrics::OpaqueMetrics;
 use crate::opaque::segment::{FLOW_KEY_BYTES, FlowKey, Segment, WireFormat};
+use crate::process::opaque_metrics::OpaqueMetrics;
 
 /// How many hints a balancer keeps; the brief speaks of hundreds of thousands of flows for each.
 const MAX_HINTS: usize = 262_144;
--- a/src/opaque/freshness.rs
+++ b/src/opaque/freshness.rs
@@ -7,8 +7,8 @@
 
 use std::net::Ipv4Addr;
 
+use crate::config::hash;
 use crate::config::hosts::HostList;
-use crate::decisions::hash;
 
 /// How many processes read the platform while all is well.
 pub const READERS: usize = 2;
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -20,9 +20,9 @@
 use crate::opaque::lookup::Lookups;
 use crate::opaque::mean_load::{FAILING_LOAD, MeanLoad};
 use crate::opaque::message::{Message, MessageKind, UNKNOWN_LOAD};
-use crate::opaque::metrics::OpaqueMetrics;
 use crate::opaque::recent_outcomes::RecentOutcomes;
 use crate::opaque::segment::{FlowKey, Segment, WireFormat};
+use crate::process::opaque_metrics::OpaqueMetrics;
 
 /// How long a backend server may take to answer an opener or to return a packet, in milliseconds:
 /// it does so in under one, and the agent itself may wait for its share of a core.
--- a/src/opaque/lookup.rs
+++ b/src/opaque/lookup.rs
@@ -3,8 +3,8 @@
 use std::net::Ipv4Addr;
 
 use crate::opaque::directory::Directory;
-use crate::opaque::metrics::OpaqueMetrics;
 use crate::opaque::segment::{FlowKey, Segment};
+use crate::process::opaque_metrics::OpaqueMetrics;
 
 /// How long an agent waits before it asks those again that did not answer, in milliseconds.
 const ASK_AGAIN_MS: u64 = 200;
--- a/src/opaque/message.rs
+++ b/src/opaque/message.rs
@@ -9,10 +9,13 @@
 use crate::code::Code;
 use crate::config::config_store::Digest;
 use crate::error::{Error, Result};
+use crate::process::udp::MAX_TRAILER_BYTES;
 
 const VERSION: u8 = 1;
 /// The bytes that [`Message::append`] adds.
 pub(crate) const TRAILER_BYTES: usize = 30;
+// What does not fit the buffer of a receiver would be cut off.
+const _: () = assert!(TRAILER_BYTES <= MAX_TRAILER_BYTES);
 
 /// What a datagram between two processes asks or says.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/opaque/mod.rs
+++ b/src/opaque/mod.rs
@@ -5,7 +5,6 @@
 //! is published in `directory`. Around them stand the processes, in `entry` and `side`.
 
 mod action;
-mod backend;
 mod backend_watch;
 mod directory;
 mod entry;
@@ -18,40 +17,35 @@
 mod lookup;
 mod mean_load;
 mod message;
-mod metrics;
 mod node;
 mod opener_order;
 mod published;
 mod readiness;
 mod recent_outcomes;
-mod route_table;
 mod segment;
 mod side;
 mod source;
 mod state;
 mod ticker;
 
+pub use crate::config::backend_entry::{
+    BACKEND_PREFIX, Backend, BackendState, GONE_TEXT, backend_text,
+};
+pub use crate::config::route_table::{ROUTES_HEADER, ROUTES_NAME, Route, RouteShare, RouteTable};
 pub use crate::opaque::action::Action;
-pub use crate::opaque::backend::{Backend, BackendState, GONE_TEXT, backend_text};
 pub use crate::opaque::directory::{BackendChange, Directory, OwnBackend};
 pub use crate::opaque::forwarder::Forwarder;
 pub use crate::opaque::freshness::{Freshness, READERS, Standing, standing};
 pub use crate::opaque::keeper::{Keeper, KeeperIdentity, Scene};
 pub use crate::opaque::lookup::{Lookups, Verdict};
 pub use crate::opaque::message::{Message, MessageKind, UNKNOWN_AGE_MS, UNKNOWN_LOAD};
-pub use crate::opaque::metrics::OpaqueMetrics;
 pub use crate::opaque::published::forgot;
-pub use crate::opaque::route_table::{ROUTES_HEADER, Route, RouteShare, RouteTable};
 pub use crate::opaque::segment::{FlowKey, Segment, WireFormat};
 pub use crate::opaque::source::{Batch, Published, Read, Source};
+pub use crate::process::opaque_metrics::OpaqueMetrics;
 
 pub(crate) use crate::opaque::node::Node;
 
-/// The name of the published routes.
-pub const ROUTES_NAME: &str = "routes";
-/// What the name of a published backend server starts with; its id follows.
-pub const BACKEND_PREFIX: &str = "backend/";
-
 /// What a platform must provide for opaque flows.
 pub struct Adapter {
     /// How packets look on the wire.
--- a/src/opaque/node.rs
+++ b/src/opaque/node.rs
@@ -7,17 +7,17 @@
 use compio::BufResult;
 use compio::net::UdpSocket;
 
+use crate::config::backend_entry::Backend;
+use crate::config::route_table::RouteTable;
+use crate::controllers::control::Control;
 use crate::error::{Error, Result};
 use crate::opaque::action::Action;
-use crate::opaque::backend::Backend;
 use crate::opaque::directory::{BackendChange, Directory};
 use crate::opaque::freshness::BEAT_MS;
 use crate::opaque::message::{Message, MessageKind, UNKNOWN_LOAD};
 use crate::opaque::published::PublishedValues;
-use crate::opaque::route_table::RouteTable;
 use crate::opaque::segment::WireFormat;
 use crate::opaque::{Adapter, BACKEND_PREFIX, ROUTES_NAME};
-use crate::process::control::Control;
 use crate::process::udp::{self, BUFFER_BYTES};
 
 /// How often what is remembered is tidied, in milliseconds.
--- a/src/opaque/published.rs
+++ b/src/opaque/published.rs
@@ -6,16 +6,16 @@
 use std::time::Duration;
 
 use crate::code::Code;
-use crate::config::relay;
-use crate::decisions::hash;
+use crate::config::backend_entry::GONE_TEXT;
+use crate::config::hash;
+use crate::controllers::control::Control;
+use crate::controllers::relay;
 use crate::error::{Error, Result};
 use crate::opaque::BACKEND_PREFIX;
-use crate::opaque::backend::GONE_TEXT;
 use crate::opaque::directory::LAPSE_MS;
 use crate::opaque::freshness::{self, Freshness, Standing, WATCH_WAIT_MS};
 use crate::opaque::message::{Message, UNKNOWN_AGE_MS, UNSETTLED_UNIT_MS};
 use crate::opaque::source::{Batch, Read, Source};
-use crate::process::control::Control;
 
 /// How long a process waits after a failed read before the next one, at first, in milliseconds.
 const MIN_BACKOFF_MS: u64 = 200;
--- a/src/opaque/readiness.rs
+++ b/src/opaque/readiness.rs
@@ -8,8 +8,8 @@
 use http::{Response, StatusCode};
 use http_body_util::Full;
 
+use crate::controllers::control::Control;
 use crate::error::Result;
-use crate::process::control::Control;
 use crate::process::http_server;
 
 /// Whether a process takes traffic.
--- a/src/opaque/segment.rs
+++ b/src/opaque/segment.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use crate::decisions::hash;
+use crate::config::hash;
 use crate::error::Result;
 
 /// The bytes of a [`FlowKey`] on the wire.
--- a/src/opaque/side.rs
+++ b/src/opaque/side.rs
@@ -11,6 +11,7 @@
 
 use crate::code::Code;
 use crate::config::service_id::ServiceId;
+use crate::controllers::control::Control;
 use crate::error::{Error, Result};
 use crate::opaque::action::Action;
 use crate::opaque::backend_watch::{self, BackendSign};
@@ -20,7 +21,6 @@
 use crate::opaque::published::START_SETTLE_MS;
 use crate::opaque::ticker::Ticker;
 use crate::opaque::{Adapter, Node, readiness};
-use crate::process::control::Control;
 use crate::process::udp::{self, BUFFER_BYTES};
 
 /// How long an agent that stops still hands packets to its backend server while openers go
--- a/src/opaque/state.rs
+++ b/src/opaque/state.rs
@@ -4,9 +4,8 @@
 
 use serde_json::{Value, json};
 
-use crate::links::node_server::{self, NodeHooks};
-use crate::process::control::Control;
-use crate::quic::balancer::packet_counts;
+use crate::controllers::control::Control;
+use crate::controllers::node_server::{self, NodeHooks};
 
 /// Returns what a process in this role answers on control links.
 pub(crate) fn hooks(control: &Rc<Control>, role: &'static str) -> NodeHooks {
@@ -18,7 +17,7 @@
     let metrics = &control.metrics;
     let opaque = &metrics.opaque;
     let mut state = control.state(role);
-    state["packets"] = packet_counts(metrics);
+    state["packets"] = metrics.packet_counts();
     state["opaque"] = json!({
         "flows_open": opaque.flows_open.get(),
         "requests_busy": opaque.requests_busy.get(),
--- a/src/process/logging.rs
+++ b/src/process/logging.rs
@@ -1,23 +1,23 @@
 //! Log lines: one for each change of state, with a time, a level and the part that speaks.
 
+use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use prometheus_client::metrics::counter::Counter;
 
 use crate::code::Code;
-use crate::config::settings::Settings;
 use crate::error::{Error, Result};
 use crate::process::log_output::LogOutput;
 
-/// Starts logging as the settings say.
+/// Starts logging from a level on, to a file or else to standard output.
 ///
 /// # Errors
 ///
 /// Returns code 5001 where the log file can't be opened or logging runs already.
-pub(crate) fn start(settings: &Settings, dropped: &Counter) -> Result<()> {
+pub(crate) fn start(level: log::LevelFilter, file: Option<&Path>, dropped: &Counter) -> Result<()> {
     let dispatch = fern::Dispatch::new()
         .level(log::LevelFilter::Error)
-        .level_for("endivedyke", settings.log_level)
+        .level_for("endivedyke", level)
         .format(|out, message, record| {
             let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
             let time_ms = since_epoch.map_or(0, |time| time.as_millis());
@@ -27,7 +27,7 @@
                 part(record.target())
             ));
         });
-    let dispatch = match &settings.log_file {
+    let dispatch = match file {
         Some(path) => dispatch.chain(fern::log_file(path)?),
         None => {
             let output = LogOutput::new(dropped);
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -7,9 +7,10 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
+use serde_json::{Value, json};
 
 use crate::code::Code;
-use crate::opaque::OpaqueMetrics;
+use crate::process::opaque_metrics::OpaqueMetrics;
 
 /// The label of counters that are split by result code.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -68,6 +69,26 @@
 }
 
 impl Metrics {
+    /// Returns the packet counters of a process for its state dump.
+    pub(crate) fn packet_counts(&self) -> Value {
+        let dropped = [
+            Code::PacketShort,
+            Code::PacketUnroutable,
+            Code::EnvelopeForged,
+            Code::ServiceUnknown,
+            Code::TokenForeign,
+            Code::HostUnknown,
+        ];
+        let dropped =
+            dropped.map(|code| (code.number().to_string(), self.packets_dropped.get(code)));
+        json!({
+            "in": self.packets_in.get(),
+            "out": self.packets_out.get(),
+            "openers": self.openers.get(),
+            "dropped": dropped.into_iter().collect::<std::collections::BTreeMap<_, _>>(),
+        })
+    }
+
     /// Renders all metrics in the OpenMetrics text format.
     pub(crate) fn render(&self) -> String {
         let mut registry = Registry::with_prefix("endivedyke");
--- a/src/process/udp.rs
+++ b/src/process/udp.rs
@@ -7,12 +7,13 @@
 
 use crate::code::Code;
 use crate::error::{Error, Result};
-use crate::quic::envelope::ENVELOPE_BYTES;
 
 /// The largest datagram taken from a caller, in bytes: what an Ethernet frame carries, and more.
 pub(crate) const MAX_PACKET_BYTES: usize = 2_048;
-/// The size of a buffer that holds a datagram and its envelope.
-pub(crate) const BUFFER_BYTES: usize = MAX_PACKET_BYTES + ENVELOPE_BYTES;
+/// The most that a process adds to a datagram for the next one, in bytes.
+pub(crate) const MAX_TRAILER_BYTES: usize = 128;
+/// The size of a buffer that holds a datagram and what was added to it.
+pub(crate) const BUFFER_BYTES: usize = MAX_PACKET_BYTES + MAX_TRAILER_BYTES;
 
 const SOCKET_BUFFER_BYTES: usize = 4 << 20;
 
--- a/src/process/daemon.rs
+++ b/src/programs/daemon.rs
@@ -11,14 +11,14 @@
 use http::Response;
 use http_body_util::Full;
 
-use crate::config::platform_reader::ReaderDuty;
 use crate::config::settings::Settings;
-use crate::config::{platform_reader, relay, reload};
+use crate::controllers::control::Control;
+use crate::controllers::node_server;
+use crate::controllers::node_server::NodeHooks;
+use crate::controllers::platform_reader::ReaderDuty;
+use crate::controllers::{platform_reader, relay, reload};
 use crate::error::Result;
-use crate::links::node_server;
-use crate::links::node_server::NodeHooks;
 use crate::opaque::{self, Adapter};
-use crate::process::control::Control;
 use crate::process::metrics::Metrics;
 use crate::process::{http_server, logging};
 use crate::quic::agent::Agent;
@@ -136,7 +136,11 @@
     F: Future<Output = Result<()>>,
 {
     let metrics = Rc::new(Metrics::default());
-    logging::start(&settings, &metrics.log_lines_dropped)?;
+    logging::start(
+        settings.log_level,
+        settings.log_file.as_deref(),
+        &metrics.log_lines_dropped,
+    )?;
     let runtime = compio::runtime::Runtime::new()?;
     runtime.block_on(async {
         let control = Control::new(settings, metrics);
--- a/src/process/operator.rs
+++ b/src/programs/operator.rs
@@ -18,9 +18,9 @@
 use crate::error::{Error, Result};
 use crate::explain;
 use crate::links::peers::Peers;
-use crate::process::daemon::EXIT_USAGE;
 use crate::process::metrics::Metrics;
-use crate::process::state_view::{self, columns_of};
+use crate::programs::daemon::EXIT_USAGE;
+use crate::programs::state_view::{self, columns_of};
 
 #[derive(Debug, Options)]
 struct OperatorOptions {
--- a/src/quic/agent.rs
+++ b/src/quic/agent.rs
@@ -9,17 +9,16 @@
 use compio::quic::ServerConfig;
 use serde_json::{Value, json};
 
-use crate::config::relay::RevisionChaser;
+use crate::config::sealed_id::{Purpose, SealedBytes, SealedId};
 use crate::config::service_id::ServiceId;
+use crate::controllers::control::Control;
+use crate::controllers::relay::RevisionChaser;
 use crate::error::Result;
-use crate::process::control::Control;
 use crate::process::udp;
-use crate::quic::balancer::packet_counts;
 use crate::quic::envelope::EnvelopeKey;
 use crate::quic::flow_socket::FlowSocket;
 use crate::quic::quic_endpoint;
 use crate::quic::return_path::ReturnPath;
-use crate::quic::sealed_id::{Purpose, SealedBytes, SealedId};
 use crate::quic::target::Target;
 use crate::quic::token_source::SharedRing;
 
@@ -112,7 +111,7 @@
         state["targets"] = Value::from(targets);
         state["flow_sockets"] = json!(self.flows.borrow().len());
         state["balancers"] = balancers.into_iter().map(heard).collect();
-        state["packets"] = packet_counts(&self.control.metrics);
+        state["packets"] = self.control.metrics.packet_counts();
         state
     }
 }
--- a/src/quic/agent_datagrams.rs
+++ b/src/quic/agent_datagrams.rs
@@ -7,6 +7,7 @@
 use compio::net::UdpSocket;
 
 use crate::code::Code;
+use crate::config::sealed_id::{Purpose, SealedId};
 use crate::config::service_id::ServiceId;
 use crate::decisions::admission::{Decision, Handed, Opener};
 use crate::error::{Error, Result};
@@ -15,7 +16,6 @@
 use crate::quic::envelope::{Envelope, EnvelopeKind};
 use crate::quic::flow_socket::{FlowKey, FlowSocket};
 use crate::quic::packet::{self, PacketView};
-use crate::quic::sealed_id::{Purpose, SealedId};
 use crate::quic::stateless_reset::stateless_reset;
 use crate::quic::target::Target;
 
--- a/src/quic/answer.rs
+++ b/src/quic/answer.rs
@@ -6,10 +6,10 @@
 use hyper::body::Incoming;
 
 use crate::code::Code;
+use crate::config::sealed_id::SealedBytes;
 use crate::decisions::slot_queue::SlotGuard;
 use crate::decisions::slots::Refusal;
 use crate::quic::request_spec::{CODE_HEADER, TICKET_HEADER};
-use crate::quic::sealed_id::SealedBytes;
 
 /// The body of an answer.
 #[derive(Debug)]
--- a/src/quic/balancer.rs
+++ b/src/quic/balancer.rs
@@ -8,19 +8,18 @@
 use compio::BufResult;
 use compio::net::UdpSocket;
 use compio::runtime::JoinHandle;
-use serde_json::{Value, json};
+use serde_json::Value;
 
 use crate::code::Code;
 use crate::config::config_store::TABLE_PREFIX;
-use crate::config::relay::RevisionChaser;
 use crate::config::service_id::ServiceId;
-use crate::decisions::steering;
+use crate::controllers::control::Control;
+use crate::controllers::node_server;
+use crate::controllers::relay::RevisionChaser;
 use crate::error::Result;
-use crate::links::node_server;
-use crate::process::control::Control;
-use crate::process::metrics::Metrics;
 use crate::process::udp::{self, BUFFER_BYTES, MAX_PACKET_BYTES};
 use crate::quic::envelope::{ENVELOPE_BYTES, Envelope, EnvelopeKey, EnvelopeKind};
+use crate::quic::steering;
 
 /// How long a balancer goes on forwarding after it has said that it leaves.
 const LEAVING_GRACE: Duration = Duration::from_millis(300);
@@ -74,30 +73,10 @@
 fn state(control: &Control) -> Value {
     let metrics = &control.metrics;
     let mut state = control.state("balancer");
-    state["packets"] = packet_counts(metrics);
+    state["packets"] = metrics.packet_counts();
     state
 }
 
-/// Returns the packet counters of a process for its state dump.
-pub(crate) fn packet_counts(metrics: &Metrics) -> Value {
-    let dropped = [
-        Code::PacketShort,
-        Code::PacketUnroutable,
-        Code::EnvelopeForged,
-        Code::ServiceUnknown,
-        Code::TokenForeign,
-        Code::HostUnknown,
-    ];
-    let dropped =
-        dropped.map(|code| (code.number().to_string(), metrics.packets_dropped.get(code)));
-    json!({
-        "in": metrics.packets_in.get(),
-        "out": metrics.packets_out.get(),
-        "openers": metrics.openers.get(),
-        "dropped": dropped.into_iter().collect::<std::collections::BTreeMap<_, _>>(),
-    })
-}
-
 impl Balancer {
     fn subscribe(self: Rc<Self>) {
         let control = self.control.clone();
--- a/src/quic/envelope.rs
+++ b/src/quic/envelope.rs
@@ -13,9 +13,12 @@
 use crate::config::keys::ClusterKey;
 use crate::config::service_id::ServiceId;
 use crate::error::{Error, Result};
+use crate::process::udp::MAX_TRAILER_BYTES;
 
 /// The length of the trailer, in bytes.
 pub const ENVELOPE_BYTES: usize = 46;
+// What does not fit the buffer of a receiver would be cut off.
+const _: () = assert!(ENVELOPE_BYTES <= MAX_TRAILER_BYTES);
 
 const VERSION: u8 = 1;
 const TAG_BYTES: usize = 8;
--- a/src/quic/flow.rs
+++ b/src/quic/flow.rs
@@ -11,8 +11,8 @@
 use futures_util::{FutureExt, StreamExt, select};
 
 use crate::code::Code;
+use crate::config::hash;
 use crate::decisions::admission::Decision;
-use crate::decisions::hash;
 use crate::quic::agent::Agent;
 use crate::quic::drain_signal::DrainStarted;
 use crate::quic::request;
--- a/src/quic/packet.rs
+++ b/src/quic/packet.rs
@@ -1,9 +1,9 @@
 //! What can be read of a QUIC packet without its keys (RFC 8999, RFC 9000 section 17).
 
 use crate::code::Code;
-use crate::decisions::hash;
+use crate::config::hash;
+use crate::config::sealed_id::SEALED_ID_BYTES;
 use crate::error::{Error, Result};
-use crate::quic::sealed_id::SEALED_ID_BYTES;
 
 const LONG_HEADER: u8 = 0x80;
 const VERSION_1: u32 = 1;
--- a/src/quic/peer_service.rs
+++ b/src/quic/peer_service.rs
@@ -5,11 +5,12 @@
 use http::Method;
 
 use crate::code::Code;
+use crate::config::sealed_id::SealedBytes;
 use crate::config::service_id::ServiceId;
+use crate::controllers::node_server::{NodeHooks, refused_answer};
 use crate::decisions::ledger::Begin;
 use crate::decisions::slot_queue::SlotGuard;
 use crate::decisions::slots::{MIN_RETRY_MS, Refusal};
-use crate::links::node_server::{NodeHooks, refused_answer};
 use crate::links::peer_request::{PeerAnswer, PeerRequest};
 use crate::links::peers::OfferReply;
 use crate::quic::agent::Agent;
@@ -20,7 +21,6 @@
 use crate::quic::request_spec;
 use crate::quic::reservation::Reservation;
 use crate::quic::run_once::{self, LedgerEntry};
-use crate::quic::sealed_id::SealedBytes;
 use crate::quic::target::Target;
 
 /// How long a slot is held for an accepted offer, in milliseconds.
--- a/src/quic/request_context.rs
+++ b/src/quic/request_context.rs
@@ -4,11 +4,11 @@
 
 use http::request::Parts;
 
+use crate::config::sealed_id::SealedBytes;
 use crate::quic::agent::Agent;
 use crate::quic::caller_body::CallerBody;
 use crate::quic::local_run::LocalRequest;
 use crate::quic::request_spec::RequestSpec;
-use crate::quic::sealed_id::SealedBytes;
 use crate::quic::target::Target;
 
 /// A request with what is known of it.
--- a/src/quic/request_spec.rs
+++ b/src/quic/request_spec.rs
@@ -3,9 +3,9 @@
 use http::{HeaderMap, Method};
 
 use crate::code::Code;
-use crate::decisions::hash;
+use crate::config::hash;
+use crate::config::sealed_id::{SEALED_ID_BYTES, SealedBytes};
 use crate::error::{Error, Result};
-use crate::quic::sealed_id::{SEALED_ID_BYTES, SealedBytes};
 
 /// The header with the time that a request has left, in milliseconds.
 pub const TIMEOUT_HEADER: &str = "request-timeout-ms";
--- a/src/quic/reservation.rs
+++ b/src/quic/reservation.rs
@@ -1,7 +1,7 @@
 //! A slot that waits for a request of a peer.
 
+use crate::config::sealed_id::SealedBytes;
 use crate::decisions::slot_queue::SlotGuard;
-use crate::quic::sealed_id::SealedBytes;
 
 /// A slot held for an accepted offer.
 pub(crate) struct Reservation {
--- a/src/quic/run_once.rs
+++ b/src/quic/run_once.rs
@@ -6,6 +6,7 @@
 use futures_channel::oneshot;
 
 use crate::code::Code;
+use crate::config::sealed_id::{SealedBytes, SealedId};
 use crate::decisions::ledger::{Begin, KeptAnswer};
 use crate::decisions::slot_queue::SlotGuard;
 use crate::decisions::slots::Refusal;
@@ -17,7 +18,6 @@
 use crate::quic::move_request::{self, Moved};
 use crate::quic::repeatable::{self, Place};
 use crate::quic::request_context::{RequestContext, ticket_for};
-use crate::quic::sealed_id::{SealedBytes, SealedId};
 use crate::quic::target::Target;
 
 /// Answers a request with a ticket, here or at the incarnation that the ticket names.
--- a/src/decisions/steering.rs
+++ b/src/quic/steering.rs
@@ -4,12 +4,12 @@
 
 use crate::code::Code;
 use crate::config::config_store::ConfigStore;
+use crate::config::sealed_id::{Purpose, SealedId};
 use crate::config::service_id::ServiceId;
 use crate::decisions::placement;
 use crate::decisions::suspicion::Suspicion;
 use crate::error::{Error, Result};
 use crate::quic::packet;
-use crate::quic::sealed_id::{Purpose, SealedId};
 
 /// Where a packet goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/quic/token_source.rs
+++ b/src/quic/token_source.rs
@@ -7,8 +7,8 @@
 use rand::Rng;
 
 use crate::config::keys::KeyRing;
+use crate::config::sealed_id::{Purpose, SEALED_ID_BYTES, SealedId};
 use crate::config::service_id::ServiceId;
-use crate::quic::sealed_id::{Purpose, SEALED_ID_BYTES, SealedId};
 
 /// The keys in force, shared with the endpoints.
 pub(crate) type SharedRing = Arc<RwLock<KeyRing>>;
