Let openers stay in their availability zone where one of the first three targets is near

Two thirds of the openers crossed, since placement knew no zones.

Change: a balancer orders the three targets that are first by hash with those of its own zone before the others; copies follow that order, and the load rule takes the lighter of the two then first, as before. Packets without a hint use the same order.

The first of the three new tests was red on the order before.

--- a/src/opaque/directory.rs
+++ b/src/opaque/directory.rs
@@ -79,6 +79,8 @@
     tables: Vec<(ServiceId, Table)>,
     routes: RouteTable,
     current_hosts: Vec<Ipv4Addr>,
+    /// The availability zone of each host, sorted by host.
+    zones: Vec<(Ipv4Addr, String)>,
     /// Hosts whose agents said that a backend server runs there which is not published, and when.
     unlisted: Vec<(Ipv4Addr, u64)>,
     /// The time up to which lapses have run; it stands still while values are old.
@@ -235,6 +237,12 @@
         &self.current_hosts
     }
 
+    /// Tells whether a host stands in an availability zone.
+    pub(crate) fn is_in_zone(&self, host: Ipv4Addr, zone: &str) -> bool {
+        let found = self.zones.binary_search_by_key(&host, |(host, _)| *host);
+        found.is_ok_and(|index| self.zones[index].1 == zone)
+    }
+
     /// Tells whether a backend server may still hold flows on a host.
     pub fn is_current(&self, host: Ipv4Addr) -> bool {
         self.current_hosts.binary_search(&host).is_ok()
@@ -289,6 +297,11 @@
             .collect();
         hosts.sort_unstable();
         hosts.dedup();
+        let zone = |entry: &&Entry| (*entry.backend.address.ip(), entry.backend.zone.clone());
+        self.zones = newest.iter().map(zone).collect();
+        // One host may have two entries for a moment, of two ports; both stand in its zone.
+        self.zones.sort();
+        self.zones.dedup_by_key(|(host, _)| *host);
         for (_, table) in &mut tables {
             table.rows.sort_by(|a, b| a.target.cmp(&b.target));
         }
--- a/src/opaque/entry.rs
+++ b/src/opaque/entry.rs
@@ -44,6 +44,7 @@
         forwarder: RefCell::new(Forwarder::new(
             node.wire,
             control.settings.host,
+            &control.settings.zone,
             control.settings.opaque.flow_lifetime_ms(),
             &control.metrics.opaque,
         )),
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -26,6 +26,10 @@
 const TAKEN_TIMEOUT_MS: u64 = 100;
 /// After how many openers in a row without an answer an agent is suspected: one may be lost or late.
 const SUSPECT_AFTER: u32 = 2;
+/// Of how many agents that are first by hash those in the balancer's own availability zone come first:
+/// where an opener goes between zones its flow costs its operator bytes, and its caller 1.4 ms a packet.
+/// More would draw the load of a zone's callers to the few backend servers in it.
+const NEAR_CHOICE: usize = 3;
 /// How many openers are watched for their agents' answers at once.
 const MAX_WATCHED: usize = 4_096;
 
@@ -50,6 +54,7 @@
 pub struct Forwarder {
     wire: WireFormat,
     host: Ipv4Addr,
+    zone: String,
     metrics: OpaqueMetrics,
     flow_lifetime_ms: u64,
     hints: FlowMap<Hint>,
@@ -59,18 +64,20 @@
 }
 
 impl Forwarder {
-    /// Makes the forwarder of the balancer on `host`.
+    /// Makes the forwarder of the balancer on `host`, which stands in an availability zone.
     ///
     /// Hints live as long as a flow may, `flow_lifetime_ms` after its last packet.
     pub fn new(
         wire: WireFormat,
         host: Ipv4Addr,
+        zone: &str,
         flow_lifetime_ms: u64,
         metrics: &OpaqueMetrics,
     ) -> Self {
         Self {
             wire,
             host,
+            zone: zone.to_owned(),
             metrics: metrics.clone(),
             flow_lifetime_ms,
             hints: FlowMap::new(MAX_HINTS),
@@ -247,10 +254,28 @@
         {
             return Ok(hint.host);
         }
+        let order = self.order(directory, suspicion, flow, now_ms)?;
+        Ok(order[attempt % order.len()])
+    }
+
+    /// Returns the agents that an opener may go to, in the order in which its copies are sent to them:
+    /// as its hash ranks them, but of the first few those in this availability zone before the others.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 1004 where no backend server takes flows; the order is never empty.
+    fn order(
+        &self,
+        directory: &Directory,
+        suspicion: &Suspicion,
+        flow: &FlowKey,
+        now_ms: u64,
+    ) -> Result<Vec<Ipv4Addr>> {
         let route = directory.routes().get(flow.called);
         let service = route.and_then(|route| route.service(flow.hash()));
         let table = service.and_then(|service| directory.table(service));
-        let table = table.ok_or_else(|| Error::new(Code::HostUnknown, flow.called.to_string()))?;
+        let none = || Error::new(Code::HostUnknown, flow.called.to_string());
+        let table = table.ok_or_else(none)?;
         let trusted = placement::ranked(table, flow.hash(), |row| {
             row.weight > 0 && !suspicion.is_suspected(row.host, now_ms)
         });
@@ -259,12 +284,16 @@
         } else {
             trusted
         };
-        let none = || Error::new(Code::HostUnknown, flow.called.to_string());
-        let index = attempt.checked_rem(ranked.len()).ok_or_else(none)?;
-        Ok(ranked[index].host)
+        if ranked.is_empty() {
+            return Err(none());
+        }
+        let mut order: Vec<Ipv4Addr> = ranked.iter().map(|row| row.host).collect();
+        let few = order.len().min(NEAR_CHOICE);
+        order[..few].sort_by_key(|host| !directory.is_in_zone(*host, &self.zone));
+        Ok(order)
     }
 
-    /// Returns the agent for the first copy of an opener: of the two best by hash the one whose
+    /// Returns the agent for the first copy of an opener: of the two first in its order the one whose
     /// backend server has clearly less to do.
     ///
     /// Bounded by two, so that balancers which heard different loads send one flow to two agents at
--- a/tests/opaque/builder.rs
+++ b/tests/opaque/builder.rs
@@ -18,6 +18,9 @@
 /// The balancer through which packets come in.
 pub(crate) const BALANCER: Ipv4Addr = Ipv4Addr::new(10, 9, 0, 1);
 
+/// The availability zone of that balancer, and of every backend server of the site.
+pub(crate) const ZONE: &str = "zone-a";
+
 /// A form of packets of the tests' own: flags, a mark, two numbers, two ends, data.
 pub(crate) const WIRE: WireFormat = WireFormat {
     decode,
@@ -166,8 +169,13 @@
 }
 
 pub(crate) fn state_text(index: u8, state: BackendState) -> String {
+    state_text_in(ZONE, index, state)
+}
+
+/// The same in another availability zone.
+pub(crate) fn state_text_in(zone: &str, index: u8, state: BackendState) -> String {
     let address = backend_address(index).to_string();
-    backend_text(SERVICE, &address, "zone-a", 4, state)
+    backend_text(SERVICE, &address, zone, 4, state)
 }
 
 pub(crate) fn publish(
@@ -198,7 +206,13 @@
 }
 
 pub(crate) fn forwarder() -> Forwarder {
-    Forwarder::new(WIRE, BALANCER, FLOW_LIFETIME_MS, &OpaqueMetrics::default())
+    Forwarder::new(
+        WIRE,
+        BALANCER,
+        ZONE,
+        FLOW_LIFETIME_MS,
+        &OpaqueMetrics::default(),
+    )
 }
 
 fn identity() -> KeeperIdentity {
--- a/tests/opaque/forwarder.rs
+++ b/tests/opaque/forwarder.rs
@@ -1,11 +1,11 @@
 //! What a balancer does with packets.
 
-use endivedyke::opaque::{Action, BackendState, Forwarder, MessageKind, UNKNOWN_LOAD};
+use endivedyke::opaque::{Action, BackendState, Directory, Forwarder, MessageKind, UNKNOWN_LOAD};
 use endivedyke::{Code, Suspicion};
 
 use crate::builder::{
     PacketSpec, RST, directory, flow, forwarder, from_caller, host, hosts_told, opener, publish,
-    request, resets, state_text,
+    request, resets, state_text, state_text_in,
 };
 
 fn host_of(action: &Action) -> std::net::Ipv4Addr {
@@ -205,3 +205,96 @@
         assert_eq!(host_of(&action.expect("forwarded")), first);
     }
 }
+
+/// A site of nine backend servers, of which every third stands in the balancer's zone.
+fn three_zones() -> Directory {
+    let mut site = directory(9);
+    for index in (1..=9).filter(|index| index % 3 != 0) {
+        let text = state_text_in("zone-b", index, BackendState::Ready);
+        publish(&mut site, index, &text, 20, 0);
+    }
+    site
+}
+
+fn is_near(host: std::net::Ipv4Addr) -> bool {
+    host.octets()[3].is_multiple_of(3)
+}
+
+#[test]
+fn most_openers_stay_in_the_zone_and_the_far_servers_get_the_rest() {
+    let site = three_zones();
+    let mut counts = [0_u32; 10];
+    for port in 1..9_001 {
+        let mut suspicion = Suspicion::default();
+        let packet = opener(&flow(port), 0);
+        let action = forwarder().handle(&site, &mut suspicion, packet, 1_000);
+        counts[usize::from(host_of(&action.expect("forwarded")).octets()[3])] += 1;
+    }
+    let near: u32 = (1..10)
+        .filter(|index| index % 3 == 0)
+        .map(|index| counts[index])
+        .sum();
+    // One of the first three by hash is near for all but (6·5·4) / (9·8·7) of the openers.
+    assert!((6_600..7_100).contains(&near), "{counts:?}");
+    let evenly = |share: u32, index: usize| counts[index].abs_diff(share) < share / 5;
+    assert!(
+        [3, 6, 9].iter().all(|index| evenly(near / 3, *index)),
+        "{counts:?}"
+    );
+    let far = 9_000 - near;
+    assert!(
+        [1, 2, 4, 5, 7, 8]
+            .iter()
+            .all(|index| evenly(far / 6, *index)),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn copies_of_one_opener_go_to_three_agents_whatever_their_zones() {
+    let site = three_zones();
+    for port in 1..500 {
+        let mut balancer = forwarder();
+        let mut suspicion = Suspicion::default();
+        let mut send = |copy| {
+            let packet = opener(&flow(port), copy);
+            host_of(
+                &balancer
+                    .handle(&site, &mut suspicion, packet, 1_000)
+                    .expect("forwarded"),
+            )
+        };
+        let mut hosts = [send(0), send(1), send(2)];
+        hosts.sort_unstable();
+        assert!(
+            hosts.windows(2).all(|pair| pair[0] != pair[1]),
+            "{port}: {hosts:?}"
+        );
+    }
+}
+
+#[test]
+fn a_far_agent_with_clearly_less_to_do_is_chosen_before_a_near_one() {
+    let site = three_zones();
+    let mut chosen = 0;
+    for port in 1..500 {
+        let mut suspicion = Suspicion::default();
+        let mut send = |balancer: &mut Forwarder, copy| {
+            let packet = opener(&flow(port), copy);
+            let action = balancer.handle(&site, &mut suspicion, packet, 1_000);
+            host_of(&action.expect("forwarded"))
+        };
+        let mut unaware = forwarder();
+        let (first, second) = (send(&mut unaware, 0), send(&mut unaware, 1));
+        let mut aware = forwarder();
+        for index in 1..=9 {
+            let load_permille = if index % 3 == 0 { 1_500 } else { 500 };
+            aware.heard(host(index), load_permille, 1_000);
+        }
+        let prefers_far = is_near(first) && !is_near(second);
+        let expected = if prefers_far { second } else { first };
+        assert_eq!(send(&mut aware, 0), expected, "{port}");
+        chosen += u32::from(prefers_far);
+    }
+    assert!(chosen > 100, "{chosen}");
+}
--- a/tests/opaque/model.rs
+++ b/tests/opaque/model.rs
@@ -10,8 +10,8 @@
 use proptest::prelude::*;
 
 use crate::builder::{
-    BALANCER, FLOW_LIFETIME_MS, SERVICE, WIRE, acceptance, backend_address, bounced, directory,
-    flow, host, opener, request,
+    BALANCER, FLOW_LIFETIME_MS, SERVICE, WIRE, ZONE, acceptance, backend_address, bounced,
+    directory, flow, host, opener, request,
 };
 
 const HOSTS: u8 = 4;
@@ -112,7 +112,13 @@
         });
         Self {
             agents: agents.collect(),
-            balancer: Forwarder::new(WIRE, BALANCER, FLOW_LIFETIME_MS, &OpaqueMetrics::default()),
+            balancer: Forwarder::new(
+                WIRE,
+                BALANCER,
+                ZONE,
+                FLOW_LIFETIME_MS,
+                &OpaqueMetrics::default(),
+            ),
             in_flight: Vec::new(),
             now_ms: 1_000,
             first_opener_ms: Vec::new(),
@@ -143,8 +149,13 @@
                 }
             }
             Event::RestartBalancer => {
-                self.balancer =
-                    Forwarder::new(WIRE, BALANCER, FLOW_LIFETIME_MS, &OpaqueMetrics::default())
+                self.balancer = Forwarder::new(
+                    WIRE,
+                    BALANCER,
+                    ZONE,
+                    FLOW_LIFETIME_MS,
+                    &OpaqueMetrics::default(),
+                )
             }
             Event::RestartAgent(index) => {
                 self.agents[usize::from(*index) - 1].keeper = keeper(*index, false);
