Predict an edit of the platform's table, and show opaque flows in status

Ruled out: reading the platform's configuration in the client itself, since only platform/ may know its names.

--- a/lab/tests/operator_client.rs
+++ b/lab/tests/operator_client.rs
@@ -5,9 +5,11 @@
 use std::path::Path;
 use std::process::{Command, Output};
 
-use common::{run, site};
+use common::{run, site, sleep_ms};
 use endivedyke::TABLE_HEADER;
+use endivedyke::opaque::ROUTES_HEADER;
 use endivedyke_lab::binary;
+use endivedyke_lab::opaque::OpaqueSiteBuilder;
 
 fn client(arguments: &[&str]) -> Output {
     let program = binary("endivedyke").expect("built");
@@ -41,6 +43,12 @@
         "more.csv",
         &format!("{TABLE_HEADER}\n{row}{more}"),
     );
+    let routes = |rows: &str| format!("{ROUTES_HEADER}\n{rows}");
+    let old_routes = "192.0.2.1:443,old,1,1,yes\n";
+    let old_routes = file(folder.path(), "old-routes.csv", &routes(old_routes));
+    let both = "192.0.2.1:443,old,4,1,yes\n192.0.2.1:443,new,1,1,yes\n";
+    let new_routes = file(folder.path(), "new-routes.csv", &routes(both));
+    let bad_routes = file(folder.path(), "bad-routes.csv", &routes("x,old,1,1,yes\n"));
     let settings = file(folder.path(), "bad.ini", "[process]\nhots = 10.0.0.1\n");
     let cases: &[(&[&str], i32, &str)] = &[
         (&["table", "check", &good], 0, "100.00%"),
@@ -49,6 +57,15 @@
         (&["table", "check", "no-such-file"], 1, "E5001"),
         (&["table", "diff", &good, &more], 0, "starts cold"),
         (&["table", "diff", &good, &good], 0, "no change"),
+        (&["table", "check", &new_routes], 0, "80.00%"),
+        (&["table", "check", &bad_routes], 1, "E2401"),
+        (
+            &["table", "diff", &old_routes, &new_routes],
+            0,
+            "0.00% -> 20.00%",
+        ),
+        (&["table", "diff", &old_routes, &old_routes], 0, "no change"),
+        (&["table", "diff", &old_routes, &good], 1, "E2401"),
         (&["table", "header"], 0, TABLE_HEADER),
         (&["table", "lint"], 2, "E5004"),
         (&["settings", "check", &settings], 1, "E3002"),
@@ -132,3 +149,27 @@
         assert!(text(&silent).1.contains("E4008"), "{:?}", text(&silent));
     });
 }
+
+#[test]
+fn status_shows_every_process_of_opaque_flows() {
+    run(async {
+        let builder = OpaqueSiteBuilder::new(2).service("panel-front", 3, 4, 5);
+        let mut site = builder.start().await.expect("the site starts");
+        site.call(&[site.plan(0, 9, 0)]).expect("callers");
+        sleep_ms(1_000).await;
+        let agent = site.settings_path(site.agent_host(0)).display().to_string();
+        let status = text(&client(&["status", "--settings", &agent])).0;
+        assert_eq!(status.matches("agent").count(), 3, "{status}");
+        let upper = status.split("\n\n").next().expect("a table");
+        assert!(!upper.contains("silent"), "{status}");
+        for column in ["flows", "busy", "age ms", "suspects"] {
+            assert!(status.contains(column), "{column} in {status}");
+        }
+        let host = site.agent_host(1).to_string();
+        let state = text(&client(&["state", "--settings", &agent, &host])).0;
+        for part in ["role: agent", "backends:", "panel-front", "flows_open"] {
+            assert!(state.contains(part), "{part} in {state}");
+        }
+        site.finish().await;
+    });
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod keys;
 pub(crate) mod membership;
 pub(crate) mod platform;
+pub(crate) mod route_diff;
 pub(crate) mod route_table;
 pub(crate) mod sealed_id;
 pub(crate) mod service_id;
--- /dev/null
+++ b/src/config/route_diff.rs
@@ -0,0 +1,99 @@
+//! What an edit of the published routes will do: to shares of new flows and to open flows.
+
+use std::net::SocketAddrV4;
+
+use crate::config::route_table::{Route, RouteTable};
+use crate::config::service_id::ServiceId;
+use crate::error::Result;
+
+/// What an edit does to one service's part of a route.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouteChange {
+    /// The address that callers call.
+    pub address: SocketAddrV4,
+    /// The name of the service.
+    pub service: String,
+    /// Its share of the address's new flows before and after, from 0 to 1.
+    pub share: (f64, f64),
+    /// What follows.
+    pub effect: &'static str,
+}
+
+/// Compares two versions of the published routes; changes stand in order of addresses and names.
+///
+/// # Errors
+///
+/// Returns code 2401 with the line at fault.
+pub fn route_changes(old: &str, new: &str) -> Result<Vec<RouteChange>> {
+    let (before, after) = (RouteTable::parse(old)?, RouteTable::parse(new)?);
+    let mut parts = named_parts(old);
+    parts.extend(named_parts(new));
+    parts.sort_unstable();
+    parts.dedup();
+    let changes = parts.into_iter().filter_map(|(address, service)| {
+        let pair = (before.get(address), after.get(address));
+        change(address, service, pair)
+    });
+    Ok(changes.collect())
+}
+
+/// Returns the address and service of each row; the table itself keeps ids and no names.
+fn named_parts(text: &str) -> Vec<(SocketAddrV4, &str)> {
+    let rows = text.lines().skip(1).filter_map(|line| {
+        let mut fields = line.split(',').map(str::trim);
+        Some((fields.next()?.parse().ok()?, fields.next()?))
+    });
+    rows.collect()
+}
+
+fn change(
+    address: SocketAddrV4,
+    service: &str,
+    (before, after): (Option<&Route>, Option<&Route>),
+) -> Option<RouteChange> {
+    let id = ServiceId::of(service);
+    let share = |route: Option<&Route>| route.map_or(0.0, |route| route.share(id));
+    let share = (share(before), share(after));
+    let effect = effect(before, after, share)?;
+    Some(RouteChange {
+        address,
+        service: service.to_owned(),
+        share,
+        effect,
+    })
+}
+
+fn effect(
+    before: Option<&Route>,
+    after: Option<&Route>,
+    (old_share, new_share): (f64, f64),
+) -> Option<&'static str> {
+    let (Some(before), Some(after)) = (before, after) else {
+        return Some(match after {
+            None => "callers are refused at once, and open flows are reset",
+            Some(_) => "callers are served from now on",
+        });
+    };
+    if !after.takes_flows() {
+        return Some("nobody takes new flows: callers wait in vain; open flows stay");
+    }
+    if new_share <= 0.0 && old_share > 0.0 {
+        return Some("takes no new flow; open flows stay");
+    }
+    if (new_share - old_share).abs() > f64::EPSILON {
+        return Some("open flows stay; new ones follow the new share");
+    }
+    if after.priority < before.priority {
+        return Some("becomes more urgent: finds room before what is less so");
+    }
+    if after.priority > before.priority {
+        return Some("becomes less urgent: leaves room to what is more so");
+    }
+    if before.repeatable && !after.repeatable {
+        return Some("may not run twice from now on: failing servers are not tried with it");
+    }
+    if !before.repeatable && after.repeatable {
+        return Some("may run twice from now on: failing servers are tried with it now and then");
+    }
+    None
+}
--- a/src/config/route_table.rs
+++ b/src/config/route_table.rs
@@ -59,6 +59,19 @@
         None
     }
 
+    /// Returns the part of the new flows that a service takes, from 0 to 1.
+    pub fn share(&self, service: ServiceId) -> f64 {
+        let weight = |share: &RouteShare| u64::from(share.weight);
+        let own = self.shares.iter().filter(|share| share.service == service);
+        let total: u64 = self.shares.iter().map(weight).sum();
+        own.map(weight).sum::<u64>() as f64 / total.max(1) as f64
+    }
+
+    /// Tells whether any service takes new flows.
+    pub fn takes_flows(&self) -> bool {
+        self.shares.iter().any(|share| share.weight > 0)
+    }
+
     /// Tells whether a service takes a part of this route.
     fn has(&self, service: ServiceId) -> bool {
         let mut shares = self.shares.iter();
--- a/src/opaque/mod.rs
+++ b/src/opaque/mod.rs
@@ -31,6 +31,7 @@
 pub use crate::config::backend_entry::{
     BACKEND_PREFIX, Backend, BackendState, GONE_TEXT, backend_text,
 };
+pub use crate::config::route_diff::{RouteChange, route_changes};
 pub use crate::config::route_table::{ROUTES_HEADER, ROUTES_NAME, Route, RouteShare, RouteTable};
 pub use crate::opaque::action::Action;
 pub use crate::opaque::directory::{BackendChange, Directory, OwnBackend};
--- a/src/opaque/state.rs
+++ b/src/opaque/state.rs
@@ -4,6 +4,7 @@
 
 use serde_json::{Value, json};
 
+use crate::config::backend_entry::BACKEND_PREFIX;
 use crate::controllers::control::Control;
 use crate::controllers::node_server::{self, NodeHooks};
 
@@ -13,11 +14,33 @@
     node_server::hooks_without_flows(move || state(&control, role))
 }
 
+/// Returns the published backend servers that are not gone, as the process knows them.
+fn backends(control: &Control) -> Value {
+    let store = control.store.borrow();
+    let records = store.values().iter().filter_map(|value| {
+        let id = value.name.strip_prefix(BACKEND_PREFIX)?;
+        let fields: Vec<&str> = value.text.split(',').collect();
+        let &[service, address, zone, slots, state] = fields.as_slice() else {
+            return None;
+        };
+        Some(json!({
+            "id": id,
+            "service": service,
+            "address": address,
+            "zone": zone,
+            "slots": slots,
+            "state": state,
+        }))
+    });
+    records.collect()
+}
+
 fn state(control: &Control, role: &str) -> Value {
     let metrics = &control.metrics;
     let opaque = &metrics.opaque;
     let mut state = control.state(role);
     state["packets"] = metrics.packet_counts();
+    state["backends"] = backends(control);
     state["opaque"] = json!({
         "flows_open": opaque.flows_open.get(),
         "requests_busy": opaque.requests_busy.get(),
--- /dev/null
+++ b/src/programs/operator/remote.rs
@@ -0,0 +1,120 @@
+//! Reads the state of processes over control links.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use serde_json::Value;
+
+use crate::code::Code;
+use crate::config::config_store::HOSTS_NAME;
+use crate::config::hosts::HostList;
+use crate::config::platform;
+use crate::config::settings::Settings;
+use crate::error::{Error, Result};
+use crate::links::peers::Peers;
+use crate::process::metrics::Metrics;
+use crate::programs::operator::{StateOptions, StatusOptions, status};
+use crate::programs::state_view;
+
+fn load_settings(path: Option<&PathBuf>) -> Result<Settings> {
+    let missing = || Error::new(Code::Usage, "name a settings file with --settings FILE");
+    Settings::load(path.ok_or_else(missing)?)
+}
+
+fn peers_of(settings: &Settings) -> Peers {
+    let metrics = Rc::new(Metrics::default());
+    Peers::new(
+        Ipv4Addr::UNSPECIFIED,
+        &settings.cluster_key,
+        settings.control_port,
+        &metrics,
+    )
+}
+
+/// Prints the whole state of one process.
+pub(crate) fn state_command(options: &StateOptions) -> Result<String> {
+    let &[address] = options.address.as_slice() else {
+        return Err(Error::new(Code::Usage, "state ADDRESS"));
+    };
+    let settings = load_settings(options.settings.as_ref())?;
+    let runtime = compio::runtime::Runtime::new()?;
+    let peers = peers_of(&settings);
+    let json = runtime.block_on(peers.state(address))?;
+    if options.json {
+        return Ok(json + "\n");
+    }
+    Ok(state_view::render(&parse(&json)?))
+}
+
+fn parse(json: &str) -> Result<Value> {
+    let value = serde_json::from_str(json);
+    value.map_err(|error| Error::new(Code::LinkClosed, error.to_string()))
+}
+
+/// Prints the state of all processes at a glance.
+pub(crate) fn status_command(options: &StatusOptions) -> Result<String> {
+    let settings = load_settings(options.settings.as_ref())?;
+    let runtime = compio::runtime::Runtime::new()?;
+    let states = runtime.block_on(read_all(&settings))?;
+    if options.json {
+        let states: Vec<&Value> = states
+            .iter()
+            .filter_map(|(_, state)| state.as_ref())
+            .collect();
+        return Ok(serde_json::json!(states).to_string() + "\n");
+    }
+    Ok(status::text(&states))
+}
+
+/// What each host answered; nothing where it was silent.
+pub(crate) type HostStates = Vec<(Ipv4Addr, Option<Value>)>;
+
+/// Reads the state of every listed host; while the platform is silent or keeps no list, of the seeds and
+/// of the hosts that they know.
+async fn read_all(settings: &Settings) -> Result<HostStates> {
+    let hosts = match platform::read_value(settings.platform, HOSTS_NAME).await {
+        Ok((_, text)) => {
+            let list = HostList::parse(&text)?;
+            list.all().iter().map(|host| host.address).collect()
+        }
+        Err(error) if settings.seeds.is_empty() => return Err(error),
+        Err(_) => settings.seeds.clone(),
+    };
+    let peers = peers_of(settings);
+    let mut states = read_hosts(&peers, hosts).await;
+    let known = known_hosts(&states);
+    states.extend(read_hosts(&peers, known).await);
+    states.sort_by_key(|(host, _)| *host);
+    Ok(states)
+}
+
+async fn read_hosts(peers: &Peers, hosts: Vec<Ipv4Addr>) -> HostStates {
+    let read = |host| async move {
+        let state = peers.state(host).await.and_then(|json| parse(&json));
+        (host, state.ok())
+    };
+    futures_util::future::join_all(hosts.into_iter().map(read)).await
+}
+
+/// Returns the hosts of backend servers and of links that states name and that were not read.
+fn known_hosts(states: &HostStates) -> Vec<Ipv4Addr> {
+    let answers = states.iter().filter_map(|(_, state)| state.as_ref());
+    let mut known: Vec<Ipv4Addr> = answers.flat_map(named_hosts).collect();
+    known.retain(|host| states.iter().all(|(read, _)| read != host));
+    known.sort_unstable();
+    known.dedup();
+    known
+}
+
+fn named_hosts(state: &Value) -> Vec<Ipv4Addr> {
+    let backends = state["backends"].as_array().into_iter().flatten();
+    let links = state["links"].as_array().into_iter().flatten();
+    let address = |backend: &Value| {
+        let address: SocketAddrV4 = backend["address"].as_str()?.parse().ok()?;
+        Some(*address.ip())
+    };
+    let hosts = backends.filter_map(address);
+    let linked = links.filter_map(|host| host.as_str()?.parse().ok());
+    hosts.chain(linked).collect()
+}
--- /dev/null
+++ b/src/programs/operator/status.rs
@@ -0,0 +1,139 @@
+//! The state of all processes as tables.
+
+use std::net::Ipv4Addr;
+
+use serde_json::Value;
+
+use crate::programs::operator::remote::HostStates;
+use crate::programs::state_view::{cells, columns_of, percent, scalar};
+
+/// Lays out a row for each process, then one for each target or for each process of opaque flows.
+pub(crate) fn text(states: &HostStates) -> String {
+    let mut processes = vec![cells(&[
+        "host", "role", "zone", "revision", "platform", "rejected",
+    ])];
+    let mut targets = vec![cells(&[
+        "service", "target", "host", "flows", "table", "load", "busy", "queued", "state",
+    ])];
+    let mut opaque = vec![cells(&[
+        "host",
+        "flows",
+        "busy",
+        "hints",
+        "taken",
+        "passed on",
+        "dropped",
+        "age ms",
+        "suspects",
+    ])];
+    for (host, state) in states {
+        let Some(state) = state else {
+            processes.push(cells(&[&host.to_string(), "silent"]));
+            continue;
+        };
+        processes.push(process_row(*host, state));
+        for target in list(&state["targets"]) {
+            targets.push(target_row(*host, target, states));
+        }
+        if state["opaque"].is_object() {
+            opaque.push(opaque_row(*host, state));
+        }
+    }
+    let lower = if opaque.len() > 1 { opaque } else { targets };
+    columns_of(&processes, 0) + "\n" + &columns_of(&lower, 0)
+}
+
+fn list(value: &Value) -> &[Value] {
+    value.as_array().map_or(&[], Vec::as_slice)
+}
+
+fn process_row(host: Ipv4Addr, state: &Value) -> Vec<String> {
+    let rejected = list(&state["values"]).iter();
+    let rejected = rejected.filter(|value| !value["rejected_revision"].is_null());
+    let rejected: Vec<String> = rejected
+        .map(|value| format!("{}@{}", scalar(&value["name"]), value["rejected_revision"]))
+        .collect();
+    let answers = state["platform_answers"].as_bool().unwrap_or(false);
+    vec![
+        host.to_string(),
+        scalar(&state["role"]),
+        scalar(&state["zone"]),
+        scalar(&state["revision"]),
+        if answers { "answers" } else { "not read" }.to_owned(),
+        if rejected.is_empty() {
+            "-".to_owned()
+        } else {
+            rejected.join(" ")
+        },
+    ]
+}
+
+fn opaque_row(host: Ipv4Addr, state: &Value) -> Vec<String> {
+    let counts = &state["opaque"];
+    let mut row = vec![host.to_string()];
+    let names = [
+        "flows_open",
+        "requests_busy",
+        "hints_held",
+        "openers_taken",
+        "openers_handed_on",
+        "openers_dropped",
+        "values_age_ms",
+    ];
+    row.extend(names.map(|name| scalar(&counts[name])));
+    row.push(list(&state["suspected"]).len().to_string());
+    row
+}
+
+fn target_row(host: Ipv4Addr, target: &Value, states: &HostStates) -> Vec<String> {
+    let service = scalar(&target["service"]);
+    let flows = target["open_flows"].as_u64().unwrap_or(0);
+    let total = total_flows(states, &service);
+    let load = if total == 0 {
+        0.0
+    } else {
+        flows as f64 / total as f64
+    };
+    let draining = target["draining"].as_bool().unwrap_or(false);
+    let share_permille = target["share_permille"].as_u64().unwrap_or(0);
+    let condition = match (draining, share_permille) {
+        (true, _) => "drains",
+        (false, 0) => "fails",
+        (false, 1_000) => "serves",
+        (false, _) => "warms",
+    };
+    vec![
+        service.clone(),
+        scalar(&target["target"]),
+        host.to_string(),
+        flows.to_string(),
+        percent(table_share(states, &service, host)),
+        percent(load),
+        scalar(&target["busy_slots"]),
+        scalar(&target["queued"]),
+        condition.to_owned(),
+    ]
+}
+
+fn total_flows(states: &HostStates, service: &str) -> u64 {
+    let states = states.iter().filter_map(|(_, state)| state.as_ref());
+    let targets = states.flat_map(|state| list(&state["targets"]));
+    let of_service = targets.filter(|target| target["service"] == service);
+    of_service
+        .filter_map(|target| target["open_flows"].as_u64())
+        .sum()
+}
+
+fn table_share(states: &HostStates, service: &str, host: Ipv4Addr) -> f64 {
+    let mut states = states.iter().filter_map(|(_, state)| state.as_ref());
+    let table = states.find_map(|state| {
+        list(&state["tables"])
+            .iter()
+            .find(|table| table["service"] == service)
+    });
+    let rows = table.map_or(&[] as &[Value], |table| list(&table["rows"]));
+    let weight = |row: &Value| row["weight"].as_f64().unwrap_or(0.0);
+    let total: f64 = rows.iter().map(weight).sum();
+    let own = rows.iter().find(|row| row["host"] == host.to_string());
+    own.map_or(0.0, |row| weight(row) / total.max(1.0))
+}
--- a/src/programs/state_view.rs
+++ b/src/programs/state_view.rs
@@ -112,3 +112,13 @@
         other => other.to_string(),
     }
 }
+
+/// Returns one row of cells.
+pub(crate) fn cells(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+/// Renders a share from 0 to 1 in per cent.
+pub(crate) fn percent(share: f64) -> String {
+    format!("{:.2}%", share * 100.0)
+}
--- a/tests/opaque/route_table.rs
+++ b/tests/opaque/route_table.rs
@@ -1,6 +1,6 @@
 //! Which service takes a flow.
 
-use endivedyke::opaque::{ROUTES_HEADER, RouteTable};
+use endivedyke::opaque::{ROUTES_HEADER, RouteTable, route_changes};
 use endivedyke::{Code, ServiceId};
 
 use crate::builder::flow;
@@ -68,3 +68,67 @@
     });
     assert_eq!(risked.collect::<Vec<_>>(), [false, true, true]);
 }
+
+/// A service, its share before and after, and a part of what is said to follow.
+type Part = (&'static str, f64, f64, &'static str);
+
+#[test]
+fn an_edit_is_predicted_for_each_part_of_a_route() {
+    const ONE: &str = "192.0.2.1:443,old,1,1,yes\n";
+    let cases: &[(&str, &str, &[Part])] = &[
+        (ONE, ONE, &[]),
+        (ONE, "", &[("old", 1.0, 0.0, "open flows are reset")]),
+        ("", ONE, &[("old", 0.0, 1.0, "served from now on")]),
+        (
+            ONE,
+            "192.0.2.1:443,old,3,1,yes\n192.0.2.1:443,new,1,1,yes\n",
+            &[
+                ("new", 0.0, 0.25, "new ones follow the new share"),
+                ("old", 1.0, 0.75, "new ones follow the new share"),
+            ],
+        ),
+        (
+            ONE,
+            "192.0.2.1:443,new,1,1,yes\n",
+            &[
+                ("new", 0.0, 1.0, "new ones follow the new share"),
+                ("old", 1.0, 0.0, "takes no new flow; open flows stay"),
+            ],
+        ),
+        (
+            ONE,
+            "192.0.2.1:443,old,0,1,yes\n",
+            &[("old", 1.0, 0.0, "nobody takes new flows")],
+        ),
+        (ONE, "192.0.2.1:443,old,5,1,yes\n", &[]),
+        (
+            ONE,
+            "192.0.2.1:443,old,1,0,yes\n",
+            &[("old", 1.0, 1.0, "more urgent")],
+        ),
+        (
+            ONE,
+            "192.0.2.1:443,old,1,2,yes\n",
+            &[("old", 1.0, 1.0, "less urgent")],
+        ),
+        (
+            ONE,
+            "192.0.2.1:443,old,1,1,no\n",
+            &[("old", 1.0, 1.0, "may not run twice")],
+        ),
+    ];
+    for (old, new, expected) in cases {
+        let text = |rows: &str| format!("{ROUTES_HEADER}\n{rows}");
+        let changes = route_changes(&text(old), &text(new)).expect("sound");
+        assert_eq!(
+            changes.len(),
+            expected.len(),
+            "{old:?} to {new:?}: {changes:?}"
+        );
+        for (change, (service, before, after, effect)) in changes.iter().zip(*expected) {
+            assert_eq!(change.service, *service, "{new:?}");
+            assert_eq!(change.share, (*before, *after), "{new:?}");
+            assert!(change.effect.contains(effect), "{new:?}: {}", change.effect);
+        }
+    }
+}
