Send an unconfirmed opener to the other of two agents, whichever was taken first

Cause: where the second agent was taken for its lighter load and did not confirm the opener in 100 ms, the next attempt was that same agent, so that nothing was sent until the caller's copy after 600 ms.

Ruled out: remembering the agents tried of each opener; the order with the lighter one first gives the same.

Change: the load rule swaps the two first in the order for every attempt, and not only for the first one's agent.

--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -106,10 +106,7 @@
         }
         let host = if segment.opens {
             let attempt = segment.acknowledgement as usize;
-            let host = match attempt {
-                0 => self.lighter_host(directory, suspicion, &flow, now_ms)?,
-                attempt => self.opener_host(directory, suspicion, &flow, attempt, now_ms)?,
-            };
+            let host = self.opener_host(directory, suspicion, &flow, attempt, now_ms)?;
             self.watch(flow, host, attempt, packet.clone(), now_ms);
             host
         } else {
@@ -239,7 +236,11 @@
         Ok(Action::ToCaller(flow.caller, reset))
     }
 
-    /// Returns the agent for an opener: the one that has it already, or the next that has not.
+    /// Returns the agent for a copy of an opener: the one that has it already, or the next that has not.
+    ///
+    /// Of the two first in the order of the flow the one whose backend server has clearly less to do
+    /// comes first. Bounded by two, so that balancers which heard different loads send one flow to two
+    /// agents at most; imbalance of a rush falls as with any choice of two.
     fn opener_host(
         &self,
         directory: &Directory,
@@ -254,16 +255,39 @@
         {
             return Ok(hint.host);
         }
-        let order = self.order(directory, suspicion, flow, now_ms)?;
+        let mut order = self.order(directory, suspicion, flow, now_ms)?;
+        if let [first, second, ..] = order.as_mut_slice()
+            && self.loads.prefers(*second, *first, now_ms)
+        {
+            std::mem::swap(first, second);
+        }
         Ok(order[attempt % order.len()])
     }
 
-    /// Returns the agents that an opener may go to, in the order in which its copies are sent to them:
-    /// as its hash ranks them, but of the first few those in this availability zone before the others.
+    /// Returns the agent for any other packet: the holder, or one that can find it.
+    fn packet_host(
+        &mut self,
+        directory: &Directory,
+        suspicion: &Suspicion,
+        flow: &FlowKey,
+        now_ms: u64,
+    ) -> Result<Ipv4Addr> {
+        if let Some(hint) = self.hints.get_mut(flow)
+            && directory.is_current(hint.host)
+        {
+            hint.seen_ms = now_ms;
+            self.metrics.hints_right.inc();
+            return Ok(hint.host);
+        }
+        Ok(self.order(directory, suspicion, flow, now_ms)?[0])
+    }
+
+    /// Returns the agents that a flow may go to, in the order in which copies of its opener are sent to
+    /// them: as its hash ranks them, but of the first few those in this availability zone before the others.
     ///
     /// # Errors
     ///
-    /// Returns code 1004 where no backend server takes flows; the order is never empty.
+    /// Returns code 4006 where no backend server takes flows; the order is never empty.
     fn order(
         &self,
         directory: &Directory,
@@ -293,44 +317,6 @@
         Ok(order)
     }
 
-    /// Returns the agent for the first copy of an opener: of the two first in its order the one whose
-    /// backend server has clearly less to do.
-    ///
-    /// Bounded by two, so that balancers which heard different loads send one flow to two agents at
-    /// most; imbalance of a rush falls as with any choice of two.
-    fn lighter_host(
-        &self,
-        directory: &Directory,
-        suspicion: &Suspicion,
-        flow: &FlowKey,
-        now_ms: u64,
-    ) -> Result<Ipv4Addr> {
-        let first = self.opener_host(directory, suspicion, flow, 0, now_ms)?;
-        let second = self.opener_host(directory, suspicion, flow, 1, now_ms)?;
-        if self.loads.prefers(second, first, now_ms) {
-            return Ok(second);
-        }
-        Ok(first)
-    }
-
-    /// Returns the agent for any other packet: the holder, or one that can find it.
-    fn packet_host(
-        &mut self,
-        directory: &Directory,
-        suspicion: &Suspicion,
-        flow: &FlowKey,
-        now_ms: u64,
-    ) -> Result<Ipv4Addr> {
-        if let Some(hint) = self.hints.get_mut(flow)
-            && directory.is_current(hint.host)
-        {
-            hint.seen_ms = now_ms;
-            self.metrics.hints_right.inc();
-            return Ok(hint.host);
-        }
-        self.opener_host(directory, suspicion, flow, 0, now_ms)
-    }
-
     fn watch(
         &mut self,
         flow: FlowKey,
--- a/tests/opaque/forwarder.rs
+++ b/tests/opaque/forwarder.rs
@@ -298,3 +298,29 @@
     }
     assert!(chosen > 100, "{chosen}");
 }
+
+#[test]
+fn an_opener_that_the_lighter_agent_does_not_confirm_goes_to_the_other_soon() {
+    let site = directory(5);
+    for port in 1..200 {
+        let mut suspicion = Suspicion::default();
+        let mut unaware = forwarder();
+        let packet = opener(&flow(port), 0);
+        let action = unaware.handle(&site, &mut suspicion, packet.clone(), 1_000);
+        let first = host_of(&action.expect("forwarded"));
+        let mut aware = forwarder();
+        for index in 1..=5 {
+            let load_permille = if host(index) == first { 1_500 } else { 500 };
+            aware.heard(host(index), load_permille, 1_000);
+        }
+        let action = aware.handle(&site, &mut suspicion, packet, 1_000);
+        let lighter = host_of(&action.expect("forwarded"));
+        assert_ne!(lighter, first);
+        let actions = aware.tick(&site, &mut suspicion, 1_100);
+        assert_eq!(
+            hosts_told(&actions, MessageKind::Deliver),
+            [first],
+            "{port}"
+        );
+    }
+}
