Compare placement with simpler policies in model time, within bounds

Cause: no test compared the placement of opaque flows with what a balancer alone could do, and no bound held it.

Change: tests/opaque/queue_model plays openers, balancer, agents and servers in model time; forwarder and keeper are the product's own. Policies: first by hash; two choices and least loaded by loads heard every 250 ms; the product.

--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -10,4 +10,6 @@
 mod message;
 mod message_bounds;
 mod model;
+mod policies;
+mod queue_model;
 mod route_table;
--- a/tests/opaque/message_bounds.rs
+++ b/tests/opaque/message_bounds.rs
@@ -17,7 +17,7 @@
 const NOW_MS: u64 = 1_000;
 const BOUNDS: &str = include_str!("../../bounds.txt");
 
-fn bound(name: &str) -> f64 {
+pub(crate) fn bound(name: &str) -> f64 {
     let line = BOUNDS
         .lines()
         .find(|line| line.split_whitespace().next() == Some(name));
--- /dev/null
+++ b/tests/opaque/policies.rs
@@ -0,0 +1,101 @@
+//! The product's placement beside simpler policies, under the same openers, within `bounds.txt`.
+
+use crate::message_bounds::bound;
+use crate::queue_model::{Model, Outcome, Plan, Policy};
+
+const POLICIES: [Policy; 4] = [
+    Policy::Hash,
+    Policy::TwoChoices,
+    Policy::LeastLoaded,
+    Policy::Product,
+];
+
+/// Plays a plan under each policy and prints a row for each, for docs/MEASUREMENTS.md.
+fn compare(name: &str, plan: &Plan) -> [Outcome; 4] {
+    POLICIES.map(|policy| {
+        let outcome = Model::run(plan, policy);
+        println!(
+            "| {name} | {policy:?} | {} | {:.3} | {} | {} ms | {} ms | {:.2} |",
+            outcome.asked,
+            outcome.in_time_share(),
+            outcome.failed,
+            outcome.percentile_ms(0.5),
+            outcome.percentile_ms(0.99),
+            outcome.imbalance()
+        );
+        outcome
+    })
+}
+
+/// Returns the share served in time by the best of the others, and by the product.
+fn shares(outcomes: &[Outcome; 4]) -> (f64, f64) {
+    let [others @ .., product] = outcomes;
+    let best = others
+        .iter()
+        .map(Outcome::in_time_share)
+        .fold(0.0, f64::max);
+    (best, product.in_time_share())
+}
+
+fn plans() -> Vec<(&'static str, Plan)> {
+    let calm = Plan::new(7, 4, 30.0, 0.5);
+    let busy = Plan { load: 0.85, ..calm };
+    vec![
+        ("calm", calm),
+        ("busy", busy),
+        (
+            "one_slow",
+            Plan {
+                first_slower: 5.0,
+                ..calm
+            },
+        ),
+        (
+            "burst",
+            Plan {
+                load: 0.6,
+                burst: Some((5_000, 8_000, 2.0)),
+                ..calm
+            },
+        ),
+        (
+            "power_lost",
+            Plan {
+                load: 0.7,
+                power_lost_ms: Some(6_000),
+                ..calm
+            },
+        ),
+        (
+            "large",
+            Plan {
+                servers: 45,
+                slots: 3,
+                ..busy
+            },
+        ),
+    ]
+}
+
+#[test]
+fn each_plan_is_served_in_time_as_the_bounds_say() {
+    for (name, plan) in plans() {
+        let (best, product) = shares(&compare(name, &plan));
+        assert!(
+            product >= bound(&format!("opaque_in_time_{name}")),
+            "{name}: {product}"
+        );
+        let allowed = bound("opaque_in_time_below_best");
+        assert!(best - product <= allowed, "{name}: {product} beside {best}");
+    }
+}
+
+#[test]
+fn a_plan_played_twice_gives_the_same_figures() {
+    let plan = Plan {
+        for_ms: 5_000,
+        ..Plan::new(7, 4, 30.0, 0.8)
+    };
+    let runs = [0, 1].map(|_| Model::run(&plan, Policy::Product));
+    assert_eq!(runs[0].waits_ms, runs[1].waits_ms);
+}
--- /dev/null
+++ b/tests/opaque/queue_model.rs
@@ -0,0 +1,559 @@
+//! Openers, balancers, agents and backend servers in model time, under one policy of placement.
+//!
+//! The product's policy is the product's own code, with every message a millisecond on its way. The others
+//! are what a balancer alone could do: it sends an opener to one server for good, by hash, by the loads
+//! that it heard last, or both.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::Ipv4Addr;
+
+use endivedyke::opaque::{
+    Action, Directory, FlowKey, Forwarder, Keeper, KeeperIdentity, Message, MessageKind, Scene,
+};
+use endivedyke::{ServiceId, Suspicion, ranked};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::builder::{
+    ACK, BALANCER, FIN, FLOW_LIFETIME_MS, PacketSpec, SERVICE, WIRE, acceptance, backend_address,
+    directory, flow, forwarder, from_backend, host, opener, request,
+};
+
+/// How long a message is on its way, in milliseconds.
+const HOP_MS: u64 = 1;
+/// How often a balancer hears each agent without a reason, in milliseconds, as in the product.
+const BEAT_MS: u64 = 250;
+/// How often processes look at what they wait for, in milliseconds, as in the product.
+const TICK_MS: u64 = 10;
+/// When callers send the copies of an opener, in milliseconds after the first.
+const COPIES_MS: [u64; 3] = [0, 200, 600];
+/// How long a caller waits for its answer in all, in milliseconds.
+const DEADLINE_MS: u64 = 3_000;
+/// How often a caller tries again that was refused.
+const RETRIES: u32 = 2;
+const ACCEPTED: u32 = 500;
+
+/// How openers are placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Policy {
+    /// The first server by hash.
+    Hash,
+    /// Of the two first by hash the one whose load was told to be lower.
+    TwoChoices,
+    /// The one of all whose load was told to be lowest.
+    LeastLoaded,
+    /// The product.
+    Product,
+}
+
+/// What is asked of the servers.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Plan {
+    pub(crate) servers: u8,
+    pub(crate) slots: usize,
+    /// The mean time of a request at a server, in milliseconds.
+    pub(crate) work_ms: f64,
+    /// What is asked, as a part of what all slots can do.
+    pub(crate) load: f64,
+    /// How much slower the first server is.
+    pub(crate) first_slower: f64,
+    /// When all servers lose what they hold and start anew, in milliseconds.
+    pub(crate) power_lost_ms: Option<u64>,
+    /// Until when more is asked, and how much more.
+    pub(crate) burst: Option<(u64, u64, f64)>,
+    pub(crate) for_ms: u64,
+    pub(crate) aim_ms: u64,
+    pub(crate) seed: u64,
+}
+
+impl Plan {
+    pub(crate) fn new(servers: u8, slots: usize, work_ms: f64, load: f64) -> Self {
+        Self {
+            servers,
+            slots,
+            work_ms,
+            load,
+            first_slower: 1.0,
+            power_lost_ms: None,
+            burst: None,
+            for_ms: 20_000,
+            aim_ms: 150,
+            seed: 1,
+        }
+    }
+}
+
+/// What callers got.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Outcome {
+    pub(crate) asked: usize,
+    pub(crate) in_time: usize,
+    pub(crate) late: usize,
+    pub(crate) failed: usize,
+    /// The time until the answer, of all that were answered, sorted, in milliseconds.
+    pub(crate) waits_ms: Vec<u64>,
+    /// The requests that each server ran.
+    pub(crate) ran: Vec<usize>,
+}
+
+impl Outcome {
+    pub(crate) fn in_time_share(&self) -> f64 {
+        self.in_time as f64 / self.asked.max(1) as f64
+    }
+
+    pub(crate) fn percentile_ms(&self, part: f64) -> u64 {
+        let index = (self.waits_ms.len() as f64 * part) as usize;
+        let last = self.waits_ms.len().saturating_sub(1);
+        self.waits_ms.get(index.min(last)).copied().unwrap_or(0)
+    }
+
+    /// Returns the most that one server ran, over the mean.
+    pub(crate) fn imbalance(&self) -> f64 {
+        let most = self.ran.iter().copied().max().unwrap_or(0) as f64;
+        let mean = self.ran.iter().sum::<usize>() as f64 / self.ran.len().max(1) as f64;
+        most / mean.max(1.0)
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival,
+    Copy(u16, u32),
+    ToAgent(Ipv4Addr, Ipv4Addr, Vec<u8>),
+    ToBalancer(Ipv4Addr, Vec<u8>),
+    Accepted(u16, Ipv4Addr),
+    Refused(u16),
+    Done(u8, u16, u32),
+    Tick,
+    Beat,
+    PowerLost,
+}
+
+/// A caller's request, which keeps its place through all attempts.
+#[derive(Debug, Clone, Copy)]
+struct Call {
+    first_ms: u64,
+    tries: u32,
+}
+
+/// A flow of an attempt.
+#[derive(Debug, Clone, Copy)]
+struct Attempt {
+    call: usize,
+    accepted: bool,
+    over: bool,
+}
+
+#[derive(Debug, Default)]
+struct Server {
+    /// Ports of flows whose requests run or wait, in order.
+    queue: Vec<u16>,
+    running: Vec<u16>,
+    lives: u32,
+    ran: usize,
+}
+
+/// The model.
+pub(crate) struct Model {
+    plan: Plan,
+    policy: Policy,
+    rng: StdRng,
+    now_ms: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    next_event: u64,
+    directory: Directory,
+    suspicion: Suspicion,
+    forwarder: Forwarder,
+    keepers: Vec<Keeper>,
+    told: Vec<f64>,
+    servers: Vec<Server>,
+    calls: Vec<Call>,
+    attempts: BTreeMap<u16, Attempt>,
+    next_port: u16,
+    next_arrival_ms: f64,
+    outcome: Outcome,
+}
+
+impl Model {
+    /// Plays a plan under a policy and returns what callers got.
+    pub(crate) fn run(plan: &Plan, policy: Policy) -> Outcome {
+        let mut model = Self::new(plan, policy);
+        model.at(0, Event::Arrival);
+        model.at(TICK_MS, Event::Tick);
+        model.at(BEAT_MS, Event::Beat);
+        if let Some(at_ms) = plan.power_lost_ms {
+            model.at(at_ms, Event::PowerLost);
+        }
+        let until_ms = plan.for_ms + DEADLINE_MS;
+        while let Some(Reverse((at_ms, _, event))) = model.events.pop() {
+            if at_ms > until_ms {
+                break;
+            }
+            model.now_ms = at_ms;
+            model.play(event);
+        }
+        let mut outcome = model.outcome;
+        outcome.asked = model.calls.len();
+        outcome.failed = outcome.asked - outcome.in_time - outcome.late;
+        outcome.waits_ms.sort_unstable();
+        outcome.ran = model.servers.iter().map(|server| server.ran).collect();
+        outcome
+    }
+
+    fn new(plan: &Plan, policy: Policy) -> Self {
+        let keeper = |index| {
+            crate::builder::keeper(KeeperIdentity {
+                host: host(index),
+                backend: backend_address(index),
+                service: ServiceId::of(SERVICE),
+                flow_lifetime_ms: FLOW_LIFETIME_MS,
+            })
+        };
+        Self {
+            plan: *plan,
+            policy,
+            rng: StdRng::seed_from_u64(plan.seed),
+            now_ms: 0,
+            events: BinaryHeap::new(),
+            next_event: 0,
+            directory: directory(plan.servers),
+            suspicion: Suspicion::default(),
+            forwarder: forwarder(),
+            keepers: (1..=plan.servers).map(keeper).collect(),
+            told: vec![0.0; usize::from(plan.servers)],
+            servers: (0..plan.servers).map(|_| Server::default()).collect(),
+            calls: Vec::new(),
+            attempts: BTreeMap::new(),
+            next_port: 1_024,
+            next_arrival_ms: 0.0,
+            outcome: Outcome::default(),
+        }
+    }
+
+    fn at(&mut self, at_ms: u64, event: Event) {
+        self.next_event += 1;
+        self.events.push(Reverse((at_ms, self.next_event, event)));
+    }
+
+    fn soon(&mut self, event: Event) {
+        self.at(self.now_ms + HOP_MS, event);
+    }
+
+    fn play(&mut self, event: Event) {
+        match event {
+            Event::Arrival => self.arrival(),
+            Event::Copy(port, copy) => self.copy(port, copy),
+            Event::ToAgent(at, from, datagram) => self.agent_hears(at, from, &datagram),
+            Event::ToBalancer(from, datagram) => self.balancer_hears(from, &datagram),
+            Event::Accepted(port, at) => self.accepted(port, at),
+            Event::Refused(port) => self.try_again(port),
+            Event::Done(server, port, lives) => self.done(server, port, lives),
+            Event::Tick => self.tick(),
+            Event::Beat => self.beat(),
+            Event::PowerLost => self.lose_power(),
+        }
+    }
+
+    /// Returns an exponentially distributed time.
+    fn draw_ms(&mut self, mean_ms: f64) -> f64 {
+        let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
+        -uniform.ln() * mean_ms
+    }
+
+    fn arrival(&mut self) {
+        let slots = f64::from(self.plan.servers) * self.plan.slots as f64;
+        let mut per_ms = self.plan.load * slots / self.plan.work_ms;
+        if let Some((from_ms, until_ms, more)) = self.plan.burst
+            && (from_ms..until_ms).contains(&self.now_ms)
+        {
+            per_ms *= more;
+        }
+        // Several may come in one millisecond: the clock has no finer steps, and the rest is carried on.
+        while self.next_arrival_ms < (self.now_ms + 1) as f64 {
+            self.calls.push(Call {
+                first_ms: self.now_ms,
+                tries: 0,
+            });
+            self.attempt(self.calls.len() - 1);
+            self.next_arrival_ms += self.draw_ms(1.0 / per_ms);
+        }
+        let next_ms = self.next_arrival_ms as u64;
+        if next_ms < self.plan.for_ms {
+            self.at(next_ms, Event::Arrival);
+        }
+    }
+
+    fn attempt(&mut self, call: usize) {
+        self.next_port = self.next_port.checked_add(1).unwrap_or(1_024);
+        let attempt = Attempt {
+            call,
+            accepted: false,
+            over: false,
+        };
+        let port = self.next_port;
+        self.attempts.insert(port, attempt);
+        for (copy, after_ms) in COPIES_MS.iter().enumerate() {
+            self.at(self.now_ms + after_ms, Event::Copy(port, copy as u32));
+        }
+    }
+
+    fn copy(&mut self, port: u16, copy: u32) {
+        let attempt = self.attempts[&port];
+        let waited_ms = self.now_ms - self.calls[attempt.call].first_ms;
+        if attempt.accepted || attempt.over || waited_ms > DEADLINE_MS {
+            return;
+        }
+        if self.policy == Policy::Product {
+            self.forward(opener(&flow(port), copy));
+        } else if copy == 0 {
+            let at = self.choose(&flow(port));
+            self.soon(Event::Accepted(port, at));
+        }
+    }
+
+    /// Chooses a server as a balancer does that is alone.
+    fn choose(&self, key: &FlowKey) -> Ipv4Addr {
+        let table = self
+            .directory
+            .table(ServiceId::of(SERVICE))
+            .expect("listed");
+        let order = ranked(table, key.hash(), |_| true);
+        let among = match self.policy {
+            Policy::Hash => 1,
+            Policy::TwoChoices => 2.min(order.len()),
+            Policy::LeastLoaded | Policy::Product => order.len(),
+        };
+        let told = |at: Ipv4Addr| self.told[usize::from(at.octets()[3]) - 1];
+        let hosts = order[..among].iter().map(|row| row.host);
+        let least = hosts.min_by(|one, other| told(*one).total_cmp(&told(*other)));
+        least.expect("a server")
+    }
+
+    fn forward(&mut self, packet: Vec<u8>) {
+        let (directory, now_ms) = (&self.directory, self.now_ms);
+        let action = self
+            .forwarder
+            .handle(directory, &mut self.suspicion, packet, now_ms);
+        self.perform(BALANCER, action.into_iter().collect());
+    }
+
+    /// Does what a process on a host asks for.
+    fn perform(&mut self, at: Ipv4Addr, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::ToPeer(to, message, payload) => self.send(at, to, message, payload),
+                Action::ToBackend(packet) => self.backend_hears(at, &packet),
+                Action::ToCaller(_, packet) => self.caller_hears(at, &packet),
+            }
+        }
+    }
+
+    fn send(&mut self, from: Ipv4Addr, to: Ipv4Addr, mut message: Message, mut payload: Vec<u8>) {
+        if from != BALANCER {
+            message.load_permille = self.with(from, |keeper, scene| keeper.load_permille(scene));
+        }
+        message.append(&mut payload);
+        if to == BALANCER {
+            self.soon(Event::ToBalancer(from, payload));
+        } else {
+            self.soon(Event::ToAgent(to, from, payload));
+        }
+    }
+
+    fn with<T>(&mut self, at: Ipv4Addr, decide: impl FnOnce(&mut Keeper, &Scene<'_>) -> T) -> T {
+        let scene = Scene {
+            directory: &self.directory,
+            suspicion: &self.suspicion,
+            revision: u64::MAX,
+            settled: true,
+            now_ms: self.now_ms,
+        };
+        decide(&mut self.keepers[usize::from(at.octets()[3]) - 1], &scene)
+    }
+
+    fn agent_hears(&mut self, at: Ipv4Addr, from: Ipv4Addr, datagram: &[u8]) {
+        let (payload, message) = Message::split(datagram).expect("sound");
+        let actions = self.with(at, |keeper, scene| {
+            keeper.peer_says(scene, from, &message, payload)
+        });
+        self.perform(at, actions.unwrap_or_default());
+    }
+
+    fn balancer_hears(&mut self, from: Ipv4Addr, datagram: &[u8]) {
+        let (payload, message) = Message::split(datagram).expect("sound");
+        self.forwarder
+            .heard(from, message.load_permille, self.now_ms);
+        // The payload names the flow: the caller's address and port come first.
+        let &[_, _, _, _, high, low, ..] = payload else {
+            return;
+        };
+        let key = flow(u16::from_be_bytes([high, low]));
+        match message.kind {
+            MessageKind::Holds => self.forwarder.holds(key, message.host, self.now_ms),
+            MessageKind::Absent => self.forwarder.handed_on(&key, from),
+            _ => {}
+        }
+    }
+
+    fn backend_hears(&mut self, at: Ipv4Addr, packet: &[u8]) {
+        let segment = (WIRE.decode)(packet).expect("sound");
+        let key = segment.flow_from_caller();
+        if segment.opens {
+            self.backend_says(at, acceptance(&key, ACCEPTED));
+        } else if segment.payload_bytes > 0 {
+            self.enqueue(at, key.caller.port());
+        }
+    }
+
+    fn backend_says(&mut self, at: Ipv4Addr, packet: Vec<u8>) {
+        let actions = self.with(at, |keeper, scene| keeper.backend_says(scene, packet));
+        self.perform(at, actions.unwrap_or_default());
+    }
+
+    fn caller_hears(&mut self, at: Ipv4Addr, packet: &[u8]) {
+        let segment = (WIRE.decode)(packet).expect("sound");
+        let port = segment.flow_from_backend().caller.port();
+        if segment.resets {
+            self.soon(Event::Refused(port));
+        } else if segment.accepts {
+            self.soon(Event::Accepted(port, at));
+        }
+    }
+
+    fn accepted(&mut self, port: u16, at: Ipv4Addr) {
+        let attempt = self.attempts.get_mut(&port).expect("known");
+        if attempt.accepted || attempt.over {
+            return;
+        }
+        attempt.accepted = true;
+        if self.policy == Policy::Product {
+            self.forward(request(&flow(port), ACCEPTED + 1));
+        } else {
+            self.enqueue(at, port);
+        }
+    }
+
+    fn try_again(&mut self, port: u16) {
+        let attempt = self.attempts.get_mut(&port).expect("known");
+        if attempt.over {
+            return;
+        }
+        attempt.over = true;
+        let index = attempt.call;
+        let call = &mut self.calls[index];
+        call.tries += 1;
+        if call.tries <= RETRIES && self.now_ms < call.first_ms + DEADLINE_MS {
+            self.attempt(index);
+        }
+    }
+
+    fn enqueue(&mut self, at: Ipv4Addr, port: u16) {
+        let server = at.octets()[3] - 1;
+        self.servers[usize::from(server)].queue.push(port);
+        self.serve(server);
+    }
+
+    fn serve(&mut self, index: u8) {
+        let slower = if index == 0 {
+            self.plan.first_slower
+        } else {
+            1.0
+        };
+        let server = &self.servers[usize::from(index)];
+        let lives = server.lives;
+        if server.running.len() >= self.plan.slots || server.queue.is_empty() {
+            return;
+        }
+        let work_ms = self.draw_ms(self.plan.work_ms) * slower;
+        let server = &mut self.servers[usize::from(index)];
+        let port = server.queue.remove(0);
+        server.running.push(port);
+        server.ran += 1;
+        let done_ms = self.now_ms + work_ms.ceil() as u64;
+        self.at(done_ms, Event::Done(index, port, lives));
+    }
+
+    fn done(&mut self, index: u8, port: u16, lives: u32) {
+        let server = &mut self.servers[usize::from(index)];
+        if server.lives != lives {
+            return;
+        }
+        server.running.retain(|running| *running != port);
+        if self.policy == Policy::Product {
+            let spec = PacketSpec {
+                flags: ACK | FIN,
+                sequence: ACCEPTED + 1,
+                acknowledgement: 141,
+                data_bytes: 100,
+            };
+            self.backend_says(host(index + 1), from_backend(&flow(port), spec));
+        }
+        self.answered(port);
+        self.serve(index);
+    }
+
+    fn answered(&mut self, port: u16) {
+        let attempt = self.attempts.get_mut(&port).expect("known");
+        if attempt.over {
+            return;
+        }
+        attempt.over = true;
+        let wait_ms = self.now_ms + HOP_MS - self.calls[attempt.call].first_ms;
+        if wait_ms > DEADLINE_MS {
+            return;
+        }
+        if wait_ms <= self.plan.aim_ms {
+            self.outcome.in_time += 1;
+        } else {
+            self.outcome.late += 1;
+        }
+        self.outcome.waits_ms.push(wait_ms);
+    }
+
+    fn tick(&mut self) {
+        self.at(self.now_ms + TICK_MS, Event::Tick);
+        if self.policy != Policy::Product {
+            return;
+        }
+        let (directory, now_ms) = (&self.directory, self.now_ms);
+        let actions = self.forwarder.tick(directory, &mut self.suspicion, now_ms);
+        self.perform(BALANCER, actions);
+        for index in 1..=self.plan.servers {
+            let actions = self.with(host(index), |keeper, scene| keeper.tick(scene));
+            self.perform(host(index), actions);
+        }
+    }
+
+    /// Lets balancers hear the loads of all, as they do while nothing else passes.
+    fn beat(&mut self) {
+        self.at(self.now_ms + BEAT_MS, Event::Beat);
+        for index in 1..=self.plan.servers {
+            let server = &self.servers[usize::from(index) - 1];
+            let busy = server.queue.len() + server.running.len();
+            self.told[usize::from(index) - 1] = busy as f64 / self.plan.slots as f64;
+            let permille = self.with(host(index), |keeper, scene| {
+                keeper.expire(scene.now_ms);
+                keeper.load_permille(scene)
+            });
+            self.forwarder.heard(host(index), permille, self.now_ms);
+        }
+        self.forwarder.expire(self.now_ms);
+    }
+
+    /// Ends all servers and agents and what they hold; callers of it try again.
+    fn lose_power(&mut self) {
+        let fresh = Self::new(&self.plan, self.policy);
+        self.keepers = fresh.keepers;
+        self.forwarder = fresh.forwarder;
+        for index in 0..self.servers.len() {
+            let server = &mut self.servers[index];
+            server.lives += 1;
+            let mut lost = std::mem::take(&mut server.queue);
+            lost.append(&mut server.running);
+            for port in lost {
+                self.try_again(port);
+            }
+        }
+    }
+}
