Let the model lose power for a while, with cold servers after it

Change: a loss of power lasts, drops what is on its way, and leaves servers cold; openers without an answer are given up after 1.4 s.

--- a/tests/opaque/policies.rs
+++ b/tests/opaque/policies.rs
@@ -62,7 +62,7 @@
             "power_lost",
             Plan {
                 load: 0.7,
-                power_lost_ms: Some(6_000),
+                power_lost_ms: Some((6_000, 1_000)),
                 ..calm
             },
         ),
--- a/tests/opaque/queue_model.rs
+++ b/tests/opaque/queue_model.rs
@@ -28,6 +28,8 @@
 const TICK_MS: u64 = 10;
 /// When callers send the copies of an opener, in milliseconds after the first.
 const COPIES_MS: [u64; 3] = [0, 200, 600];
+/// How long an opener may stay without an answer, in milliseconds.
+const OPEN_TIMEOUT_MS: u64 = 1_400;
 /// How long a caller waits for its answer in all, in milliseconds.
 const DEADLINE_MS: u64 = 3_000;
 /// How often a caller tries again that was refused.
@@ -58,8 +60,10 @@
     pub(crate) load: f64,
     /// How much slower the first server is.
     pub(crate) first_slower: f64,
-    /// When all servers lose what they hold and start anew, in milliseconds.
-    pub(crate) power_lost_ms: Option<u64>,
+    /// When all hosts lose power, and for how long, in milliseconds.
+    pub(crate) power_lost_ms: Option<(u64, u64)>,
+    /// For how long servers are cold after it, in milliseconds, and how much slower they are.
+    pub(crate) cold: (u64, f64),
     /// Until when more is asked, and how much more.
     pub(crate) burst: Option<(u64, u64, f64)>,
     pub(crate) for_ms: u64,
@@ -76,6 +80,7 @@
             load,
             first_slower: 1.0,
             power_lost_ms: None,
+            cold: (2_000, 1.6),
             burst: None,
             for_ms: 20_000,
             aim_ms: 150,
@@ -127,7 +132,9 @@
     Done(u8, u16, u32),
     Tick,
     Beat,
+    OpenTimeout(u16),
     PowerLost,
+    PowerBack,
 }
 
 /// A caller's request, which keeps its place through all attempts.
@@ -172,6 +179,8 @@
     attempts: BTreeMap<u16, Attempt>,
     next_port: u16,
     next_arrival_ms: f64,
+    dark: bool,
+    cold_until_ms: u64,
     outcome: Outcome,
 }
 
@@ -182,8 +191,9 @@
         model.at(0, Event::Arrival);
         model.at(TICK_MS, Event::Tick);
         model.at(BEAT_MS, Event::Beat);
-        if let Some(at_ms) = plan.power_lost_ms {
+        if let Some((at_ms, for_ms)) = plan.power_lost_ms {
             model.at(at_ms, Event::PowerLost);
+            model.at(at_ms + for_ms, Event::PowerBack);
         }
         let until_ms = plan.for_ms + DEADLINE_MS;
         while let Some(Reverse((at_ms, _, event))) = model.events.pop() {
@@ -227,6 +237,8 @@
             attempts: BTreeMap::new(),
             next_port: 1_024,
             next_arrival_ms: 0.0,
+            dark: false,
+            cold_until_ms: 0,
             outcome: Outcome::default(),
         }
     }
@@ -241,6 +253,13 @@
     }
 
     fn play(&mut self, event: Event) {
+        let needs_power = matches!(
+            event,
+            Event::Copy(..) | Event::ToAgent(..) | Event::ToBalancer(..)
+        );
+        if self.dark && needs_power {
+            return;
+        }
         match event {
             Event::Arrival => self.arrival(),
             Event::Copy(port, copy) => self.copy(port, copy),
@@ -251,7 +270,12 @@
             Event::Done(server, port, lives) => self.done(server, port, lives),
             Event::Tick => self.tick(),
             Event::Beat => self.beat(),
+            Event::OpenTimeout(port) => self.give_up_opening(port),
             Event::PowerLost => self.lose_power(),
+            Event::PowerBack => {
+                self.dark = false;
+                self.cold_until_ms = self.now_ms + self.plan.cold.0;
+            }
         }
     }
 
@@ -296,6 +320,13 @@
         for (copy, after_ms) in COPIES_MS.iter().enumerate() {
             self.at(self.now_ms + after_ms, Event::Copy(port, copy as u32));
         }
+        self.at(self.now_ms + OPEN_TIMEOUT_MS, Event::OpenTimeout(port));
+    }
+
+    fn give_up_opening(&mut self, port: u16) {
+        if !self.attempts[&port].accepted {
+            self.try_again(port);
+        }
     }
 
     fn copy(&mut self, port: u16, copy: u32) {
@@ -306,7 +337,7 @@
         }
         if self.policy == Policy::Product {
             self.forward(opener(&flow(port), copy));
-        } else if copy == 0 {
+        } else {
             let at = self.choose(&flow(port));
             self.soon(Event::Accepted(port, at));
         }
@@ -455,11 +486,14 @@
     }
 
     fn serve(&mut self, index: u8) {
-        let slower = if index == 0 {
+        let mut slower = if index == 0 {
             self.plan.first_slower
         } else {
             1.0
         };
+        if self.now_ms < self.cold_until_ms {
+            slower *= self.plan.cold.1;
+        }
         let server = &self.servers[usize::from(index)];
         let lives = server.lives;
         if server.running.len() >= self.plan.slots || server.queue.is_empty() {
@@ -543,6 +577,7 @@
 
     /// Ends all servers and agents and what they hold; callers of it try again.
     fn lose_power(&mut self) {
+        self.dark = true;
         let fresh = Self::new(&self.plan, self.policy);
         self.keepers = fresh.keepers;
         self.forwarder = fresh.forwarder;
