Ask the likely holders of a flow first on large sites

Cause: a question who holds a flow went to all agents at once, two messages for each, and to none beyond 256, so that a flow without a hint was never found on a larger site.

Ruled out: a walk along the order (a dead agent hides all behind it); a directory at the owners (a second copy to keep true).

Change: with more than 32 other agents the 16 first in the order of the flow are asked, and after 20 ms all others, up to 256 as before. Beyond, the 16 are asked and nothing is proved.

--- a/src/opaque/keeper/questions.rs
+++ b/src/opaque/keeper/questions.rs
@@ -6,8 +6,9 @@
 use crate::opaque::action::Action;
 use crate::opaque::flow_book::{Flow, Holding};
 use crate::opaque::keeper::{Keeper, Scene, say_holds, tell};
-use crate::opaque::lookup::Verdict;
+use crate::opaque::lookup::{FIRST_ASKED, Question, Verdict};
 use crate::opaque::message::{Message, MessageKind};
+use crate::opaque::opener_order::likely_hosts;
 use crate::opaque::segment::{FlowKey, Segment};
 
 impl Keeper {
@@ -23,11 +24,16 @@
         if segment.resets {
             return;
         }
-        let directory = scene.directory;
         let own = self.identity.host;
+        let likely = likely_hosts(scene, own, &segment.flow_from_caller(), FIRST_ASKED);
+        let question = Question {
+            segment,
+            packet,
+            balancer,
+        };
         let asked = self
             .lookups
-            .start(directory, own, segment, packet, balancer, scene.now_ms);
+            .start(scene.directory, own, &likely, &question, scene.now_ms);
         for host in asked {
             let message = Message::new(MessageKind::Find);
             actions.push(Action::ToPeer(host, message, packet.to_vec()));
--- a/src/opaque/lookup.rs
+++ b/src/opaque/lookup.rs
@@ -11,8 +11,14 @@
 /// How long a question goes on, in milliseconds: about the longest wait between two copies of a
 /// caller's packet, which start it anew.
 const GIVE_UP_MS: u64 = 1_600;
-/// The most agents that are asked; with more, nothing is asked and nothing is proved.
+/// The most agents that are asked; with more, only the likely ones are, and nothing is proved.
 pub(crate) const MAX_ASKED: usize = 256;
+/// How many agents are asked first, where there are more than twice as many: a flow stands with one of the
+/// eight that were first in its order, or with one of the eight to which those may pass an opener.
+pub(crate) const FIRST_ASKED: usize = 16;
+/// How long the first ones have before all others are asked too, in milliseconds: several round trips
+/// between availability zones.
+const WIDEN_MS: u64 = 20;
 /// The most questions open at once.
 const MAX_LOOKUPS: usize = 4_096;
 
@@ -41,6 +47,17 @@
     ask_ms: u64,
 }
 
+/// A packet of a flow that its agent does not know.
+#[derive(Debug, Clone, Copy)]
+pub struct Question<'a> {
+    /// What stands in its header.
+    pub segment: &'a Segment,
+    /// The packet.
+    pub packet: &'a [u8],
+    /// The balancer that forwarded it, which is told who holds the flow.
+    pub balancer: Ipv4Addr,
+}
+
 /// A question that took too long.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct GivenUp {
@@ -72,40 +89,43 @@
     }
 
     /// Starts a question, or takes the newer packet into one that is open; returns whom to ask now.
+    ///
+    /// On large sites only the `likely` holders are asked at once, and the others when these are not it.
     pub fn start(
         &mut self,
         directory: &Directory,
         own_host: Ipv4Addr,
-        segment: &Segment,
-        packet: &[u8],
-        balancer: Ipv4Addr,
+        likely: &[Ipv4Addr],
+        question: &Question<'_>,
         now_ms: u64,
     ) -> Vec<Ipv4Addr> {
+        let segment = question.segment;
         let flow = segment.flow_from_caller();
         self.own_host = Some(own_host);
-        if directory.current_hosts().len() > MAX_ASKED {
-            return Vec::new();
-        }
         match self.position(&flow) {
             Ok(index) => {
                 let lookup = &mut self.open[index];
                 lookup.acknowledgement = segment.acknowledgement;
-                lookup.packet = packet.to_vec();
+                lookup.packet = question.packet.to_vec();
                 Vec::new()
             }
             Err(_) if self.open.len() >= MAX_LOOKUPS => Vec::new(),
             Err(index) => {
-                let lookup = Lookup {
+                let mut lookup = Lookup {
                     flow,
                     acknowledgement: segment.acknowledgement,
-                    balancer,
-                    packet: packet.to_vec(),
+                    balancer: question.balancer,
+                    packet: question.packet.to_vec(),
                     absent_at: Vec::new(),
                     newest_revision: 0,
                     started_ms: now_ms,
                     ask_ms: now_ms + ASK_AGAIN_MS,
                 };
-                let asked = unanswered(&lookup, directory, own_host);
+                let mut asked = unanswered(&lookup, directory, own_host);
+                if asked.len() > 2 * FIRST_ASKED {
+                    asked = likely.to_vec();
+                    lookup.ask_ms = now_ms + WIDEN_MS;
+                }
                 self.metrics.lookups_started.inc();
                 self.open.insert(index, lookup);
                 asked
@@ -194,6 +214,9 @@
         {
             lookup.ask_ms = now_ms + ASK_AGAIN_MS;
             let hosts = unanswered(lookup, directory, own_host);
+            if hosts.len() > MAX_ASKED {
+                continue;
+            }
             asked.extend(hosts.into_iter().map(|host| (host, lookup.packet.clone())));
         }
         asked
--- a/src/opaque/mod.rs
+++ b/src/opaque/mod.rs
@@ -38,7 +38,7 @@
 pub use crate::opaque::forwarder::Forwarder;
 pub use crate::opaque::freshness::{Freshness, READERS, Standing, standing};
 pub use crate::opaque::keeper::{Keeper, KeeperIdentity, Scene};
-pub use crate::opaque::lookup::{Lookups, Verdict};
+pub use crate::opaque::lookup::{Lookups, Question, Verdict};
 pub use crate::opaque::message::{Message, MessageKind, UNKNOWN_AGE_MS, UNKNOWN_LOAD};
 pub use crate::opaque::published::forgot;
 pub use crate::opaque::segment::{FlowKey, Segment, WireFormat};
--- a/src/opaque/opener_order.rs
+++ b/src/opaque/opener_order.rs
@@ -1,4 +1,4 @@
-//! The order in which agents are offered an opener that one of them does not take.
+//! The order of agents for one flow: who is offered its opener next, and who likely holds it.
 
 use std::net::Ipv4Addr;
 
@@ -32,3 +32,20 @@
     let next = position.map_or(0, |position| (position + 1) % order.len());
     Some(order[next].host)
 }
+
+/// Returns the agents but `own` that are first in the order of a flow, at most `count`: one of them likely
+/// holds it, since openers are placed and passed on along that order.
+pub(crate) fn likely_hosts(
+    scene: &Scene<'_>,
+    own: Ipv4Addr,
+    key: &FlowKey,
+    count: usize,
+) -> Vec<Ipv4Addr> {
+    let route = scene.directory.routes().get(key.called);
+    let service = route.and_then(|route| route.service(key.hash()));
+    let Some(table) = service.and_then(|service| scene.directory.table(service)) else {
+        return Vec::new();
+    };
+    let order = placement::ranked(table, key.hash(), |row| row.host != own);
+    order.iter().take(count).map(|row| row.host).collect()
+}
