Count flows in one pass; stand-in zones and cold starts in the lab

Cause: FlowBook::expire walked all flows twice each second; every process of the stand-in site stood in one zone and no server was cold, so that neither the soak nor the tests of processes saw the choice of the near or the limits of the cold.

Change: expire counts while it tidies. Hosts of the stand-in site stand in three zones by turns, servers say that they are cold for 400 ms.

--- a/lab/src/opaque/site.rs
+++ b/lab/src/opaque/site.rs
@@ -35,10 +35,18 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 const ADDRESS_TIMEOUT: Duration = Duration::from_secs(5);
 const POLL: Duration = Duration::from_millis(20);
+/// For how long a backend server says that it is slow after its start, in milliseconds.
+const COLD_MS: u64 = 400;
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
 const BALANCER_TEMPLATE: &str = include_str!("../../../deploy/balancer.ini");
 const AGENT_TEMPLATE: &str = include_str!("../../../deploy/agent.ini");
 
+/// Returns the availability zone of a host; its balancers and agents stand in all three by turns.
+fn zone(host: Ipv4Addr) -> &'static str {
+    ZONES[usize::from(host.octets()[3]) % ZONES.len()]
+}
+
 #[derive(Debug, Clone)]
 struct ServiceSpec {
     name: String,
@@ -308,11 +316,11 @@
             let entry = json!({
                 "service": backend.spec.service,
                 "address": backend.spec.address.to_string(),
-                "zone": "zone-a",
+                "zone": zone(self.agent_host(index)),
                 "version": "v1",
                 "slots": backend.spec.slots,
                 "state": state,
-                "coldRemainingMs": 0,
+                "coldRemainingMs": COLD_MS,
                 "sequence": 1,
             });
             self.store.put(&format!("servers/{}", backend.id), &entry);
--- a/lab/src/opaque/site/settings.rs
+++ b/lab/src/opaque/site/settings.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 
 use crate::opaque::site::{
-    APP_PORT, OUTBOUND_PORT, OpaqueSite, PACKET_PORT, PEER_PORT, PROXY_PORT, READY_PORT,
+    APP_PORT, OUTBOUND_PORT, OpaqueSite, PACKET_PORT, PEER_PORT, PROXY_PORT, READY_PORT, zone,
 };
 
 impl OpaqueSite {
@@ -14,7 +14,7 @@
             .collect();
         let values = [
             ("ip", host.to_string()),
-            ("zone", "zone-a".to_owned()),
+            ("zone", zone(host).to_owned()),
             ("internalPortRange.0", PEER_PORT.to_string()),
             ("listen.datagramAddr", format!("{host}:{PACKET_PORT}")),
             ("listen.ready", format!("{host}:{READY_PORT}")),
--- a/src/code.rs
+++ b/src/code.rs
@@ -73,7 +73,7 @@
     2302 DeltaMismatch "value: the change does not fit the text in force", "none: the whole value is fetched";
     2303 ValueTooLarge "value: larger than one megabyte", "split the service";
     2401 RoutesSyntax "routes: a row is malformed or an address stands twice", "write address,service,weight,priority,repeatable";
-    2402 BackendSyntax "backend server: the published value is malformed", "write service,address,zone,slots,state";
+    2402 BackendSyntax "backend server: the published value is malformed", "write service,address,zone,slots,state and, while it is cold, the milliseconds left";
     2501 LogSilent "logs: no line names this request or flow", "give the log files of all processes, and the id as callers know it";
     3001 SettingsSyntax "settings: the file is not INI", "correct the line named";
     3002 SettingsUnknown "settings: unknown section or key", "remove or correct the key named";
--- a/src/opaque/flow_book.rs
+++ b/src/opaque/flow_book.rs
@@ -281,13 +281,15 @@
     /// Forgets flows of which nothing was heard for long, counts anew, and returns how many requests
     /// have become overdue.
     pub(crate) fn expire(&mut self, now_ms: u64) -> u32 {
-        let mut overdue = 0;
+        let (mut open, mut busy, mut overdue) = (0, 0, 0);
         let lifetime_ms = self.lifetime_ms;
         self.flows.retain(|key, flow| {
             let kept_ms = if flow.closed { CLOSED_MS } else { lifetime_ms };
             let keeps = now_ms < flow.seen_ms + kept_ms;
             if keeps {
                 overdue += u32::from(flow.became_overdue(key, now_ms));
+                open += u32::from(flow.is_open());
+                busy += u32::from(flow.is_busy(now_ms));
             } else if let Some(running) = &flow.running {
                 log::warn!(
                     "event=request_unanswered request={} flow={key} waited_ms={}",
@@ -297,7 +299,8 @@
             }
             keeps
         });
-        self.count_anew(now_ms);
+        (self.open, self.busy) = (open, busy);
+        self.show();
         overdue
     }
 
