Believe no cold start for longer than a minute; rank likely holders only where they are asked

Change: cold_ms is capped when it is parsed, the likely holders are drawn by a closure, and two names in the forwarder tell what they count.

--- a/src/config/backend_entry.rs
+++ b/src/config/backend_entry.rs
@@ -12,6 +12,10 @@
 /// The text of a value whose backend server is no longer published.
 pub const GONE_TEXT: &str = "gone";
 
+/// The longest cold start that is believed, in milliseconds: a slip of the pen must not slow a service for
+/// days. The users' servers are cold for two seconds.
+const MAX_COLD_MS: u32 = 60_000;
+
 /// Whether a published backend server takes new flows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BackendState {
@@ -52,7 +56,7 @@
         let fields: Vec<&str> = text.split(',').collect();
         let (&[service, address, zone, slots, state], rest) =
             fields.split_first_chunk().ok_or_else(malformed)?;
-        let cold_ms = match rest {
+        let cold_ms: u32 = match rest {
             [] => 0,
             [cold_ms] => cold_ms.parse().map_err(|_| malformed())?,
             _ => return Err(malformed()),
@@ -72,7 +76,7 @@
             zone: zone.to_owned(),
             slots: slots.ok_or_else(malformed)?,
             state,
-            cold_ms,
+            cold_ms: cold_ms.min(MAX_COLD_MS),
         }))
     }
 }
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -314,8 +314,8 @@
             return Err(none());
         }
         let mut order: Vec<Ipv4Addr> = ranked.iter().map(|row| row.host).collect();
-        let few = (order.len() / 2).clamp(*NEAR_CHOICE.start(), *NEAR_CHOICE.end());
-        let few = &mut order[..few.min(ranked.len())];
+        let choice = (ranked.len() / 2).clamp(*NEAR_CHOICE.start(), *NEAR_CHOICE.end());
+        let few = &mut order[..choice.min(ranked.len())];
         let is_near = |host: &Ipv4Addr| directory.is_in_zone(*host, &self.zone);
         if let Some(nearest) = few.iter().position(is_near) {
             few[..=nearest].rotate_right(1);
--- a/src/opaque/keeper/questions.rs
+++ b/src/opaque/keeper/questions.rs
@@ -25,7 +25,7 @@
             return;
         }
         let own = self.identity.host;
-        let likely = likely_hosts(scene, own, &segment.flow_from_caller(), FIRST_ASKED);
+        let likely = || likely_hosts(scene, own, &segment.flow_from_caller(), FIRST_ASKED);
         let question = Question {
             segment,
             packet,
@@ -33,7 +33,7 @@
         };
         let asked = self
             .lookups
-            .start(scene.directory, own, &likely, &question, scene.now_ms);
+            .start(scene.directory, own, likely, &question, scene.now_ms);
         for host in asked {
             let message = Message::new(MessageKind::Find);
             actions.push(Action::ToPeer(host, message, packet.to_vec()));
--- a/src/opaque/lookup.rs
+++ b/src/opaque/lookup.rs
@@ -95,7 +95,7 @@
         &mut self,
         directory: &Directory,
         own_host: Ipv4Addr,
-        likely: &[Ipv4Addr],
+        likely: impl FnOnce() -> Vec<Ipv4Addr>,
         question: &Question<'_>,
         now_ms: u64,
     ) -> Vec<Ipv4Addr> {
@@ -123,7 +123,7 @@
                 };
                 let mut asked = unanswered(&lookup, directory, own_host);
                 if asked.len() > 2 * FIRST_ASKED {
-                    asked = likely.to_vec();
+                    asked = likely();
                     lookup.ask_ms = now_ms + WIDEN_MS;
                 }
                 self.metrics.lookups_started.inc();
--- a/tests/opaque/directory.rs
+++ b/tests/opaque/directory.rs
@@ -95,6 +95,15 @@
     }
 }
 
+#[test]
+fn no_cold_start_is_believed_for_longer_than_a_minute() {
+    for (told, believed) in [("0", 0), ("1800", 1_800), ("4000000000", 60_000)] {
+        let text = format!("s,10.0.0.1:80,zone,4,ready,{told}");
+        let backend = Backend::parse(&text).expect("sound").expect("there");
+        assert_eq!(backend.cold_ms, believed, "{told}");
+    }
+}
+
 #[test]
 fn a_lapse_is_told_for_as_long_as_it_may_end() {
     let mut directory = directory(2);
--- a/tests/opaque/lookup.rs
+++ b/tests/opaque/lookup.rs
@@ -18,7 +18,7 @@
     lookups.start(
         &directory(hosts),
         host(1),
-        &LIKELY.map(host),
+        || LIKELY.map(host).to_vec(),
         &question,
         1_000,
     )
