Cut hosts off from each other in the model, and let it have many agents

Cause: the model of a whole site had four agents, which are all asked at once, and lost single messages only; neither a partition nor the questions of large sites were under it.

Change: two more properties with cuts in one or both directions that heal, openers that reach agents by an older table, and everything delivered at once; one with 4 agents, one with 36.

--- a/tests/opaque/model.rs
+++ b/tests/opaque/model.rs
@@ -4,7 +4,8 @@
 use std::net::Ipv4Addr;
 
 use endivedyke::opaque::{
-    Action, FlowKey, Forwarder, Keeper, KeeperIdentity, Message, OpaqueMetrics, Scene,
+    Action, Directory, FlowKey, Forwarder, Keeper, KeeperIdentity, Message, MessageKind,
+    OpaqueMetrics, Scene,
 };
 use endivedyke::{ServiceId, Suspicion};
 use proptest::prelude::*;
@@ -14,10 +15,14 @@
     directory, flow, host, index_of, opener, request,
 };
 
-const HOSTS: u16 = 4;
+/// Few agents, which are all asked at once, and enough that only the likely ones are asked first.
+const FEW: u16 = 4;
+const MANY: u16 = 36;
 /// When a caller sends the last copy of an opener, in milliseconds after the first.
 const LAST_COPY_MS: u64 = 600;
-const REVISION: u64 = HOSTS as u64;
+/// How many datagrams one event delivers at most.
+const MAX_DELIVERED: usize = 400;
+const REVISION: u64 = MANY as u64;
 
 /// A backend server: its flows end with its process.
 #[derive(Debug, Default)]
@@ -42,7 +47,33 @@
     payload: Vec<u8>,
 }
 
+/// Which hosts can't send to the others; who is cut off differs from one direction to the other.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Cut {
+    /// One in so many hosts is beyond it; nobody is for 0.
+    every: u16,
+    /// Whether those beyond it still reach the others.
+    one_way: bool,
+}
+
+impl Cut {
+    /// Tells whether a host stands beyond the cut; the balancer never does.
+    fn is_beyond(self, host: Ipv4Addr) -> bool {
+        host != BALANCER && index_of(host).checked_rem(self.every) == Some(0)
+    }
+
+    fn stops(self, from: Ipv4Addr, to: Ipv4Addr) -> bool {
+        match (self.is_beyond(from), self.is_beyond(to)) {
+            (false, true) => true,
+            (true, false) => !self.one_way,
+            _ => false,
+        }
+    }
+}
+
 struct SiteModel {
+    directory: Directory,
+    cut: Cut,
     agents: Vec<AgentModel>,
     balancer: Forwarder,
     in_flight: Vec<InFlight>,
@@ -66,11 +97,17 @@
     StopBackend(u16),
     Refuse(u16),
     Pass(u64),
+    /// An opener reaches an agent that was its owner by an older table.
+    OpenAt(u16, u16),
+    /// Everything on its way arrives, and what follows from it.
+    DeliverAll,
+    Cut(u16, bool),
+    Heal,
 }
 
-fn event() -> impl Strategy<Value = Event> {
+fn event(hosts: u16) -> impl Strategy<Value = Event> {
     let port = 1_u16..6;
-    let index = 1_u16..=HOSTS;
+    let index = 1_u16..=hosts;
     prop_oneof![
         3 => port.clone().prop_map(Event::Open),
         4 => port.prop_map(Event::Request),
@@ -86,6 +123,17 @@
     ]
 }
 
+/// The same, and cuts between hosts, which heal, with flows where nobody expects them.
+fn event_or_cut(hosts: u16) -> impl Strategy<Value = Event> {
+    prop_oneof![
+        30 => event(hosts),
+        4 => (1_u16..6, 1..=hosts).prop_map(|(port, index)| Event::OpenAt(port, index)),
+        4 => Just(Event::DeliverAll),
+        1 => (2_u16..4, any::<bool>()).prop_map(|(every, one_way)| Event::Cut(every, one_way)),
+        1 => Just(Event::Heal),
+    ]
+}
+
 fn sequence_of(index: u16) -> u32 {
     u32::from(index) * 100_000
 }
@@ -101,8 +149,8 @@
 }
 
 impl SiteModel {
-    fn new() -> Self {
-        let agents = (1..=HOSTS).map(|index| AgentModel {
+    fn new(hosts: u16) -> Self {
+        let agents = (1..=hosts).map(|index| AgentModel {
             keeper: keeper(index, true),
             backend: BackendModel {
                 up: true,
@@ -111,6 +159,8 @@
             suspicion: Suspicion::default(),
         });
         Self {
+            directory: directory(hosts),
+            cut: Cut::default(),
             agents: agents.collect(),
             balancer: Forwarder::new(
                 WIRE,
@@ -175,21 +225,57 @@
                 }
             }
             Event::Pass(ms) => self.pass(*ms),
+            Event::OpenAt(port, index) => self.open_at(&flow(*port), host(*index)),
+            Event::DeliverAll => {
+                // Whatever they answer is on its way too, but no more than this.
+                for _ in 0..MAX_DELIVERED {
+                    let Some(datagram) = self.in_flight.pop() else {
+                        break;
+                    };
+                    self.arrive(&datagram);
+                }
+            }
+            Event::Cut(every, one_way) => {
+                self.cut = Cut {
+                    every: *every,
+                    one_way: *one_way,
+                };
+            }
+            Event::Heal => self.cut = Cut::default(),
         }
     }
 
-    /// A caller sends copies of an opener for a while, and none once it uses the flow.
-    fn open(&mut self, key: &FlowKey) {
-        let first = self.first_opener_ms.iter().find(|(known, _)| known == key);
-        let first_ms = first.map_or(self.now_ms, |(_, first_ms)| *first_ms);
-        if first.is_none() {
-            self.first_opener_ms.push((*key, first_ms));
+    fn note_opener(&mut self, key: &FlowKey) {
+        if !self.first_opener_ms.iter().any(|(known, _)| known == key) {
+            self.first_opener_ms.push((*key, self.now_ms));
         }
-        if self.now_ms <= first_ms + LAST_COPY_MS && !self.in_use.contains(key) {
+    }
+
+    /// Tells whether a caller still sends copies of its opener: for a while, and none once it uses the flow.
+    fn may_open(&self, key: &FlowKey) -> bool {
+        let first = self.first_opener_ms.iter().find(|(known, _)| known == key);
+        let in_time = first.is_some_and(|(_, first_ms)| self.now_ms <= first_ms + LAST_COPY_MS);
+        in_time && !self.in_use.contains(key)
+    }
+
+    fn open(&mut self, key: &FlowKey) {
+        self.note_opener(key);
+        if self.may_open(key) {
             self.caller_sends(opener(key, 0));
         }
     }
 
+    /// The same, where the balancer that forwards it has another table.
+    fn open_at(&mut self, key: &FlowKey, to: Ipv4Addr) {
+        self.note_opener(key);
+        if self.may_open(key) {
+            let mut message = Message::new(MessageKind::Deliver);
+            message.host = BALANCER;
+            let payload = opener(key, 0);
+            self.perform(BALANCER, vec![Action::ToPeer(to, message, payload)]);
+        }
+    }
+
     /// A caller goes on with a flow that some backend server accepted.
     fn request(&mut self, key: &FlowKey) {
         let accepted = self.accepted.iter().find(|(known, _)| known == key);
@@ -204,19 +290,19 @@
         let mut suspicion = Suspicion::default();
         let action = self
             .balancer
-            .handle(&directory(HOSTS), &mut suspicion, packet, self.now_ms);
+            .handle(&self.directory, &mut suspicion, packet, self.now_ms);
         self.perform(BALANCER, action.into_iter().collect());
     }
 
     fn pass(&mut self, ms: u64) {
         self.now_ms += ms;
-        for index in 1..=HOSTS {
+        for index in 1..=self.agents.len() as u16 {
             self.decide(index, |keeper, scene| keeper.tick(scene));
         }
     }
 
     fn arrive(&mut self, datagram: &InFlight) {
-        if datagram.to == BALANCER {
+        if datagram.to == BALANCER || self.cut.stops(datagram.from, datagram.to) {
             return;
         }
         let index = index_of(datagram.to);
@@ -234,10 +320,9 @@
     }
 
     fn decide(&mut self, index: u16, decide: impl FnOnce(&mut Keeper, &Scene<'_>) -> Vec<Action>) {
-        let directory = directory(HOSTS);
         let agent = &mut self.agents[usize::from(index) - 1];
         let scene = Scene {
-            directory: &directory,
+            directory: &self.directory,
             suspicion: &agent.suspicion,
             revision: REVISION,
             settled: true,
@@ -311,15 +396,33 @@
     }
 }
 
+/// Plays events and returns the flows that were reset while a backend server held them.
+fn wrong_resets(hosts: u16, events: &[Event]) -> Vec<FlowKey> {
+    let mut site = SiteModel::new(hosts);
+    for event in events {
+        site.step(event);
+    }
+    site.wrong_resets
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(400))]
 
     #[test]
-    fn no_flow_is_reset_while_a_backend_server_holds_it(events in prop::collection::vec(event(), 1..120)) {
-        let mut site = SiteModel::new();
-        for event in &events {
-            site.step(event);
-        }
-        prop_assert!(site.wrong_resets.is_empty(), "{:?}", site.wrong_resets);
+    fn no_flow_is_reset_while_a_backend_server_holds_it(events in prop::collection::vec(event(FEW), 1..120)) {
+        let wrong = wrong_resets(FEW, &events);
+        prop_assert!(wrong.is_empty(), "{wrong:?}");
+    }
+
+    #[test]
+    fn no_flow_is_reset_on_either_side_of_a_cut(events in prop::collection::vec(event_or_cut(FEW), 1..200)) {
+        let wrong = wrong_resets(FEW, &events);
+        prop_assert!(wrong.is_empty(), "{wrong:?}");
+    }
+
+    #[test]
+    fn no_flow_of_a_large_site_is_reset_while_a_backend_server_holds_it(events in prop::collection::vec(event_or_cut(MANY), 1..200)) {
+        let wrong = wrong_resets(MANY, &events);
+        prop_assert!(wrong.is_empty(), "{wrong:?}");
     }
 }
