--- a/tests/opaque/builder.rs
+++ b/tests/opaque/builder.rs
@@ -222,10 +222,11 @@
     )
 }
 
-fn identity() -> KeeperIdentity {
+/// Returns who the agent on a host is.
+pub(crate) fn identity(index: u16) -> KeeperIdentity {
     KeeperIdentity {
-        host: host(1),
-        backend: backend_address(1),
+        host: host(index),
+        backend: backend_address(index),
         service: ServiceId::of(SERVICE),
         flow_lifetime_ms: FLOW_LIFETIME_MS,
     }
@@ -250,7 +251,7 @@
     /// Returns the agent on host 1 of a site with this many hosts.
     pub(crate) fn new(count: u16, knows_all: bool) -> Self {
         Self {
-            keeper: Keeper::new(WIRE, identity(), knows_all, &OpaqueMetrics::default()),
+            keeper: Keeper::new(WIRE, identity(1), knows_all, &OpaqueMetrics::default()),
             directory: directory(count),
             suspicion: Suspicion::default(),
             revision: u64::from(count),
@@ -260,7 +261,7 @@
     }
 
     pub(crate) fn identity(&self) -> KeeperIdentity {
-        identity()
+        identity(1)
     }
 
     /// Hands over a packet of the backend server on a flow that was never seen.
--- a/tests/opaque/message_bounds.rs
+++ b/tests/opaque/message_bounds.rs
@@ -2,14 +2,11 @@
 
 use std::net::Ipv4Addr;
 
-use endivedyke::opaque::{
-    Action, Directory, FlowKey, Keeper, KeeperIdentity, Message, MessageKind, Scene,
-};
-use endivedyke::{ServiceId, Suspicion};
+use endivedyke::Suspicion;
+use endivedyke::opaque::{Action, Directory, FlowKey, Keeper, Message, MessageKind, Scene};
 
 use crate::builder::{
-    BALANCER, FLOW_LIFETIME_MS, SERVICE, acceptance, backend_address, directory, flow, forwarder,
-    host, index_of, opener, request,
+    BALANCER, acceptance, directory, flow, forwarder, host, identity, index_of, opener, request,
 };
 
 const SIZES: [u16; 4] = [7, 45, 250, 1_000];
@@ -36,14 +33,7 @@
 
 impl Site {
     fn new(size: u16) -> Self {
-        let keeper = |index| {
-            crate::builder::keeper(KeeperIdentity {
-                host: host(index),
-                backend: backend_address(index),
-                service: ServiceId::of(SERVICE),
-                flow_lifetime_ms: FLOW_LIFETIME_MS,
-            })
-        };
+        let keeper = |index| crate::builder::keeper(identity(index));
         Self {
             directory: directory(size),
             keepers: (1..=size).map(keeper).collect(),
--- a/tests/opaque/model.rs
+++ b/tests/opaque/model.rs
@@ -3,16 +3,15 @@
 
 use std::net::Ipv4Addr;
 
+use endivedyke::Suspicion;
 use endivedyke::opaque::{
-    Action, Directory, FlowKey, Forwarder, Keeper, KeeperIdentity, Message, MessageKind,
-    OpaqueMetrics, Scene,
+    Action, Directory, FlowKey, Forwarder, Keeper, Message, MessageKind, OpaqueMetrics, Scene,
 };
-use endivedyke::{ServiceId, Suspicion};
 use proptest::prelude::*;
 
 use crate::builder::{
-    BALANCER, FLOW_LIFETIME_MS, SERVICE, WIRE, ZONE, acceptance, backend_address, bounced,
-    directory, flow, host, index_of, opener, request,
+    BALANCER, FLOW_LIFETIME_MS, WIRE, ZONE, acceptance, bounced, directory, flow, host, identity,
+    index_of, opener, request,
 };
 
 /// Few agents, which are all asked at once, and enough that only the likely ones are asked first.
@@ -139,13 +138,7 @@
 }
 
 fn keeper(index: u16, knows_all: bool) -> Keeper {
-    let identity = KeeperIdentity {
-        host: host(index),
-        backend: backend_address(index),
-        service: ServiceId::of(SERVICE),
-        flow_lifetime_ms: FLOW_LIFETIME_MS,
-    };
-    Keeper::new(WIRE, identity, knows_all, &OpaqueMetrics::default())
+    Keeper::new(WIRE, identity(index), knows_all, &OpaqueMetrics::default())
 }
 
 impl SiteModel {
--- a/tests/opaque/queue_model.rs
+++ b/tests/opaque/queue_model.rs
@@ -9,16 +9,16 @@
 use std::net::Ipv4Addr;
 
 use endivedyke::opaque::{
-    Action, BackendState, Directory, FlowKey, Forwarder, Keeper, KeeperIdentity, Message,
-    MessageKind, Scene, cold_backend_text,
+    Action, BackendState, Directory, FlowKey, Forwarder, Keeper, Message, MessageKind, Scene,
+    cold_backend_text,
 };
 use endivedyke::{ServiceId, Suspicion, ranked};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 use crate::builder::{
-    ACK, BALANCER, FIN, FLOW_LIFETIME_MS, PacketSpec, SERVICE, WIRE, acceptance, backend_address,
-    directory, flow, forwarder, from_backend, host, index_of, opener, publish, request, state_text,
+    ACK, BALANCER, FIN, PacketSpec, SERVICE, WIRE, acceptance, directory, flow, forwarder,
+    from_backend, host, identity, index_of, opener, publish, request, state_text,
 };
 
 /// How long a message is on its way, in milliseconds.
@@ -213,14 +213,7 @@
     }
 
     fn new(plan: &Plan, policy: Policy) -> Self {
-        let keeper = |index| {
-            crate::builder::keeper(KeeperIdentity {
-                host: host(index),
-                backend: backend_address(index),
-                service: ServiceId::of(SERVICE),
-                flow_lifetime_ms: FLOW_LIFETIME_MS,
-            })
-        };
+        let keeper = |index| crate::builder::keeper(identity(index));
         Self {
             plan: *plan,
             policy,
