--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,5 +1,9 @@
 //! What is published, as values: tables, hosts, keys, routes, entries of backend servers, settings, and
-//! the ids and hashes by which they are named. Nothing here keeps state but the store of values.
+//! the ids and hashes by which they are named.
+//!
+//! The rule that lives here: a value that is unsound is refused whole, with its line and number, and no
+//! value goes back to an older revision ([`config_store`]). Nothing else keeps state; only `process`
+//! is used.
 
 pub(crate) mod backend_entry;
 pub(crate) mod config_store;
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -1,5 +1,8 @@
 //! The choices of the product as plain structs that are told the time and do no input or output:
 //! placement, admission, slots, suspicion, what ran once.
+//!
+//! The rule that lives here: limits of the table are hard, and what may not run twice does not. Only values
+//! of `config` are used.
 
 pub(crate) mod admission;
 pub(crate) mod flow_history;
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -1,4 +1,7 @@
-//! Control links between processes: authentication, calls, the server of the control protocol.
+//! Control links between processes: authentication, calls, their messages.
+//!
+//! The rule that lives here: who does not know the cluster key is told nothing. What a call means stands
+//! in `controllers`.
 
 pub(crate) mod link;
 pub(crate) mod link_auth;
--- a/src/opaque/mod.rs
+++ b/src/opaque/mod.rs
@@ -1,8 +1,10 @@
 //! Flows of packets that only their two ends can read; see docs/OPAQUE.md.
 //!
-//! Decisions stand in plain structs that are told the time and do no input or output: the balancer's
+//! A packet's way reads top to bottom in `forwarder`, for a balancer, and in `keeper`, for an agent. The rule
+//! that lives here: nothing is proof of where a flow is but its backend server, and without proof no flow is
+//! reset. Decisions stand in plain structs that are told the time and do no input or output: the balancer's
 //! in `forwarder`, the agent's in `keeper` and `lookup`, who reads the platform in `freshness`, what
-//! is published in `directory`. Around them stand the processes, in `entry` and `side`.
+//! is published in `directory`. Around them stand the processes, in `entry` and `side`. `quic` is not used.
 
 mod action;
 mod backend_watch;
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,5 +1,7 @@
-//! The plumbing that every process has: timers, sockets, HTTP, logs and metrics. It knows nothing of
-//! what is published or decided.
+//! The plumbing that every process has: timers, sockets, HTTP, log lines, metrics.
+//!
+//! The rule that lives here: nothing waits for who reads lines or metrics, and a pause of the host is
+//! noticed. It knows nothing of what is published or decided, and uses no other folder.
 
 pub(crate) mod clock;
 pub(crate) mod counted_stream;
--- a/src/quic/mod.rs
+++ b/src/quic/mod.rs
@@ -1,5 +1,9 @@
 //! The product's own form of flows: QUIC with routing tokens between callers, balancers, agents and
 //! backend servers; see docs/DESIGN.md.
+//!
+//! A packet's way reads top to bottom in `balancer`, then in `agent_datagrams`; a request's in `request`.
+//! The rule that lives here: a flow stays with its agent through any planned change, and each request gets
+//! one final answer. `opaque` is not used.
 
 pub(crate) mod agent;
 pub(crate) mod agent_datagrams;
