Log the limit by which an opener is not taken, and whether the backend server is cold

Cause: the line gave the requests at the backend server and not the limit that they were held against, which now depends on whether it is cold.

Change: two more fields; the limit is worked out in one place for line and decision.

--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -107,11 +107,14 @@
     }
 
     fn log_not_taken(&self, scene: &Scene<'_>, key: &FlowKey, opening: &Opening, reason: NotTaken) {
+        let limit = self.place_limit(scene, key, opening.copy);
         log::info!(
-            "event=opener_not_taken flow={key} reason={reason:?} copy={} hops={} busy={} revision={}",
+            "event=opener_not_taken flow={key} reason={reason:?} copy={} hops={} busy={} limit={:.1} cold={} revision={}",
             opening.copy,
             opening.hops,
             self.flows.busy(),
+            limit.unwrap_or_default(),
+            self.is_cold(scene),
             scene.revision
         );
     }
@@ -198,23 +201,32 @@
         Ok(())
     }
 
-    fn is_crowded(&self, scene: &Scene<'_>, key: &FlowKey, copy: u32) -> bool {
+    /// Returns the number of requests from which no opener with this copy number is taken.
+    fn place_limit(&self, scene: &Scene<'_>, key: &FlowKey, copy: u32) -> Option<f64> {
         let service = self.identity.service;
         let routes = scene.directory.routes();
         let route = routes.get(key.called);
         let is_urgent = route.is_some_and(|route| routes.is_urgent(route, service));
-        let own = scene.directory.own(self.identity.backend);
-        let is_cold = own.is_some_and(|own| scene.now_ms < own.cold_until_ms);
-        let per_slot = match (is_cold, is_urgent) {
+        let per_slot = match (self.is_cold(scene), is_urgent) {
             (false, false) => CROWDED_PER_SLOT,
             (false, true) => URGENT_PER_SLOT,
             (true, false) => COLD_PER_SLOT,
             (true, true) => COLD_URGENT_PER_SLOT,
         };
-        let table = scene.directory.table(service);
-        let row = table.and_then(|table| table.row_on(self.identity.host));
-        let per_slot = per_slot[copy.min(LAST_COPY) as usize];
-        row.is_some_and(|row| f64::from(self.flows.busy()) >= f64::from(row.slots) * per_slot)
+        let table = scene.directory.table(service)?;
+        let row = table.row_on(self.identity.host)?;
+        Some(f64::from(row.slots) * per_slot[copy.min(LAST_COPY) as usize])
+    }
+
+    /// Tells whether the backend server is still slow after its start.
+    fn is_cold(&self, scene: &Scene<'_>) -> bool {
+        let own = scene.directory.own(self.identity.backend);
+        own.is_some_and(|own| scene.now_ms < own.cold_until_ms)
+    }
+
+    fn is_crowded(&self, scene: &Scene<'_>, key: &FlowKey, copy: u32) -> bool {
+        let limit = self.place_limit(scene, key, copy);
+        limit.is_some_and(|limit| f64::from(self.flows.busy()) >= limit)
     }
 
     /// Passes an opener to the agent after this one in the flow's order, if there is one left.
