Measure how long it takes to pull newer values from a peer

Cause: the metrics told how old values are and how long reads of the platform take, and not what the relay between processes adds.

Change: a histogram, relay_pull_seconds, from the question to the values' coming into force, for both forms of flows.

Figures: a test of six agents of which the store turns four away finds pulls at each of the four.

--- a/lab/tests/opaque_site.rs
+++ b/lab/tests/opaque_site.rs
@@ -267,6 +267,10 @@
         sleep_ms(500).await;
         site.drain_backend(5);
         sleep_ms(3_000).await;
+        for host in &turned_away {
+            let pulls = site.metric(*host, "relay_pull_seconds_count").await;
+            assert!(pulls.expect("answers") > 0.0, "{host} pulled nothing");
+        }
         let mut revisions = Vec::new();
         for index in 0..6 {
             let host = site.agent_host(index);
--- a/src/controllers/relay.rs
+++ b/src/controllers/relay.rs
@@ -114,6 +114,7 @@
 
 /// Takes from a peer what has a revision above `floor` and is news here.
 pub(crate) async fn pull(control: &Rc<Control>, host: Ipv4Addr, floor: u64) -> Result<()> {
+    let started_ms = control.now_ms();
     let changes = control.peers.changes(host, floor).await?;
     let mut wanted: Vec<(String, u64)> = {
         let store = control.store.borrow();
@@ -137,6 +138,9 @@
             tell_peers(control, name);
         }
     }
+    let took_ms = control.now_ms().saturating_sub(started_ms);
+    let metrics = &control.metrics.opaque;
+    metrics.pull_seconds.observe(took_ms as f64 / 1_000.0);
     Ok(())
 }
 
--- a/src/process/opaque_metrics.rs
+++ b/src/process/opaque_metrics.rs
@@ -35,6 +35,7 @@
     pub(crate) hints_held: Gauge,
     pub(crate) values_age_seconds: Gauge<f64, AtomicU64>,
     pub(crate) read_seconds: Histogram,
+    pub(crate) pull_seconds: Histogram,
     pub(crate) hosts_suspected: Counter,
 }
 
@@ -60,6 +61,7 @@
             hints_held: Gauge::default(),
             values_age_seconds: Gauge::default(),
             read_seconds: times(),
+            pull_seconds: times(),
             hosts_suspected: Counter::default(),
         }
     }
@@ -86,6 +88,11 @@
             "Time from a request to the first byte of its answer, at the backend server",
             self.request_seconds.clone(),
         );
+        registry.register(
+            "relay_pull_seconds",
+            "Time from a question to a peer for newer values until they are in force here",
+            self.pull_seconds.clone(),
+        );
         registry.register(
             "platform_read_seconds",
             "Time of a read of the platform, waits for changes included",
