--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -12,4 +12,5 @@
 mod model;
 mod policies;
 mod queue_model;
+mod queue_plan;
 mod route_table;
--- a/tests/opaque/policies.rs
+++ b/tests/opaque/policies.rs
@@ -1,7 +1,8 @@
 //! The product's placement beside simpler policies, under the same openers, within `bounds.txt`.
 
 use crate::message_bounds::bound;
-use crate::queue_model::{Model, Outcome, Plan, Policy};
+use crate::queue_model::Model;
+use crate::queue_plan::{Outcome, Plan, Policy};
 
 const POLICIES: [Policy; 4] = [
     Policy::Hash,
