Believe the return of an entry that lapsed within one read

The platform fell silent, entries lapsed and came back; a reader's watch brought the end (revision 16) and the return (25) of four servers in one batch. Each value was compared with what the store held before the batch, so that the return, with the text of before, was taken for a sign of life and dropped; the end stayed, and spread. A balancer that had read everything at revision 28 kept revision 7 and took the end from a peer.

Ruled out: zones, cold servers and likely holders (11 agents are all asked at once; the lines show the entry gone at the agents that reset, and there at those that read once more); lapses and settled times, which held.

Change: news compares each value with the one before it in its batch, and takes newer revisions of a whole read also with a known text, since an older end would be believed otherwise. It is a function of its own.

--- /dev/null
+++ b/src/opaque/news.rs
@@ -0,0 +1,30 @@
+//! What a read of the platform tells that is new here.
+
+use crate::config::config_store::ConfigStore;
+use crate::opaque::GONE_TEXT;
+use crate::opaque::source::Batch;
+
+/// Returns the values of a batch that are news: name, revision and text, in the order of their revisions.
+///
+/// A change to the text that a value has already, by its own batch or else by the store, is none: entries
+/// are written anew for signs of life in fields that the product does not use. Two cases are news though
+/// the text is known, since an older end of the entry would be believed without them, here or from a peer
+/// that lags, and flows of a backend server that serves be reset: the return of an entry that vanished within
+/// the batch, and every newer revision of a whole read, which follows lost history.
+pub fn news<'a>(store: &ConfigStore, batch: &'a Batch) -> Vec<(&'a str, u64, &'a str)> {
+    let mut news: Vec<(&str, u64, &str)> = Vec::new();
+    for value in &batch.values {
+        let name = value.name.as_str();
+        let text = value.text.as_deref().unwrap_or(GONE_TEXT);
+        let earlier = news.iter().rev().find(|(earlier, _, _)| *earlier == name);
+        let known = match earlier {
+            Some((_, _, text)) => Some(*text),
+            None => store.get(name).map(|value| value.text.as_str()),
+        };
+        let is_new = batch.is_whole || known != Some(text);
+        if is_new && store.wants(name, value.revision) {
+            news.push((name, value.revision, text));
+        }
+    }
+    news
+}
--- a/src/opaque/published.rs
+++ b/src/opaque/published.rs
@@ -15,6 +15,7 @@
 use crate::opaque::directory::LAPSE_MS;
 use crate::opaque::freshness::{self, Freshness, Standing, WATCH_WAIT_MS};
 use crate::opaque::message::{Message, UNKNOWN_AGE_MS, UNSETTLED_UNIT_MS};
+use crate::opaque::news::news;
 use crate::opaque::source::{Batch, Read, Source};
 
 /// How long a process waits after a failed read before the next one, at first, in milliseconds.
@@ -250,17 +251,14 @@
         } else {
             Vec::new()
         };
-        let published = batch.values.iter().map(|value| {
-            let text = value.text.as_deref().unwrap_or(GONE_TEXT);
-            (value.name.as_str(), value.revision, text)
-        });
-        let missing = missing
+        let mut news = {
+            let store = self.control.store.borrow();
+            news(&store, batch)
+        };
+        let gone = missing
             .iter()
             .map(|name| (name.as_str(), batch.revision, GONE_TEXT));
-        let news: Vec<_> = published
-            .chain(missing)
-            .filter(|(name, revision, text)| self.is_news(name, *revision, text))
-            .collect();
+        news.extend(gone);
         self.control.accept_all(&news);
         if batch.revision > self.seen_revision.get() {
             self.seen_revision.set(batch.revision);
@@ -280,13 +278,6 @@
             .collect()
     }
 
-    /// Tells whether a value is new; what changed in fields that the product does not use is no news.
-    fn is_news(&self, name: &str, revision: u64, text: &str) -> bool {
-        let store = self.control.store.borrow();
-        let same = store.get(name).is_some_and(|value| value.text == text);
-        !same && store.wants(name, revision)
-    }
-
     fn standing(&self) -> Standing {
         let now_ms = self.control.now_ms();
         let suspicion = self.control.suspicion.borrow();
--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -10,6 +10,7 @@
 mod message;
 mod message_bounds;
 mod model;
+mod news;
 mod policies;
 mod queue_model;
 mod queue_plan;
--- /dev/null
+++ b/tests/opaque/news.rs
@@ -0,0 +1,65 @@
+//! What a read of the platform tells that is new.
+
+use endivedyke::opaque::{BackendState, Batch, GONE_TEXT, Published, news};
+use endivedyke::{ClusterKey, ConfigStore};
+
+use crate::builder::state_text;
+
+const NAME: &str = "backend/i-1";
+
+fn ready() -> String {
+    state_text(1, BackendState::Ready)
+}
+
+/// Returns a store that holds the ready backend server since revision 7.
+fn store() -> ConfigStore {
+    let mut store = ConfigStore::new(&ClusterKey::new([7; 32]));
+    store.accept(NAME, 7, &ready()).expect("sound");
+    store
+}
+
+fn batch(is_whole: bool, states: &[(u64, bool)]) -> Batch {
+    let value = |&(revision, is_there): &(u64, bool)| Published {
+        name: NAME.to_owned(),
+        revision,
+        text: is_there.then(ready),
+    };
+    Batch {
+        revision: 30,
+        values: states.iter().map(value).collect(),
+        is_whole,
+    }
+}
+
+/// Returns revision and text of what a store holds once it took the news of a batch.
+fn taken(mut store: ConfigStore, batch: &Batch) -> (u64, String) {
+    let found: Vec<(String, u64, String)> = news(&store, batch)
+        .into_iter()
+        .map(|(name, revision, text)| (name.to_owned(), revision, text.to_owned()))
+        .collect();
+    for (name, revision, text) in found {
+        store.accept(&name, revision, &text).expect("sound");
+    }
+    let value = store.get(NAME).expect("held");
+    (value.revision, value.text.clone())
+}
+
+#[test]
+fn a_sign_of_life_is_no_news() {
+    let changes = batch(false, &[(9, true), (12, true)]);
+    assert_eq!(taken(store(), &changes), (7, ready()));
+}
+
+#[test]
+fn an_entry_that_lapsed_and_came_back_within_a_batch_is_there_and_newer() {
+    let changes = batch(false, &[(16, false), (25, true), (27, true)]);
+    assert_eq!(taken(store(), &changes), (25, ready()));
+    let ended = batch(false, &[(16, false), (25, true), (28, false)]);
+    assert_eq!(taken(store(), &ended), (28, GONE_TEXT.to_owned()));
+}
+
+#[test]
+fn after_a_whole_read_no_older_end_of_an_entry_is_believed() {
+    let (revision, text) = taken(store(), &batch(true, &[(25, true)]));
+    assert_eq!((revision, text), (25, ready()));
+}
