Read a batch of the platform in one pass over its values

Cause: news searched all that it had found before for each value, and the entries missing from a whole read were looked up in the batch one by one; with 66,000 backend servers a whole read would compare names some thousand million times while nothing else runs.

Ruled out: nothing else was tried.

Change: news keeps what the batch changed so far in an ordered map; the names of the batch are sorted once.

Figures: not measured; both were quadratic in the values and are n log n. The tests of news, lapses and reads pass unchanged.

--- a/src/opaque/news.rs
+++ b/src/opaque/news.rs
@@ -1,5 +1,7 @@
 //! What a read of the platform tells that is new here.
 
+use std::collections::BTreeMap;
+
 use crate::config::config_store::ConfigStore;
 use crate::opaque::GONE_TEXT;
 use crate::opaque::source::Batch;
@@ -13,17 +15,17 @@
 /// the batch, and every newer revision of a whole read, which follows lost history.
 pub fn news<'a>(store: &ConfigStore, batch: &'a Batch) -> Vec<(&'a str, u64, &'a str)> {
     let mut news: Vec<(&str, u64, &str)> = Vec::new();
+    // What each value holds once the batch was taken up to here, where that changed.
+    let mut taken: BTreeMap<&str, &str> = BTreeMap::new();
     for value in &batch.values {
         let name = value.name.as_str();
         let text = value.text.as_deref().unwrap_or(GONE_TEXT);
-        let earlier = news.iter().rev().find(|(earlier, _, _)| *earlier == name);
-        let known = match earlier {
-            Some((_, _, text)) => Some(*text),
-            None => store.get(name).map(|value| value.text.as_str()),
-        };
+        let held = || store.get(name).map(|value| value.text.as_str());
+        let known = taken.get(name).copied().or_else(held);
         let is_new = batch.is_whole || known != Some(text);
         if is_new && store.wants(name, value.revision) {
             news.push((name, value.revision, text));
+            taken.insert(name, text);
         }
     }
     news
--- a/src/opaque/published.rs
+++ b/src/opaque/published.rs
@@ -268,12 +268,17 @@
     /// Returns the backend servers that a whole read no longer names, which are gone.
     fn missing(&self, batch: &Batch) -> Vec<String> {
         let store = self.control.store.borrow();
-        let named = |name: &str| batch.values.iter().any(|value| value.name == name);
+        let mut named: Vec<&str> = batch
+            .values
+            .iter()
+            .map(|value| value.name.as_str())
+            .collect();
+        named.sort_unstable();
         let values = store.values().iter();
         values
             .filter(|value| value.name.starts_with(BACKEND_PREFIX))
             .filter(|value| value.text != GONE_TEXT && value.revision <= batch.revision)
-            .filter(|value| !named(&value.name))
+            .filter(|value| named.binary_search(&value.name.as_str()).is_err())
             .map(|value| value.name.clone())
             .collect()
     }
