Know the end of lapses when entries change, not for each message

Cause: every message that a process sends tells for how long it is unsettled, and the directory went over all entries for that, though the answer changes only with them. The zones of hosts were sorted though the entries they come from are in order.

Ruled out: telling it less often, which would change what peers know.

Change: the directory keeps the end of the last lapse, worked out where it rebuilds its tables; the second sort is gone.

The tests of lapses pass unchanged.

--- a/src/opaque/directory.rs
+++ b/src/opaque/directory.rs
@@ -89,6 +89,8 @@
     unlisted: Vec<(Ipv4Addr, u64)>,
     /// The time up to which lapses have run; it stands still while values are old.
     clock_ms: u64,
+    /// When the last of those that vanished without draining no longer comes back, by that clock.
+    lapse_end_ms: u64,
 }
 
 impl Directory {
@@ -223,12 +225,14 @@
     /// these are the old entries of all backend servers: waiting for them cost 1,500 resets in two
     /// seconds at 56 agents.
     pub fn lapse_ms(&self) -> u64 {
+        self.lapse_end_ms.saturating_sub(self.clock_ms)
+    }
+
+    fn lapse_end_ms(&self) -> u64 {
         let lapsed = self.entries.iter().filter(|entry| !self.is_replaced(entry));
-        let remaining = lapsed
-            .filter_map(|entry| entry.gone)
-            .filter(|gone| gone.was_ready)
-            .map(|gone| (gone.since_ms + LAPSE_MS).saturating_sub(self.clock_ms));
-        remaining.max().unwrap_or(0)
+        let gone = lapsed.filter_map(|entry| entry.gone);
+        let ends = gone.filter(|gone| gone.was_ready);
+        ends.map(|gone| gone.since_ms + LAPSE_MS).max().unwrap_or(0)
     }
 
     /// Tells whether a newer backend server is published at the address of this one.
@@ -309,13 +313,13 @@
         let zone = |entry: &&Entry| (*entry.backend.address.ip(), entry.backend.zone.clone());
         self.zones = newest.iter().map(zone).collect();
         // One host may have two entries for a moment, of two ports; both stand in its zone.
-        self.zones.sort();
         self.zones.dedup_by_key(|(host, _)| *host);
         for (_, table) in &mut tables {
             table.rows.sort_by(|a, b| a.target.cmp(&b.target));
         }
         self.current_hosts = hosts;
         self.tables = tables;
+        self.lapse_end_ms = self.lapse_end_ms();
     }
 }
 
