Look the own backend server up once for each opener

Cause: the check of an opener, its limit, its coldness and its log line each went over the published entries to find the agent's own, and the limit was worked out twice for one that is not taken.

Ruled out: an index by address in the directory, which one agent in a process does not need.

Change: OwnPlace holds what is looked up, made once and handed to the check and the line.

Figures: not measured; one search instead of two for an opener that is taken, and of four for one that is not. The tests of openers pass unchanged.

--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -2,6 +2,7 @@
 
 use crate::code::Code;
 use crate::opaque::action::Action;
+use crate::opaque::directory::OwnBackend;
 use crate::opaque::flow_book::{Flow, Holding, Opening};
 use crate::opaque::keeper::{Keeper, Scene, say_holds, tell};
 use crate::opaque::message::{Message, MessageKind};
@@ -55,6 +56,16 @@
     Behind,
 }
 
+/// What an agent knows of its own backend server when it decides about an opener.
+#[derive(Debug, Clone, Copy)]
+struct OwnPlace {
+    published: Option<OwnBackend>,
+    /// Whether it is still slow after its start.
+    is_cold: bool,
+    /// The number of requests from which the opener is not taken; none where no table has it.
+    limit: Option<f64>,
+}
+
 impl Keeper {
     /// Takes an opener, or passes it on.
     pub(super) fn opener(
@@ -81,19 +92,19 @@
             answered: false,
             backend_sequence: 0,
         };
-        let checked = self.check_opener(scene, &key, &opening);
+        let place = self.own_place(scene, &key, opening.copy);
+        let checked = self.check_opener(scene, &key, &opening, &place);
         let behind = message.digest.highest > scene.revision;
         match checked {
             // Handed on by the older configuration it would run at a service that the newer one has
             // taken off the route. Its caller sends a copy, and the newer one is on its way.
             Err(NotTaken::OtherService) if behind => {
-                let reason = NotTaken::Behind;
-                self.log_not_taken(scene, &key, &opening, reason);
+                self.log_not_taken(scene, &key, &opening, &place, NotTaken::Behind);
                 self.metrics.openers_dropped.inc();
             }
             Ok(()) => self.take_opener(scene, &key, opening, actions),
             Err(reason) => {
-                self.log_not_taken(scene, &key, &opening, reason);
+                self.log_not_taken(scene, &key, &opening, &place, reason);
                 if message.kind == MessageKind::Deliver && !message.host.is_unspecified() {
                     tell(MessageKind::Absent, &key, message.host, actions);
                 }
@@ -106,15 +117,21 @@
         }
     }
 
-    fn log_not_taken(&self, scene: &Scene<'_>, key: &FlowKey, opening: &Opening, reason: NotTaken) {
-        let limit = self.place_limit(scene, key, opening.copy);
+    fn log_not_taken(
+        &self,
+        scene: &Scene<'_>,
+        key: &FlowKey,
+        opening: &Opening,
+        place: &OwnPlace,
+        reason: NotTaken,
+    ) {
         log::info!(
             "event=opener_not_taken flow={key} reason={reason:?} copy={} hops={} busy={} limit={:.1} cold={} revision={}",
             opening.copy,
             opening.hops,
             self.flows.busy(),
-            limit.unwrap_or_default(),
-            self.is_cold(scene),
+            place.limit.unwrap_or_default(),
+            place.is_cold,
             scene.revision
         );
     }
@@ -151,6 +168,7 @@
         scene: &Scene<'_>,
         key: &FlowKey,
         opening: &Opening,
+        place: &OwnPlace,
     ) -> Result<(), NotTaken> {
         if self.leaving {
             return Err(NotTaken::Leaving);
@@ -163,8 +181,8 @@
         if service != Some(self.identity.service) {
             return Err(NotTaken::OtherService);
         }
-        let own = scene.directory.own(self.identity.backend);
-        let published = own.filter(|own| own.service == self.identity.service);
+        let published = place.published;
+        let published = published.filter(|own| own.service == self.identity.service);
         if !published.is_some_and(|own| own.takes_flows) {
             return Err(NotTaken::NotPublished);
         }
@@ -179,7 +197,8 @@
             }
             return self.probe(scene, NotTaken::Failing);
         }
-        if self.is_crowded(scene, key, opening.copy) {
+        let busy = f64::from(self.flows.busy());
+        if place.limit.is_some_and(|limit| busy >= limit) {
             return Err(NotTaken::Crowded);
         }
         Ok(())
@@ -201,32 +220,28 @@
         Ok(())
     }
 
-    /// Returns the number of requests from which no opener with this copy number is taken.
-    fn place_limit(&self, scene: &Scene<'_>, key: &FlowKey, copy: u32) -> Option<f64> {
+    /// Looks the own backend server up, and how much it may have for an opener with this copy number.
+    fn own_place(&self, scene: &Scene<'_>, key: &FlowKey, copy: u32) -> OwnPlace {
+        let published = scene.directory.own(self.identity.backend);
+        let is_cold = published.is_some_and(|own| scene.now_ms < own.cold_until_ms);
         let service = self.identity.service;
         let routes = scene.directory.routes();
         let route = routes.get(key.called);
         let is_urgent = route.is_some_and(|route| routes.is_urgent(route, service));
-        let per_slot = match (self.is_cold(scene), is_urgent) {
+        let per_slot = match (is_cold, is_urgent) {
             (false, false) => CROWDED_PER_SLOT,
             (false, true) => URGENT_PER_SLOT,
             (true, false) => COLD_PER_SLOT,
             (true, true) => COLD_URGENT_PER_SLOT,
         };
-        let table = scene.directory.table(service)?;
-        let row = table.row_on(self.identity.host)?;
-        Some(f64::from(row.slots) * per_slot[copy.min(LAST_COPY) as usize])
-    }
-
-    /// Tells whether the backend server is still slow after its start.
-    fn is_cold(&self, scene: &Scene<'_>) -> bool {
-        let own = scene.directory.own(self.identity.backend);
-        own.is_some_and(|own| scene.now_ms < own.cold_until_ms)
-    }
-
-    fn is_crowded(&self, scene: &Scene<'_>, key: &FlowKey, copy: u32) -> bool {
-        let limit = self.place_limit(scene, key, copy);
-        limit.is_some_and(|limit| f64::from(self.flows.busy()) >= limit)
+        let table = scene.directory.table(service);
+        let row = table.and_then(|table| table.row_on(self.identity.host));
+        let per_slot = per_slot[copy.min(LAST_COPY) as usize];
+        OwnPlace {
+            published,
+            is_cold,
+            limit: row.map(|row| f64::from(row.slots) * per_slot),
+        }
     }
 
     /// Passes an opener to the agent after this one in the flow's order, if there is one left.
