Take published texts apart in one place each

Cause: the state dump split the text of a backend server by itself, and the prediction of an edit split the rows of routes, beside the parsers that define both formats; table check parsed routes twice.

Ruled out: names in the route table itself, whose shares are compared for every opener and hold an id for that.

Change: BackendFields and route_rows stand beside the parsers, which use them; the dump and the prediction call them.

--- a/src/config/backend_entry.rs
+++ b/src/config/backend_entry.rs
@@ -53,14 +53,15 @@
             return Ok(None);
         }
         let malformed = || Error::new(Code::BackendSyntax, format!("{text:?}"));
-        let fields: Vec<&str> = text.split(',').collect();
-        let (&[service, address, zone, slots, state], rest) =
-            fields.split_first_chunk().ok_or_else(malformed)?;
-        let cold_ms: u32 = match rest {
-            [] => 0,
-            [cold_ms] => cold_ms.parse().map_err(|_| malformed())?,
-            _ => return Err(malformed()),
-        };
+        let BackendFields {
+            service,
+            address,
+            zone,
+            slots,
+            state,
+            cold_ms,
+        } = BackendFields::of(text).ok_or_else(malformed)?;
+        let cold_ms: u32 = cold_ms.unwrap_or("0").parse().map_err(|_| malformed())?;
         let state = match state {
             "ready" => BackendState::Ready,
             "draining" => BackendState::Draining,
@@ -81,6 +82,38 @@
     }
 }
 
+/// The fields of a published text, none of which has been checked.
+pub(crate) struct BackendFields<'a> {
+    pub(crate) service: &'a str,
+    pub(crate) address: &'a str,
+    pub(crate) zone: &'a str,
+    pub(crate) slots: &'a str,
+    pub(crate) state: &'a str,
+    /// Absent where the server is not cold.
+    pub(crate) cold_ms: Option<&'a str>,
+}
+
+impl<'a> BackendFields<'a> {
+    /// Takes a text apart; `None` where it has too few or too many fields.
+    pub(crate) fn of(text: &'a str) -> Option<Self> {
+        let fields: Vec<&str> = text.split(',').collect();
+        let (&[service, address, zone, slots, state], rest) = fields.split_first_chunk()?;
+        let cold_ms = match rest {
+            [] => None,
+            [cold_ms] => Some(*cold_ms),
+            _ => return None,
+        };
+        Some(Self {
+            service,
+            address,
+            zone,
+            slots,
+            state,
+            cold_ms,
+        })
+    }
+}
+
 /// Returns the published text of a backend server.
 pub fn backend_text(
     service: &str,
--- a/src/config/route_diff.rs
+++ b/src/config/route_diff.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use crate::config::route_table::{Route, RouteTable};
+use crate::config::route_table::{Route, RouteTable, route_rows};
 use crate::config::service_id::ServiceId;
 use crate::error::Result;
 
@@ -25,9 +25,12 @@
 ///
 /// Returns code 2401 with the line at fault.
 pub fn route_changes(old: &str, new: &str) -> Result<Vec<RouteChange>> {
-    let (before, after) = (RouteTable::parse(old)?, RouteTable::parse(new)?);
-    let mut parts = named_parts(old);
-    parts.extend(named_parts(new));
+    let old = route_rows(old)?;
+    let before = RouteTable::of(&old)?;
+    let new = route_rows(new)?;
+    let after = RouteTable::of(&new)?;
+    let rows = old.iter().chain(&new);
+    let mut parts: Vec<_> = rows.map(|row| (row.address, row.service)).collect();
     parts.sort_unstable();
     parts.dedup();
     let changes = parts.into_iter().filter_map(|(address, service)| {
@@ -37,15 +40,6 @@
     Ok(changes.collect())
 }
 
-/// Returns the address and service of each row; the table itself keeps ids and no names.
-fn named_parts(text: &str) -> Vec<(SocketAddrV4, &str)> {
-    let rows = text.lines().skip(1).filter_map(|line| {
-        let mut fields = line.split(',').map(str::trim);
-        Some((fields.next()?.parse().ok()?, fields.next()?))
-    });
-    rows.collect()
-}
-
 fn change(
     address: SocketAddrV4,
     service: &str,
--- a/src/config/route_table.rs
+++ b/src/config/route_table.rs
@@ -92,17 +92,29 @@
     ///
     /// Returns code 2401 with the line at fault.
     pub fn parse(text: &str) -> Result<RouteTable> {
-        let mut lines = text.lines().enumerate();
-        match lines.next() {
-            Some((_, ROUTES_HEADER)) => {}
-            _ => return Err(syntax(0, ROUTES_HEADER)),
-        }
+        RouteTable::of(&route_rows(text)?)
+    }
+
+    /// Gathers rows by their addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 2401 where the rows of an address do not stand together.
+    pub(crate) fn of(rows: &[RouteRow<'_>]) -> Result<RouteTable> {
         let mut routes: Vec<Route> = Vec::new();
-        for (index, line) in lines.filter(|(_, line)| !line.trim().is_empty()) {
-            let row = parse_row(index, line)?;
+        for row in rows {
+            let share = RouteShare {
+                service: ServiceId::of(row.service),
+                weight: row.weight,
+            };
             match routes.last_mut() {
-                Some(route) if route.address == row.address => route.shares.extend(row.shares),
-                _ => routes.push(row),
+                Some(route) if route.address == row.address => route.shares.push(share),
+                _ => routes.push(Route {
+                    address: row.address,
+                    shares: vec![share],
+                    priority: row.priority,
+                    repeatable: row.repeatable,
+                }),
             }
         }
         routes.sort_by_key(|route| route.address);
@@ -147,8 +159,33 @@
     Error::new(Code::RoutesSyntax, format!("line {}: {line:?}", index + 1))
 }
 
-/// Parses a row: a route with one of its shares.
-fn parse_row(index: usize, line: &str) -> Result<Route> {
+/// One row of the published routes: an address with one of its services.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RouteRow<'a> {
+    pub(crate) address: SocketAddrV4,
+    /// The service's name; a [`RouteTable`] keeps its id only.
+    pub(crate) service: &'a str,
+    weight: u32,
+    priority: u8,
+    repeatable: bool,
+}
+
+/// Parses the published routes row by row.
+///
+/// # Errors
+///
+/// Returns code 2401 with the line at fault.
+pub(crate) fn route_rows(text: &str) -> Result<Vec<RouteRow<'_>>> {
+    let mut lines = text.lines().enumerate();
+    match lines.next() {
+        Some((_, ROUTES_HEADER)) => {}
+        _ => return Err(syntax(0, ROUTES_HEADER)),
+    }
+    let rows = lines.filter(|(_, line)| !line.trim().is_empty());
+    rows.map(|(index, line)| parse_row(index, line)).collect()
+}
+
+fn parse_row(index: usize, line: &str) -> Result<RouteRow<'_>> {
     let fields: Vec<&str> = line.split(',').map(str::trim).collect();
     let &[address, service, weight, priority, repeatable] = fields.as_slice() else {
         return Err(syntax(index, line));
@@ -158,12 +195,10 @@
         "no" => false,
         _ => return Err(syntax(index, line)),
     };
-    Ok(Route {
+    Ok(RouteRow {
         address: address.parse().map_err(|_| syntax(index, line))?,
-        shares: vec![RouteShare {
-            service: ServiceId::of(service),
-            weight: weight.parse().map_err(|_| syntax(index, line))?,
-        }],
+        service,
+        weight: weight.parse().map_err(|_| syntax(index, line))?,
         priority: priority.parse().map_err(|_| syntax(index, line))?,
         repeatable,
     })
--- a/src/opaque/state.rs
+++ b/src/opaque/state.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{Value, json};
 
-use crate::config::backend_entry::BACKEND_PREFIX;
+use crate::config::backend_entry::{BACKEND_PREFIX, BackendFields};
 use crate::controllers::control::Control;
 use crate::controllers::node_server::{self, NodeHooks};
 
@@ -19,15 +19,14 @@
     let store = control.store.borrow();
     let records = store.values().iter().filter_map(|value| {
         let id = value.name.strip_prefix(BACKEND_PREFIX)?;
-        let fields: Vec<&str> = value.text.split(',').collect();
-        let (&[service, address, zone, slots, state], _) = fields.split_first_chunk()?;
+        let fields = BackendFields::of(&value.text)?;
         Some(json!({
             "id": id,
-            "service": service,
-            "address": address,
-            "zone": zone,
-            "slots": slots,
-            "state": state,
+            "service": fields.service,
+            "address": fields.address,
+            "zone": fields.zone,
+            "slots": fields.slots,
+            "state": fields.state,
         }))
     });
     records.collect()
--- a/src/programs/operator/tables.rs
+++ b/src/programs/operator/tables.rs
@@ -1,7 +1,7 @@
 //! Checks tables and published routes, and predicts what an edit of them does.
 
 use crate::config::route_diff::route_changes;
-use crate::config::route_table::{ROUTES_HEADER, RouteTable};
+use crate::config::route_table::ROUTES_HEADER;
 use crate::config::table::{self, Table};
 use crate::config::table_diff::TableDiff;
 use crate::error::Result;
@@ -35,7 +35,6 @@
 }
 
 fn check_routes(text: &str) -> Result<String> {
-    RouteTable::parse(text)?;
     // From nothing to these routes, each part is a change.
     let mut rows = vec![cells(&["address", "service", "share"])];
     for part in route_changes(&format!("{ROUTES_HEADER}\n"), text)? {
