--- a/src/controllers/control.rs
+++ b/src/controllers/control.rs
@@ -89,14 +89,10 @@
 
     /// Takes values that the platform published together; a rejected one is counted and logged.
     pub(crate) fn accept_all(&self, values: &[(&str, u64, &str)]) {
-        let mut accepted = Vec::new();
-        for &(name, revision, text) in values {
+        self.conclude(values.iter().map(|&(name, revision, text)| {
             let result = self.store.borrow_mut().accept(name, revision, text);
-            if self.judge(name, revision, &result) {
-                accepted.push((name, revision));
-            }
-        }
-        self.in_force(&accepted);
+            (name, revision, result)
+        }));
     }
 
     /// Takes a value that a peer sent.
@@ -110,13 +106,20 @@
 
     /// Takes values that a peer sent together, and returns the names of those that came into force.
     pub(crate) fn accept_updates<'a>(&self, updates: &'a [ValueUpdate]) -> Vec<&'a str> {
-        let mut accepted = Vec::new();
-        for update in updates {
+        self.conclude(updates.iter().map(|update| {
             let result = self.store.borrow_mut().accept_update(update);
-            if self.judge(&update.name, update.revision, &result) {
-                accepted.push((update.name.as_str(), update.revision));
-            }
-        }
+            (update.name.as_str(), update.revision, result)
+        }))
+    }
+
+    /// Judges what became of values that came together, tells of those in force, and returns their names.
+    fn conclude<'a>(
+        &self,
+        results: impl Iterator<Item = (&'a str, u64, Result<Acceptance>)>,
+    ) -> Vec<&'a str> {
+        let judged = results.filter(|(name, revision, result)| self.judge(name, *revision, result));
+        let accepted: Vec<(&str, u64)> =
+            judged.map(|(name, revision, _)| (name, revision)).collect();
         self.in_force(&accepted);
         accepted.into_iter().map(|(name, _)| name).collect()
     }
