Share a site of agents among the tests; split the model of placement in two

Ruled out: the third model, whose agents restart one by one and suspect for themselves.

Change: builder::Agents is used by both; what processes do stands in queue_model/processes, callers, servers and the clock in queue_model.

--- a/tests/opaque/builder.rs
+++ b/tests/opaque/builder.rs
@@ -237,6 +237,49 @@
     Keeper::new(WIRE, identity, true, &OpaqueMetrics::default())
 }
 
+/// The agents of a whole site, which all know the same and know all flows.
+pub(crate) struct Agents {
+    pub(crate) directory: Directory,
+    pub(crate) suspicion: Suspicion,
+    keepers: Vec<Keeper>,
+}
+
+impl Agents {
+    pub(crate) fn new(count: u16) -> Self {
+        Self {
+            directory: directory(count),
+            suspicion: Suspicion::default(),
+            keepers: (1..=count).map(|index| keeper(identity(index))).collect(),
+        }
+    }
+
+    pub(crate) fn count(&self) -> u16 {
+        self.keepers.len() as u16
+    }
+
+    /// Lets the agent on a host decide.
+    pub(crate) fn with<T>(
+        &mut self,
+        at: Ipv4Addr,
+        now_ms: u64,
+        decide: impl FnOnce(&mut Keeper, &Scene<'_>) -> T,
+    ) -> T {
+        let scene = Scene {
+            directory: &self.directory,
+            suspicion: &self.suspicion,
+            revision: u64::MAX,
+            settled: true,
+            now_ms,
+        };
+        decide(&mut self.keepers[usize::from(index_of(at)) - 1], &scene)
+    }
+
+    /// Replaces every agent by one that has just started.
+    pub(crate) fn restart(&mut self) {
+        self.keepers = Self::new(self.count()).keepers;
+    }
+}
+
 /// An agent with what it sees.
 pub(crate) struct AgentUnderTest {
     pub(crate) keeper: Keeper,
--- a/tests/opaque/message_bounds.rs
+++ b/tests/opaque/message_bounds.rs
@@ -2,11 +2,10 @@
 
 use std::net::Ipv4Addr;
 
-use endivedyke::Suspicion;
-use endivedyke::opaque::{Action, Directory, FlowKey, Keeper, Message, MessageKind, Scene};
+use endivedyke::opaque::{Action, FlowKey, Keeper, Message, MessageKind, Scene};
 
 use crate::builder::{
-    BALANCER, acceptance, directory, flow, forwarder, host, identity, index_of, opener, request,
+    Agents, BALANCER, acceptance, flow, forwarder, host, index_of, opener, request,
 };
 
 const SIZES: [u16; 4] = [7, 45, 250, 1_000];
@@ -24,34 +23,22 @@
 
 /// Agents that hear each other at once.
 struct Site {
-    directory: Directory,
-    keepers: Vec<Keeper>,
-    suspicion: Suspicion,
+    agents: Agents,
     messages: usize,
     now_ms: u64,
 }
 
 impl Site {
     fn new(size: u16) -> Self {
-        let keeper = |index| crate::builder::keeper(identity(index));
         Self {
-            directory: directory(size),
-            keepers: (1..=size).map(keeper).collect(),
-            suspicion: Suspicion::default(),
+            agents: Agents::new(size),
             messages: 0,
             now_ms: NOW_MS,
         }
     }
 
     fn with<T>(&mut self, at: Ipv4Addr, decide: impl FnOnce(&mut Keeper, &Scene<'_>) -> T) -> T {
-        let scene = Scene {
-            directory: &self.directory,
-            suspicion: &self.suspicion,
-            revision: u64::MAX,
-            settled: true,
-            now_ms: self.now_ms,
-        };
-        decide(&mut self.keepers[usize::from(index_of(at)) - 1], &scene)
+        self.agents.with(at, self.now_ms, decide)
     }
 
     /// Hands a message over and follows what comes of it; returns who handed it to a backend server.
@@ -101,7 +88,12 @@
     }
 
     fn first_choice(&mut self, packet: Vec<u8>) -> Ipv4Addr {
-        let action = forwarder().handle(&self.directory, &mut self.suspicion, packet, NOW_MS);
+        let action = forwarder().handle(
+            &self.agents.directory,
+            &mut self.agents.suspicion,
+            packet,
+            NOW_MS,
+        );
         match action.expect("forwarded") {
             Action::ToPeer(host, ..) => host,
             other => panic!("not forwarded: {other:?}"),
@@ -111,7 +103,7 @@
     /// Fills the places of every second backend server.
     fn crowd(&mut self) {
         let mut port = 20_000;
-        for index in (1..=self.keepers.len() as u16).step_by(2) {
+        for index in (1..=self.agents.count()).step_by(2) {
             for _ in 0..8 {
                 port += 1;
                 self.deliver(host(index), &opener(&flow(port), 0));
--- a/tests/opaque/queue_model.rs
+++ b/tests/opaque/queue_model.rs
@@ -4,21 +4,20 @@
 //! are what a balancer alone could do: it sends an opener to one server for good, by hash, by the loads
 //! that it heard last, or both.
 
+mod processes;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::Ipv4Addr;
 
-use endivedyke::opaque::{
-    Action, BackendState, Directory, FlowKey, Forwarder, Keeper, Message, MessageKind, Scene,
-    cold_backend_text,
-};
-use endivedyke::{ServiceId, Suspicion, ranked};
+use endivedyke::opaque::{FlowKey, Forwarder};
+use endivedyke::{ServiceId, ranked};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 use crate::builder::{
-    ACK, BALANCER, FIN, PacketSpec, SERVICE, WIRE, acceptance, directory, flow, forwarder,
-    from_backend, host, identity, index_of, opener, publish, request, state_text,
+    ACK, Agents, FIN, PacketSpec, SERVICE, WIRE, flow, forwarder, from_backend, host, index_of,
+    opener, request,
 };
 use crate::queue_plan::{Outcome, Plan, Policy};
 
@@ -86,10 +85,8 @@
     now_ms: u64,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     next_event: u64,
-    directory: Directory,
-    suspicion: Suspicion,
+    agents: Agents,
     forwarder: Forwarder,
-    keepers: Vec<Keeper>,
     told: Vec<f64>,
     servers: Vec<Server>,
     calls: Vec<Call>,
@@ -129,7 +126,6 @@
     }
 
     fn new(plan: &Plan, policy: Policy) -> Self {
-        let keeper = |index| crate::builder::keeper(identity(index));
         Self {
             plan: *plan,
             policy,
@@ -137,10 +133,8 @@
             now_ms: 0,
             events: BinaryHeap::new(),
             next_event: 0,
-            directory: directory(plan.servers),
-            suspicion: Suspicion::default(),
+            agents: Agents::new(plan.servers),
             forwarder: forwarder(),
-            keepers: (1..=plan.servers).map(keeper).collect(),
             told: vec![0.0; usize::from(plan.servers)],
             servers: (0..plan.servers).map(|_| Server::default()).collect(),
             calls: Vec::new(),
@@ -253,6 +247,7 @@
     /// Chooses a server as a balancer does that is alone.
     fn choose(&self, key: &FlowKey) -> Ipv4Addr {
         let table = self
+            .agents
             .directory
             .table(ServiceId::of(SERVICE))
             .expect("listed");
@@ -268,87 +263,6 @@
         least.expect("a server")
     }
 
-    fn forward(&mut self, packet: Vec<u8>) {
-        let (directory, now_ms) = (&self.directory, self.now_ms);
-        let action = self
-            .forwarder
-            .handle(directory, &mut self.suspicion, packet, now_ms);
-        self.perform(BALANCER, action.into_iter().collect());
-    }
-
-    /// Does what a process on a host asks for.
-    fn perform(&mut self, at: Ipv4Addr, actions: Vec<Action>) {
-        for action in actions {
-            match action {
-                Action::ToPeer(to, message, payload) => self.send(at, to, message, payload),
-                Action::ToBackend(packet) => self.backend_hears(at, &packet),
-                Action::ToCaller(_, packet) => self.caller_hears(at, &packet),
-            }
-        }
-    }
-
-    fn send(&mut self, from: Ipv4Addr, to: Ipv4Addr, mut message: Message, mut payload: Vec<u8>) {
-        if from != BALANCER {
-            message.load_permille = self.with(from, |keeper, scene| keeper.load_permille(scene));
-        }
-        message.append(&mut payload);
-        if to == BALANCER {
-            self.soon(Event::ToBalancer(from, payload));
-        } else {
-            self.soon(Event::ToAgent(to, from, payload));
-        }
-    }
-
-    fn with<T>(&mut self, at: Ipv4Addr, decide: impl FnOnce(&mut Keeper, &Scene<'_>) -> T) -> T {
-        let scene = Scene {
-            directory: &self.directory,
-            suspicion: &self.suspicion,
-            revision: u64::MAX,
-            settled: true,
-            now_ms: self.now_ms,
-        };
-        decide(&mut self.keepers[usize::from(index_of(at)) - 1], &scene)
-    }
-
-    fn agent_hears(&mut self, at: Ipv4Addr, from: Ipv4Addr, datagram: &[u8]) {
-        let (payload, message) = Message::split(datagram).expect("sound");
-        let actions = self.with(at, |keeper, scene| {
-            keeper.peer_says(scene, from, &message, payload)
-        });
-        self.perform(at, actions.unwrap_or_default());
-    }
-
-    fn balancer_hears(&mut self, from: Ipv4Addr, datagram: &[u8]) {
-        let (payload, message) = Message::split(datagram).expect("sound");
-        self.forwarder
-            .heard(from, message.load_permille, self.now_ms);
-        // The payload names the flow: the caller's address and port come first.
-        let &[_, _, _, _, high, low, ..] = payload else {
-            return;
-        };
-        let key = flow(u16::from_be_bytes([high, low]));
-        match message.kind {
-            MessageKind::Holds => self.forwarder.holds(key, message.host, self.now_ms),
-            MessageKind::Absent => self.forwarder.handed_on(&key, from),
-            _ => {}
-        }
-    }
-
-    fn backend_hears(&mut self, at: Ipv4Addr, packet: &[u8]) {
-        let segment = (WIRE.decode)(packet).expect("sound");
-        let key = segment.flow_from_caller();
-        if segment.opens {
-            self.backend_says(at, acceptance(&key, ACCEPTED));
-        } else if segment.payload_bytes > 0 {
-            self.enqueue(at, key.caller.port());
-        }
-    }
-
-    fn backend_says(&mut self, at: Ipv4Addr, packet: Vec<u8>) {
-        let actions = self.with(at, |keeper, scene| keeper.backend_says(scene, packet));
-        self.perform(at, actions.unwrap_or_default());
-    }
-
     fn caller_hears(&mut self, at: Ipv4Addr, packet: &[u8]) {
         let segment = (WIRE.decode)(packet).expect("sound");
         let port = segment.flow_from_backend().caller.port();
@@ -451,63 +365,4 @@
         }
         self.outcome.waits_ms.push(wait_ms);
     }
-
-    fn tick(&mut self) {
-        self.at(self.now_ms + TICK_MS, Event::Tick);
-        if self.policy != Policy::Product {
-            return;
-        }
-        let (directory, now_ms) = (&self.directory, self.now_ms);
-        let actions = self.forwarder.tick(directory, &mut self.suspicion, now_ms);
-        self.perform(BALANCER, actions);
-        for index in 1..=self.plan.servers {
-            let actions = self.with(host(index), |keeper, scene| keeper.tick(scene));
-            self.perform(host(index), actions);
-        }
-    }
-
-    /// Lets balancers hear the loads of all, as they do while nothing else passes.
-    fn beat(&mut self) {
-        self.at(self.now_ms + BEAT_MS, Event::Beat);
-        for index in 1..=self.plan.servers {
-            let server = &self.servers[usize::from(index) - 1];
-            let busy = server.queue.len() + server.running.len();
-            self.told[usize::from(index) - 1] = busy as f64 / self.plan.slots as f64;
-            let permille = self.with(host(index), |keeper, scene| {
-                keeper.expire(scene.now_ms);
-                keeper.load_permille(scene)
-            });
-            self.forwarder.heard(host(index), permille, self.now_ms);
-        }
-        self.forwarder.expire(self.now_ms);
-    }
-
-    fn regain_power(&mut self) {
-        self.dark = false;
-        let cold_ms = self.plan.cold.0;
-        self.cold_until_ms = self.now_ms + cold_ms;
-        for index in 1..=self.plan.servers {
-            let text = state_text(index, BackendState::Ready);
-            let text = cold_backend_text(&text, cold_ms as u32);
-            let revision = 2_000 + u64::from(index);
-            publish(&mut self.directory, index, &text, revision, self.now_ms);
-        }
-    }
-
-    /// Ends all servers and agents and what they hold; callers of it try again.
-    fn lose_power(&mut self) {
-        self.dark = true;
-        let fresh = Self::new(&self.plan, self.policy);
-        self.keepers = fresh.keepers;
-        self.forwarder = fresh.forwarder;
-        for index in 0..self.servers.len() {
-            let server = &mut self.servers[index];
-            server.lives += 1;
-            let mut lost = std::mem::take(&mut server.queue);
-            lost.append(&mut server.running);
-            for port in lost {
-                self.try_again(port);
-            }
-        }
-    }
 }
--- /dev/null
+++ b/tests/opaque/queue_model/processes.rs
@@ -0,0 +1,153 @@
+//! What balancer, agents and backend servers do with messages in the model.
+
+use std::net::Ipv4Addr;
+
+use endivedyke::opaque::{
+    Action, BackendState, Keeper, Message, MessageKind, Scene, cold_backend_text,
+};
+
+use super::{ACCEPTED, BEAT_MS, Event, Model, TICK_MS};
+use crate::builder::{BALANCER, WIRE, acceptance, flow, forwarder, host, publish, state_text};
+use crate::queue_plan::Policy;
+
+impl Model {
+    pub(super) fn forward(&mut self, packet: Vec<u8>) {
+        let (directory, now_ms) = (&self.agents.directory, self.now_ms);
+        let action = self
+            .forwarder
+            .handle(directory, &mut self.agents.suspicion, packet, now_ms);
+        self.perform(BALANCER, action.into_iter().collect());
+    }
+
+    /// Does what a process on a host asks for.
+    fn perform(&mut self, at: Ipv4Addr, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::ToPeer(to, message, payload) => self.send(at, to, message, payload),
+                Action::ToBackend(packet) => self.backend_hears(at, &packet),
+                Action::ToCaller(_, packet) => self.caller_hears(at, &packet),
+            }
+        }
+    }
+
+    fn send(&mut self, from: Ipv4Addr, to: Ipv4Addr, mut message: Message, mut payload: Vec<u8>) {
+        if from != BALANCER {
+            message.load_permille = self.with(from, |keeper, scene| keeper.load_permille(scene));
+        }
+        message.append(&mut payload);
+        if to == BALANCER {
+            self.soon(Event::ToBalancer(from, payload));
+        } else {
+            self.soon(Event::ToAgent(to, from, payload));
+        }
+    }
+
+    fn with<T>(&mut self, at: Ipv4Addr, decide: impl FnOnce(&mut Keeper, &Scene<'_>) -> T) -> T {
+        self.agents.with(at, self.now_ms, decide)
+    }
+
+    pub(super) fn agent_hears(&mut self, at: Ipv4Addr, from: Ipv4Addr, datagram: &[u8]) {
+        let (payload, message) = Message::split(datagram).expect("sound");
+        let actions = self.with(at, |keeper, scene| {
+            keeper.peer_says(scene, from, &message, payload)
+        });
+        self.perform(at, actions.unwrap_or_default());
+    }
+
+    pub(super) fn balancer_hears(&mut self, from: Ipv4Addr, datagram: &[u8]) {
+        let (payload, message) = Message::split(datagram).expect("sound");
+        self.forwarder
+            .heard(from, message.load_permille, self.now_ms);
+        // The payload names the flow: the caller's address and port come first.
+        let &[_, _, _, _, high, low, ..] = payload else {
+            return;
+        };
+        let key = flow(u16::from_be_bytes([high, low]));
+        match message.kind {
+            MessageKind::Holds => self.forwarder.holds(key, message.host, self.now_ms),
+            MessageKind::Absent => self.forwarder.handed_on(&key, from),
+            _ => {}
+        }
+    }
+
+    fn backend_hears(&mut self, at: Ipv4Addr, packet: &[u8]) {
+        let segment = (WIRE.decode)(packet).expect("sound");
+        let key = segment.flow_from_caller();
+        if segment.opens {
+            self.backend_says(at, acceptance(&key, ACCEPTED));
+        } else if segment.payload_bytes > 0 {
+            self.enqueue(at, key.caller.port());
+        }
+    }
+
+    pub(super) fn backend_says(&mut self, at: Ipv4Addr, packet: Vec<u8>) {
+        let actions = self.with(at, |keeper, scene| keeper.backend_says(scene, packet));
+        self.perform(at, actions.unwrap_or_default());
+    }
+
+    pub(super) fn tick(&mut self) {
+        self.at(self.now_ms + TICK_MS, Event::Tick);
+        if self.policy != Policy::Product {
+            return;
+        }
+        let (directory, now_ms) = (&self.agents.directory, self.now_ms);
+        let actions = self
+            .forwarder
+            .tick(directory, &mut self.agents.suspicion, now_ms);
+        self.perform(BALANCER, actions);
+        for index in 1..=self.plan.servers {
+            let actions = self.with(host(index), |keeper, scene| keeper.tick(scene));
+            self.perform(host(index), actions);
+        }
+    }
+
+    /// Lets balancers hear the loads of all, as they do while nothing else passes.
+    pub(super) fn beat(&mut self) {
+        self.at(self.now_ms + BEAT_MS, Event::Beat);
+        for index in 1..=self.plan.servers {
+            let server = &self.servers[usize::from(index) - 1];
+            let busy = server.queue.len() + server.running.len();
+            self.told[usize::from(index) - 1] = busy as f64 / self.plan.slots as f64;
+            let permille = self.with(host(index), |keeper, scene| {
+                keeper.expire(scene.now_ms);
+                keeper.load_permille(scene)
+            });
+            self.forwarder.heard(host(index), permille, self.now_ms);
+        }
+        self.forwarder.expire(self.now_ms);
+    }
+
+    /// Ends all servers and agents and what they hold; callers of it try again.
+    pub(super) fn lose_power(&mut self) {
+        self.dark = true;
+        self.agents.restart();
+        self.forwarder = forwarder();
+        for index in 0..self.servers.len() {
+            let server = &mut self.servers[index];
+            server.lives += 1;
+            let mut lost = std::mem::take(&mut server.queue);
+            lost.append(&mut server.running);
+            for port in lost {
+                self.try_again(port);
+            }
+        }
+    }
+
+    pub(super) fn regain_power(&mut self) {
+        self.dark = false;
+        let cold_ms = self.plan.cold.0;
+        self.cold_until_ms = self.now_ms + cold_ms;
+        for index in 1..=self.plan.servers {
+            let text = state_text(index, BackendState::Ready);
+            let text = cold_backend_text(&text, cold_ms as u32);
+            let revision = 2_000 + u64::from(index);
+            publish(
+                &mut self.agents.directory,
+                index,
+                &text,
+                revision,
+                self.now_ms,
+            );
+        }
+    }
+}
