--- a/lab/tests/operator_client.rs
+++ b/lab/tests/operator_client.rs
@@ -91,6 +91,29 @@
     }
 }
 
+#[test]
+fn routes_of_the_platform_are_printed_or_the_fault_is_named() {
+    let folder = tempfile::tempdir().expect("folder");
+    let broken = file(folder.path(), "broken.json", "{");
+    let cases: &[(&[&str], i32, &str)] = &[
+        (&["--help"], 0, "a configuration of the platform"),
+        (&["--version"], 0, "endivedyke-platform-routes 0."),
+        (&[], 2, "name one file"),
+        (&[&broken, &broken], 2, "name one file"),
+        (&[&broken], 1, "broken.json: EOF"),
+        (&["no-such-file"], 1, "no-such-file: No such file"),
+    ];
+    for (arguments, exit_code, shown) in cases {
+        let program = binary("endivedyke-platform-routes").expect("built");
+        let output = Command::new(program).args(*arguments).output();
+        let output = output.expect("runs");
+        assert_eq!(output.status.code(), Some(*exit_code), "{arguments:?}");
+        let (stdout, stderr) = text(&output);
+        let all = stdout + &stderr;
+        assert!(all.contains(shown), "{arguments:?} shows {all}");
+    }
+}
+
 #[test]
 fn daemons_refuse_unsound_settings() {
     let folder = tempfile::tempdir().expect("folder");
