Let retries wait behind what can still be served in time

Change: who ends an attempt tells balancers, the caller's next opener within 125 ms is its retry and has the room of a copy of its age.

--- a/src/opaque/entry.rs
+++ b/src/opaque/entry.rs
@@ -126,6 +126,10 @@
                 let mut forwarder = self.forwarder.borrow_mut();
                 forwarder.holds(flow, message.host, now_ms);
             }
+            MessageKind::AttemptFailed => {
+                let mut forwarder = self.forwarder.borrow_mut();
+                forwarder.attempt_failed(&flow, message.waited_ms, now_ms);
+            }
             MessageKind::Absent => self.forwarder.borrow_mut().handed_on(&flow, from),
             _ => {}
         }
--- a/src/opaque/flow_book.rs
+++ b/src/opaque/flow_book.rs
@@ -47,6 +47,8 @@
     pub(crate) balancer: Ipv4Addr,
     pub(crate) hops: u8,
     pub(crate) copy: u32,
+    /// For how long its caller had waited before the first copy, as far as known, in milliseconds.
+    pub(crate) waited_ms: u16,
     pub(crate) answered: bool,
     pub(crate) backend_sequence: u32,
 }
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -14,6 +14,7 @@
 use crate::error::{Error, Result};
 use crate::opaque::action::Action;
 use crate::opaque::directory::Directory;
+use crate::opaque::expected_retries::ExpectedRetries;
 use crate::opaque::flow_map::FlowMap;
 use crate::opaque::known_loads::KnownLoads;
 use crate::opaque::message::{Message, MessageKind};
@@ -63,6 +64,7 @@
     watched: VecDeque<Watched>,
     unanswered: Vec<(Ipv4Addr, u32)>,
     loads: KnownLoads,
+    retries: ExpectedRetries,
 }
 
 impl Forwarder {
@@ -86,6 +88,7 @@
             watched: VecDeque::new(),
             unanswered: Vec::new(),
             loads: KnownLoads::default(),
+            retries: ExpectedRetries::new(),
         }
     }
 
@@ -106,15 +109,25 @@
         if directory.routes().get(flow.called).is_none() {
             return self.refuse(&segment);
         }
-        let host = if segment.opens {
-            let attempt = segment.acknowledgement as usize;
-            let host = self.opener_host(directory, suspicion, &flow, attempt, now_ms)?;
-            self.watch(flow, host, attempt, packet.clone(), now_ms);
-            host
-        } else {
-            self.packet_host(directory, suspicion, &flow, now_ms)?
-        };
-        Ok(self.deliver(host, packet))
+        if !segment.opens {
+            let host = self.packet_host(directory, suspicion, &flow, now_ms)?;
+            return Ok(self.deliver(host, packet, 0));
+        }
+        let attempt = segment.acknowledgement as usize;
+        let host = self.opener_host(directory, suspicion, &flow, attempt, now_ms)?;
+        let waited_ms = self.retries.waited_ms(&flow, attempt > 0, now_ms);
+        self.metrics
+            .retries_known
+            .inc_by(u64::from(waited_ms > 0 && attempt == 0));
+        self.watch(flow, host, attempt, packet.clone(), now_ms);
+        Ok(self.deliver(host, packet, waited_ms))
+    }
+
+    /// Notes that an attempt of a caller failed after it had waited for so long.
+    pub fn attempt_failed(&mut self, flow: &FlowKey, waited_ms: u16, now_ms: u64) {
+        let caller = *flow.caller.ip();
+        self.retries
+            .attempt_failed(caller, u64::from(waited_ms), now_ms);
     }
 
     /// Notes that an agent said something, whatever it was, and the load that it told.
@@ -200,7 +213,8 @@
             if let Ok(host) = next
                 && host != watched.host
             {
-                actions.push(self.deliver(host, watched.packet));
+                let waited_ms = self.retries.waited_ms(&watched.flow, true, now_ms);
+                actions.push(self.deliver(host, watched.packet, waited_ms));
             }
         }
         actions
@@ -209,6 +223,7 @@
     /// Forgets flows of which nothing was heard for as long as a flow lives.
     pub fn expire(&mut self, now_ms: u64) {
         self.loads.expire(now_ms);
+        self.retries.expire(now_ms);
         let lifetime_ms = self.flow_lifetime_ms;
         self.hints
             .retain(|_, hint| now_ms < hint.seen_ms + lifetime_ms);
@@ -342,9 +357,10 @@
         }
     }
 
-    fn deliver(&self, host: Ipv4Addr, packet: Vec<u8>) -> Action {
+    fn deliver(&self, host: Ipv4Addr, packet: Vec<u8>, waited_ms: u64) -> Action {
         let mut message = Message::new(MessageKind::Deliver);
         message.host = self.host;
+        message.waited_ms = u16::try_from(waited_ms).unwrap_or(u16::MAX);
         Action::ToPeer(host, message, packet)
     }
 }
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -7,6 +7,7 @@
 mod backend_life;
 mod openers;
 mod questions;
+mod retries;
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -17,6 +18,7 @@
 use crate::opaque::action::Action;
 use crate::opaque::directory::Directory;
 use crate::opaque::flow_book::{Flow, FlowBook, Holding, Running};
+use crate::opaque::keeper::retries::KnownBalancers;
 use crate::opaque::lookup::Lookups;
 use crate::opaque::mean_load::{FAILING_LOAD, MeanLoad};
 use crate::opaque::message::{Message, MessageKind, UNKNOWN_LOAD};
@@ -66,6 +68,7 @@
     failing: bool,
     lookups: Lookups,
     pending: Vec<FlowKey>,
+    balancers: KnownBalancers,
     knows_all: bool,
     backend_up: bool,
     leaving: bool,
@@ -101,6 +104,7 @@
             failing: false,
             lookups: Lookups::new(metrics),
             pending: Vec::new(),
+            balancers: KnownBalancers::default(),
             knows_all,
             backend_up: true,
             leaving: false,
@@ -171,6 +175,9 @@
         payload: &[u8],
     ) -> Result<Vec<Action>> {
         let mut actions = Vec::new();
+        if message.kind == MessageKind::Deliver && message.host == from {
+            self.balancers.heard(from, scene.now_ms);
+        }
         match message.kind {
             MessageKind::Deliver | MessageKind::HandOn => {
                 let segment = (self.wire.decode)(payload)?;
@@ -195,7 +202,8 @@
             MessageKind::Holds
             | MessageKind::Beat
             | MessageKind::BeatReply
-            | MessageKind::Unlisted => {}
+            | MessageKind::Unlisted
+            | MessageKind::AttemptFailed => {}
         }
         Ok(actions)
     }
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -11,12 +11,17 @@
 
 /// How often a silent or failing backend server is tried with an opener, in milliseconds.
 const PROBE_MS: u64 = 200;
-/// The requests for each slot, running or waiting, from which a backend server takes no opener, for
-/// each copy that a caller sends of it.
+/// How long the caller of each copy has waited since the first, in milliseconds.
+const COPY_AGES_MS: [u64; 3] = [0, 200, 600];
+/// The ages from which an opener is as good as a second and as a last copy, in milliseconds: about half way
+/// between the ages of copies, since retries have any age.
+const AGED_MS: [u64; 2] = [150, 450];
+/// The requests for each slot, running or waiting, from which a backend server takes no opener, for the
+/// three ages that are told apart.
 ///
 /// With one waiting behind each running one, what is taken still ends within about two service times.
-/// Later copies come from callers that have waited 200 or 600 ms already, most of their aim or more:
-/// while there is not room for all, those that can still be served in time go first.
+/// Later copies and retries come from callers that have waited most of their aim already, or more: while
+/// there is not room for all, those that can still be served in time go first.
 const CROWDED_PER_SLOT: [f64; 3] = [2.0, 1.5, 1.0];
 /// The same for openers of a route that is more urgent than another one to the same service.
 ///
@@ -66,6 +71,19 @@
     limit: Option<f64>,
 }
 
+impl Opening {
+    /// Returns for how long its caller has waited, in milliseconds.
+    fn age_ms(&self) -> u64 {
+        let copy = self.copy.min(LAST_COPY) as usize;
+        COPY_AGES_MS[copy] + u64::from(self.waited_ms)
+    }
+
+    /// Returns which of the three limits it has.
+    fn age_step(&self) -> usize {
+        AGED_MS.partition_point(|from_ms| *from_ms <= self.age_ms())
+    }
+}
+
 impl Keeper {
     /// Takes an opener, or passes it on.
     pub(super) fn opener(
@@ -89,10 +107,11 @@
             balancer: message.host,
             hops: message.hops,
             copy: segment.acknowledgement,
+            waited_ms: message.waited_ms,
             answered: false,
             backend_sequence: 0,
         };
-        let place = self.own_place(scene, &key, opening.copy);
+        let place = self.own_place(scene, &key, &opening);
         let checked = self.check_opener(scene, &key, &opening, &place);
         let behind = message.digest.highest > scene.revision;
         match checked {
@@ -126,8 +145,9 @@
         reason: NotTaken,
     ) {
         log::info!(
-            "event=opener_not_taken flow={key} reason={reason:?} copy={} hops={} busy={} limit={:.1} cold={} revision={}",
+            "event=opener_not_taken flow={key} reason={reason:?} copy={} waited_ms={} hops={} busy={} limit={:.1} cold={} revision={}",
             opening.copy,
+            opening.waited_ms,
             opening.hops,
             self.flows.busy(),
             place.limit.unwrap_or_default(),
@@ -145,8 +165,9 @@
     ) {
         let (balancer, packet) = (opening.balancer, opening.packet.clone());
         log::info!(
-            "event=opener_taken flow={key} copy={} hops={} busy={} open={} revision={}",
+            "event=opener_taken flow={key} copy={} waited_ms={} hops={} busy={} open={} revision={}",
             opening.copy,
+            opening.waited_ms,
             opening.hops,
             self.flows.busy(),
             self.flows.open(),
@@ -220,8 +241,8 @@
         Ok(())
     }
 
-    /// Looks the own backend server up, and how much it may have for an opener with this copy number.
-    fn own_place(&self, scene: &Scene<'_>, key: &FlowKey, copy: u32) -> OwnPlace {
+    /// Looks the own backend server up, and how much it may have for an opener of this age.
+    fn own_place(&self, scene: &Scene<'_>, key: &FlowKey, opening: &Opening) -> OwnPlace {
         let published = scene.directory.own(self.identity.backend);
         let is_cold = published.is_some_and(|own| scene.now_ms < own.cold_until_ms);
         let service = self.identity.service;
@@ -236,7 +257,7 @@
         };
         let table = scene.directory.table(service);
         let row = table.and_then(|table| table.row_on(self.identity.host));
-        let per_slot = per_slot[copy.min(LAST_COPY) as usize];
+        let per_slot = per_slot[opening.age_step()];
         OwnPlace {
             published,
             is_cold,
@@ -271,10 +292,14 @@
                 let mut message = Message::new(MessageKind::HandOn);
                 message.host = opening.balancer;
                 message.hops = opening.hops + 1;
+                message.waited_ms = opening.waited_ms;
                 self.metrics.openers_handed_on.inc();
                 actions.push(Action::ToPeer(host, message, opening.packet));
             }
-            None if opening.copy >= LAST_COPY => self.reset(key, 0, Code::NoRoom, actions),
+            None if opening.copy >= LAST_COPY => {
+                self.tell_attempt_failed(scene, key, opening.age_ms(), actions);
+                self.reset(key, 0, Code::NoRoom, actions);
+            }
             None => {
                 self.metrics.openers_dropped.inc();
                 log::info!(
--- a/src/opaque/keeper/questions.rs
+++ b/src/opaque/keeper/questions.rs
@@ -89,7 +89,12 @@
         }
         let verdict = self.lookups.verdict(key, scene.directory, scene.revision);
         if let Verdict::Nowhere { acknowledgement } = verdict {
+            let waited_ms = self.lookups.open_for_ms(key, scene.now_ms);
             self.lookups.forget(key);
+            let route = scene.directory.routes().get(key.called);
+            if route.is_some_and(|route| route.repeatable) {
+                self.tell_attempt_failed(scene, key, waited_ms, actions);
+            }
             self.reset(key, acknowledgement, Code::FlowGone, actions);
         }
     }
--- a/src/opaque/lookup.rs
+++ b/src/opaque/lookup.rs
@@ -227,6 +227,12 @@
         std::mem::take(&mut self.given_up)
     }
 
+    /// Returns for how long a question has been open, in milliseconds.
+    pub(crate) fn open_for_ms(&self, flow: &FlowKey, now_ms: u64) -> u64 {
+        let started_ms = self.position(flow).map(|at| self.open[at].started_ms);
+        now_ms.saturating_sub(started_ms.unwrap_or(now_ms))
+    }
+
     fn position(&self, flow: &FlowKey) -> Result<usize, usize> {
         self.open.binary_search_by_key(flow, |lookup| lookup.flow)
     }
--- a/src/opaque/message.rs
+++ b/src/opaque/message.rs
@@ -39,6 +39,8 @@
     BeatReply = 8,
     /// The sender's backend server runs and is not published: ask there too who holds a flow.
     Unlisted = 9,
+    /// An attempt of this flow's caller has failed: its next opener is a retry.
+    AttemptFailed = 10,
 }
 
 /// The trailer of a datagram between two processes.
@@ -61,6 +63,9 @@
     /// The requests for each slot of the sender's backend server, over the last second, in
     /// thousandths; [`UNKNOWN_LOAD`] from a process without one.
     pub load_permille: u16,
+    /// Of an opener and of [`MessageKind::AttemptFailed`], for how long the caller has waited in attempts that
+    /// failed, as far as known, in milliseconds; rounded down to whole [`WAIT_UNIT_MS`], of which 15 fit.
+    pub waited_ms: u16,
 }
 
 /// The age that says that the sender has lost touch with the configuration service.
@@ -72,12 +77,25 @@
 /// The unit in which [`Message::unsettled_ms`] travels, in milliseconds.
 pub(crate) const UNSETTLED_UNIT_MS: u16 = 20;
 
+/// The unit in which [`Message::waited_ms`] travels, in milliseconds: half of the first step between the ages
+/// that an agent tells apart.
+const WAIT_UNIT_MS: u16 = 100;
+/// The bits of the byte of the kind that hold it; the wait stands above them, so that a process which does not
+/// know it passes such a message over, and its sender's caller sends the opener again.
+const KIND_BITS: u8 = 4;
+const MAX_WAIT_UNITS: u16 = 0x0f;
+
 impl Message {
     fn unsettled_units(&self) -> u8 {
         let units = self.unsettled_ms.div_ceil(UNSETTLED_UNIT_MS);
         u8::try_from(units).unwrap_or(u8::MAX)
     }
 
+    fn kind_and_wait(&self) -> u8 {
+        let units = (self.waited_ms / WAIT_UNIT_MS).min(MAX_WAIT_UNITS);
+        (units as u8) << KIND_BITS | self.kind as u8
+    }
+
     /// Makes a message without a host and without load.
     pub fn new(kind: MessageKind) -> Self {
         Self {
@@ -88,12 +106,18 @@
             age_ms: UNKNOWN_AGE_MS,
             unsettled_ms: 0,
             load_permille: UNKNOWN_LOAD,
+            waited_ms: 0,
         }
     }
 
     /// Appends the trailer to a payload.
     pub fn append(&self, payload: &mut Vec<u8>) {
-        payload.extend_from_slice(&[VERSION, self.kind as u8, self.hops, self.unsettled_units()]);
+        payload.extend_from_slice(&[
+            VERSION,
+            self.kind_and_wait(),
+            self.hops,
+            self.unsettled_units(),
+        ]);
         payload.extend_from_slice(&self.host.octets());
         payload.extend_from_slice(&self.digest.highest.to_be_bytes());
         payload.extend_from_slice(&self.digest.hash.to_be_bytes());
@@ -110,7 +134,7 @@
         let malformed = || Error::new(Code::MessageMalformed, format!("{} bytes", datagram.len()));
         let at = datagram.len().checked_sub(TRAILER_BYTES);
         let (payload, trailer) = datagram.split_at(at.ok_or_else(malformed)?);
-        let kind = kind_of(trailer[1]).filter(|_| trailer[0] == VERSION);
+        let kind = kind_of(trailer[1] & ((1 << KIND_BITS) - 1)).filter(|_| trailer[0] == VERSION);
         let word = |at: usize| u64::from_be_bytes(trailer[at..at + 8].try_into().unwrap_or([0; 8]));
         let half = |at: usize| u16::from_be_bytes([trailer[at], trailer[at + 1]]);
         Ok((
@@ -126,6 +150,7 @@
                 age_ms: (u32::from(half(24)) << 16) | u32::from(half(26)),
                 unsettled_ms: u16::from(trailer[3]) * UNSETTLED_UNIT_MS,
                 load_permille: half(28),
+                waited_ms: u16::from(trailer[1] >> KIND_BITS) * WAIT_UNIT_MS,
             },
         ))
     }
@@ -142,6 +167,7 @@
         MessageKind::Beat,
         MessageKind::BeatReply,
         MessageKind::Unlisted,
+        MessageKind::AttemptFailed,
     ];
     kinds.into_iter().find(|kind| *kind as u8 == byte)
 }
--- a/src/opaque/mod.rs
+++ b/src/opaque/mod.rs
@@ -10,6 +10,7 @@
 mod backend_watch;
 mod directory;
 mod entry;
+mod expected_retries;
 mod flow_book;
 mod flow_map;
 mod forwarder;
--- a/src/process/opaque_metrics.rs
+++ b/src/process/opaque_metrics.rs
@@ -21,6 +21,7 @@
     pub(crate) openers_handed_on: Counter,
     pub(crate) openers_dropped: Counter,
     pub(crate) openers_unanswered: Counter,
+    pub(crate) retries_known: Counter,
     pub(crate) flows_reset: CodeCounter,
     pub(crate) flows_open: Gauge,
     pub(crate) requests_busy: Gauge,
@@ -47,6 +48,7 @@
             openers_handed_on: Counter::default(),
             openers_dropped: Counter::default(),
             openers_unanswered: Counter::default(),
+            retries_known: Counter::default(),
             flows_reset: CodeCounter::default(),
             flows_open: Gauge::default(),
             requests_busy: Gauge::default(),
@@ -100,8 +102,13 @@
         );
     }
 
-    fn counters(&self) -> [(&'static str, &'static str, &Counter); 12] {
+    fn counters(&self) -> [(&'static str, &'static str, &Counter); 13] {
         [
+            (
+                "retries_known",
+                "Openers known to be retries of attempts that failed",
+                &self.retries_known,
+            ),
             (
                 "openers_taken",
                 "Openers handed to the backend server",
--- a/tests/opaque/builder.rs
+++ b/tests/opaque/builder.rs
@@ -99,6 +99,14 @@
     }
 }
 
+/// Returns the flow of a port of another caller.
+pub(crate) fn flow_of(caller: Ipv4Addr, port: u16) -> FlowKey {
+    FlowKey {
+        caller: SocketAddrV4::new(caller, port),
+        ..flow(port)
+    }
+}
+
 /// What a packet of a caller is.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct PacketSpec {
@@ -340,6 +348,14 @@
         self.hear(BALANCER, message, packet)
     }
 
+    /// Hands over an opener whose caller has waited in attempts that failed.
+    pub(crate) fn deliver_retry(&mut self, packet: &[u8], waited_ms: u16) -> Vec<Action> {
+        let mut message = Message::new(MessageKind::Deliver);
+        message.host = BALANCER;
+        message.waited_ms = waited_ms;
+        self.hear(BALANCER, message, packet)
+    }
+
     /// Hands over the word of another agent about a flow.
     pub(crate) fn answer(
         &mut self,
--- a/tests/opaque/forwarder.rs
+++ b/tests/opaque/forwarder.rs
@@ -4,8 +4,8 @@
 use endivedyke::{Code, Suspicion};
 
 use crate::builder::{
-    PacketSpec, RST, directory, flow, forwarder, from_caller, host, hosts_told, index_of, opener,
-    publish, request, resets, state_text, state_text_in,
+    PacketSpec, RST, directory, flow, flow_of, forwarder, from_caller, host, hosts_told, index_of,
+    opener, publish, request, resets, state_text, state_text_in,
 };
 
 fn host_of(action: &Action) -> std::net::Ipv4Addr {
@@ -324,3 +324,47 @@
         );
     }
 }
+
+fn waited_ms(balancer: &mut Forwarder, packet: Vec<u8>, now_ms: u64) -> u16 {
+    let mut suspicion = Suspicion::default();
+    let action = balancer.handle(&directory(5), &mut suspicion, packet, now_ms);
+    match action {
+        Ok(Action::ToPeer(_, message, _)) => message.waited_ms,
+        other => panic!("not forwarded: {other:?}"),
+    }
+}
+
+#[test]
+fn the_next_opener_of_a_caller_whose_attempt_failed_is_its_retry() {
+    for (after_ms, expected_ms) in [(7, 607), (125, 725), (126, 0)] {
+        let mut balancer = forwarder();
+        balancer.attempt_failed(&flow(1), 600, 1_000);
+        let now_ms = 1_000 + after_ms;
+        let first = waited_ms(&mut balancer, opener(&flow(2), 0), now_ms);
+        assert_eq!(first, expected_ms, "after {after_ms} ms");
+        // Its copies are as old, and the next opener of the same address is not this retry.
+        assert_eq!(
+            waited_ms(&mut balancer, opener(&flow(2), 1), now_ms + 200),
+            first
+        );
+        assert_eq!(waited_ms(&mut balancer, opener(&flow(3), 0), now_ms), 0);
+    }
+}
+
+#[test]
+fn other_callers_are_not_taken_for_the_one_whose_attempt_failed() {
+    let mut balancer = forwarder();
+    balancer.attempt_failed(&flow(1), 600, 1_000);
+    let other = flow_of("100.64.0.8".parse().expect("address"), 2);
+    assert_eq!(waited_ms(&mut balancer, opener(&other, 0), 1_007), 0);
+    assert_eq!(waited_ms(&mut balancer, opener(&flow(2), 0), 1_008), 608);
+}
+
+#[test]
+fn as_many_openers_are_retries_as_attempts_failed() {
+    let mut balancer = forwarder();
+    balancer.attempt_failed(&flow(1), 600, 1_000);
+    balancer.attempt_failed(&flow(2), 100, 1_001);
+    let ages = [3, 4, 5].map(|port| waited_ms(&mut balancer, opener(&flow(port), 0), 1_010));
+    assert_eq!(ages, [610, 109, 0]);
+}
--- a/tests/opaque/keeper.rs
+++ b/tests/opaque/keeper.rs
@@ -2,7 +2,7 @@
 
 use endivedyke::ServiceId;
 use endivedyke::opaque::{
-    BackendState, FlowKey, KeeperIdentity, Message, MessageKind, ROUTES_HEADER, RouteTable,
+    Action, BackendState, FlowKey, KeeperIdentity, Message, MessageKind, ROUTES_HEADER, RouteTable,
     cold_backend_text,
 };
 
@@ -377,6 +377,66 @@
     }
 }
 
+#[test]
+fn a_retry_has_the_room_of_a_copy_that_is_as_old() {
+    // Four slots, seven requests there: only what is fresh is taken.
+    for (waited_ms, taken) in [(0, true), (100, true), (200, false), (600, false)] {
+        let mut agent = AgentUnderTest::new(3, true);
+        for port in 100..107 {
+            agent.deliver(&opener(&flow(port), 0));
+        }
+        let actions = agent.deliver_retry(&opener(&flow(1), 0), waited_ms);
+        assert_eq!(reaches_backend(&actions), taken, "waited {waited_ms} ms");
+    }
+}
+
+#[test]
+fn an_opener_that_is_passed_on_keeps_its_age() {
+    let mut agent = AgentUnderTest::new(3, true);
+    agent.leave();
+    let actions = agent.deliver_retry(&opener(&flow(1), 0), 700);
+    let passed_on = actions.iter().find_map(|action| match action {
+        Action::ToPeer(_, message, _) if message.kind == MessageKind::HandOn => Some(*message),
+        _ => None,
+    });
+    assert_eq!(passed_on.map(|message| message.waited_ms), Some(700));
+}
+
+/// Returns the waits that balancers are told with failed attempts.
+fn failed_waits_ms(actions: &[Action]) -> Vec<u16> {
+    let waits = actions.iter().filter_map(|action| match action {
+        Action::ToPeer(BALANCER, message, _) if message.kind == MessageKind::AttemptFailed => {
+            Some(message.waited_ms)
+        }
+        _ => None,
+    });
+    waits.collect()
+}
+
+#[test]
+fn balancers_hear_that_an_opener_was_refused_and_how_long_its_caller_waited() {
+    let mut agent = AgentUnderTest::new(1, true);
+    agent.leave();
+    let actions = agent.deliver_retry(&opener(&flow(1), 2), 700);
+    assert_eq!(failed_waits_ms(&actions), [1_300]);
+    // A copy that is dropped is no attempt that failed: its caller sends the next one.
+    assert!(failed_waits_ms(&agent.deliver(&opener(&flow(2), 1))).is_empty());
+}
+
+#[test]
+fn balancers_hear_of_a_flow_that_is_gone_where_its_caller_may_try_again() {
+    for (repeatable, told) in [("yes", vec![0]), ("no", vec![])] {
+        let mut agent = AgentUnderTest::new(1, true);
+        let routes = format!("{ROUTES_HEADER}\n{CALLED},{SERVICE},1,2,{repeatable}\n");
+        agent
+            .directory
+            .set_routes(RouteTable::parse(&routes).expect("sound routes"));
+        let actions = agent.deliver(&request(&flow(1), 7));
+        assert_eq!(resets(&actions), [flow(1)]);
+        assert_eq!(failed_waits_ms(&actions), told, "repeatable: {repeatable}");
+    }
+}
+
 #[test]
 fn a_backend_server_that_is_still_cold_gets_fewer_openers() {
     // Four slots: six requests for a first copy, four for the second, three for the last.
--- a/tests/opaque/policies.rs
+++ b/tests/opaque/policies.rs
@@ -4,15 +4,16 @@
 use crate::queue_model::Model;
 use crate::queue_plan::{Outcome, Plan, Policy};
 
-const POLICIES: [Policy; 4] = [
+const POLICIES: [Policy; 5] = [
     Policy::Hash,
     Policy::TwoChoices,
     Policy::LeastLoaded,
+    Policy::RetriesUnknown,
     Policy::Product,
 ];
 
 /// Plays a plan under each policy and prints a row for each, for docs/MEASUREMENTS.md.
-fn compare(name: &str, plan: &Plan) -> [Outcome; 4] {
+fn compare(name: &str, plan: &Plan) -> [Outcome; 5] {
     POLICIES.map(|policy| {
         let outcome = Model::run(plan, policy);
         println!(
@@ -29,8 +30,8 @@
 }
 
 /// Returns the share served in time by the best of the others, and by the product.
-fn shares(outcomes: &[Outcome; 4]) -> (f64, f64) {
-    let [others @ .., product] = outcomes;
+fn shares(outcomes: &[Outcome; 5]) -> (f64, f64) {
+    let [others @ .., _, product] = outcomes;
     let best = others
         .iter()
         .map(Outcome::in_time_share)
@@ -91,6 +92,31 @@
     }
 }
 
+/// A service that lost power with all its hosts, and is asked for more than it can do while it is cold: 21
+/// slots that need 1.6 times as long, two seconds of it.
+fn overload_after_power_loss(seed: u64) -> Plan {
+    Plan {
+        power_lost_ms: Some((6_000, 700)),
+        aim_ms: 250,
+        for_ms: 12_000,
+        seed,
+        ..Plan::new(3, 7, 55.0, 0.75)
+    }
+}
+
+#[test]
+fn retries_do_not_take_the_place_of_what_can_still_be_served_in_time() {
+    const SEEDS: u64 = 8;
+    let in_time = |policy| -> f64 {
+        let runs = (1..=SEEDS).map(|seed| Model::run(&overload_after_power_loss(seed), policy));
+        runs.map(|outcome| outcome.in_time_share()).sum::<f64>() / SEEDS as f64
+    };
+    let (unknown, known) = (in_time(Policy::RetriesUnknown), in_time(Policy::Product));
+    println!("in time: {unknown:.4} without retries known, {known:.4} with");
+    assert!(known >= bound("opaque_in_time_after_power_loss"), "{known}");
+    assert!(known - unknown >= bound("opaque_in_time_by_known_retries"));
+}
+
 #[test]
 fn a_plan_played_twice_gives_the_same_figures() {
     let plan = Plan {
--- a/tests/opaque/queue_model.rs
+++ b/tests/opaque/queue_model.rs
@@ -16,7 +16,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::builder::{
-    ACK, Agents, FIN, PacketSpec, SERVICE, WIRE, flow, forwarder, from_backend, host, index_of,
+    ACK, Agents, FIN, PacketSpec, SERVICE, WIRE, flow_of, forwarder, from_backend, host, index_of,
     opener, request,
 };
 use crate::queue_plan::{Outcome, Plan, Policy};
@@ -35,6 +35,8 @@
 const DEADLINE_MS: u64 = 3_000;
 /// How often a caller tries again that was refused.
 const RETRIES: u32 = 2;
+/// How many callers there are; each has an address of its own.
+const CALLERS: usize = 100;
 const ACCEPTED: u32 = 500;
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -236,14 +238,20 @@
         if attempt.accepted || attempt.over || waited_ms > DEADLINE_MS {
             return;
         }
-        if self.policy == Policy::Product {
-            self.forward(opener(&flow(port), copy));
+        if self.policy.is_product() {
+            self.forward(opener(&self.key(port), copy));
         } else {
-            let at = self.choose(&flow(port));
+            let at = self.choose(&self.key(port));
             self.soon(Event::Accepted(port, at));
         }
     }
 
+    /// Returns the flow of an attempt.
+    fn key(&self, port: u16) -> FlowKey {
+        let caller = self.attempts[&port].call % CALLERS;
+        flow_of(Ipv4Addr::new(100, 64, 0, caller as u8), port)
+    }
+
     /// Chooses a server as a balancer does that is alone.
     fn choose(&self, key: &FlowKey) -> Ipv4Addr {
         let table = self
@@ -255,7 +263,7 @@
         let among = match self.policy {
             Policy::Hash => 1,
             Policy::TwoChoices => 2.min(order.len()),
-            Policy::LeastLoaded | Policy::Product => order.len(),
+            Policy::LeastLoaded | Policy::RetriesUnknown | Policy::Product => order.len(),
         };
         let told = |at: Ipv4Addr| self.told[usize::from(index_of(at)) - 1];
         let hosts = order[..among].iter().map(|row| row.host);
@@ -279,8 +287,8 @@
             return;
         }
         attempt.accepted = true;
-        if self.policy == Policy::Product {
-            self.forward(request(&flow(port), ACCEPTED + 1));
+        if self.policy.is_product() {
+            self.forward(request(&self.key(port), ACCEPTED + 1));
         } else {
             self.enqueue(at, port);
         }
@@ -335,14 +343,14 @@
             return;
         }
         server.running.retain(|running| *running != port);
-        if self.policy == Policy::Product {
+        if self.policy.is_product() {
             let spec = PacketSpec {
                 flags: ACK | FIN,
                 sequence: ACCEPTED + 1,
                 acknowledgement: 141,
                 data_bytes: 100,
             };
-            self.backend_says(host(index + 1), from_backend(&flow(port), spec));
+            self.backend_says(host(index + 1), from_backend(&self.key(port), spec));
         }
         self.answered(port);
         self.serve(index);
--- a/tests/opaque/queue_model/processes.rs
+++ b/tests/opaque/queue_model/processes.rs
@@ -7,8 +7,7 @@
 };
 
 use super::{ACCEPTED, BEAT_MS, Event, Model, TICK_MS};
-use crate::builder::{BALANCER, WIRE, acceptance, flow, forwarder, host, publish, state_text};
-use crate::queue_plan::Policy;
+use crate::builder::{BALANCER, WIRE, acceptance, forwarder, host, publish, state_text};
 
 impl Model {
     pub(super) fn forward(&mut self, packet: Vec<u8>) {
@@ -62,10 +61,14 @@
         let &[_, _, _, _, high, low, ..] = payload else {
             return;
         };
-        let key = flow(u16::from_be_bytes([high, low]));
+        let key = self.key(u16::from_be_bytes([high, low]));
         match message.kind {
             MessageKind::Holds => self.forwarder.holds(key, message.host, self.now_ms),
             MessageKind::Absent => self.forwarder.handed_on(&key, from),
+            MessageKind::AttemptFailed if self.policy.knows_retries() => {
+                let waited_ms = message.waited_ms;
+                self.forwarder.attempt_failed(&key, waited_ms, self.now_ms);
+            }
             _ => {}
         }
     }
@@ -87,7 +90,7 @@
 
     pub(super) fn tick(&mut self) {
         self.at(self.now_ms + TICK_MS, Event::Tick);
-        if self.policy != Policy::Product {
+        if !self.policy.is_product() {
             return;
         }
         let (directory, now_ms) = (&self.agents.directory, self.now_ms);
--- a/tests/opaque/queue_plan.rs
+++ b/tests/opaque/queue_plan.rs
@@ -9,10 +9,24 @@
     TwoChoices,
     /// The one of all whose load was told to be lowest.
     LeastLoaded,
+    /// The product, but balancers do not hear of attempts that failed, so that each retry looks fresh.
+    RetriesUnknown,
     /// The product.
     Product,
 }
 
+impl Policy {
+    /// Tells whether the product's own code decides.
+    pub(crate) fn is_product(self) -> bool {
+        matches!(self, Policy::RetriesUnknown | Policy::Product)
+    }
+
+    /// Tells whether balancers hear of attempts that failed.
+    pub(crate) fn knows_retries(self) -> bool {
+        self == Policy::Product
+    }
+}
+
 /// What is asked of the servers.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Plan {
