Greet balancers that went quiet, so that they serve on what agents know

Cause: a starting process knows the platform and its seeds, and the seeds are balancers. Ruled out: agents as seeds, since the settings name machines of the role that serves the control plane, and a role of agents would have to take calls that no agent has a use for; guessing routes from packets. Change: agents remember balancers that forwarded something, three of them greet one that is quiet; a process that holds nothing takes values from whoever tells of newer ones, not from seeds alone. The test with real processes failed before (18 callers not answered within their limit). Still open: agents killed too while the store is away.

--- a/lab/tests/opaque_site.rs
+++ b/lab/tests/opaque_site.rs
@@ -311,6 +311,25 @@
     });
 }
 
+#[test]
+fn balancers_that_are_all_killed_while_the_store_is_silent_serve_on_what_agents_know() {
+    run(async {
+        let mut site = site(3).await;
+        site.call(&[site.plan(0, 12, 6)]).expect("callers");
+        sleep_ms(500).await;
+        site.store().set_fault(Some(StoreFault::Silent));
+        for index in 0..3 {
+            site.balancer(index).expect("runs").kill().expect("runs");
+            site.start_balancer(index).expect("starts");
+        }
+        site.wait_ready().await.expect("ready without the store");
+        sleep_ms(1_000).await;
+        let tally = site.finish().await;
+        assert_promises(&site, &tally);
+        assert_eq!((tally.failed, tally.reset), (0, 0), "{}", summary(&tally));
+    });
+}
+
 #[test]
 fn few_processes_read_the_store() {
     run(async {
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -7,7 +7,7 @@
 mod backend_life;
 mod openers;
 mod questions;
-mod retries;
+mod told;
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -18,7 +18,7 @@
 use crate::opaque::action::Action;
 use crate::opaque::directory::Directory;
 use crate::opaque::flow_book::{Flow, FlowBook, Holding, Running};
-use crate::opaque::keeper::retries::KnownBalancers;
+use crate::opaque::known_balancers::KnownBalancers;
 use crate::opaque::lookup::Lookups;
 use crate::opaque::mean_load::{FAILING_LOAD, MeanLoad};
 use crate::opaque::message::{Message, MessageKind, UNKNOWN_LOAD};
@@ -203,7 +203,8 @@
             | MessageKind::Beat
             | MessageKind::BeatReply
             | MessageKind::Unlisted
-            | MessageKind::AttemptFailed => {}
+            | MessageKind::AttemptFailed
+            | MessageKind::Greeting => {}
         }
         Ok(actions)
     }
--- a/src/opaque/message.rs
+++ b/src/opaque/message.rs
@@ -41,6 +41,8 @@
     Unlisted = 9,
     /// An attempt of this flow's caller has failed: its next opener is a retry.
     AttemptFailed = 10,
+    /// The sender runs and holds these revisions: for a balancer that may have just started.
+    Greeting = 11,
 }
 
 /// The trailer of a datagram between two processes.
@@ -168,6 +170,7 @@
         MessageKind::BeatReply,
         MessageKind::Unlisted,
         MessageKind::AttemptFailed,
+        MessageKind::Greeting,
     ];
     kinds.into_iter().find(|kind| *kind as u8 == byte)
 }
--- a/src/opaque/mod.rs
+++ b/src/opaque/mod.rs
@@ -16,6 +16,7 @@
 mod forwarder;
 mod freshness;
 mod keeper;
+mod known_balancers;
 mod known_loads;
 mod lookup;
 mod mean_load;
--- a/src/opaque/published.rs
+++ b/src/opaque/published.rs
@@ -359,7 +359,13 @@
             self.unsettle(unsettled_ms);
         }
         let digest = message.digest;
-        if digest.highest > self.control.store.borrow().digest().highest && self.has_routes() {
+        if digest.highest > self.control.store.borrow().digest().highest {
+            if !self.has_routes() && !self.pulling.get() {
+                log::info!(
+                    "event=configuration_from_peer host={from} revision={}",
+                    digest.highest
+                );
+            }
             self.pull(from);
         }
     }
--- a/src/opaque/side.rs
+++ b/src/opaque/side.rs
@@ -32,6 +32,10 @@
 /// the time for which processes that start wait for it.
 const ANNOUNCE_MS: u64 = START_SETTLE_MS / 2;
 
+/// How often an agent greets balancers that have gone quiet, in milliseconds: a balancer that starts without
+/// the platform serves after about this time.
+const GREET_MS: u64 = 100;
+
 struct Side {
     node: Rc<Node>,
     keeper: RefCell<Keeper>,
@@ -120,6 +124,9 @@
         let announce = move || side.announce_unlisted();
         self.node.control.timers.every(ANNOUNCE_MS, announce);
         let side = self.clone();
+        let greet = move || side.decide(|keeper, scene| Ok(keeper.greet(scene)));
+        self.node.control.timers.every(GREET_MS, greet);
+        let side = self.clone();
         let lifetime_ms = self.node.control.settings.opaque.flow_lifetime_ms();
         self.node.control.timers.every(TIDY_MS, move || {
             let now_ms = side.node.control.now_ms();
--- /dev/null
+++ b/tests/opaque/greetings.rs
@@ -0,0 +1,71 @@
+//! Whom an agent greets, so that a balancer which starts without the platform finds a configuration.
+
+use std::net::Ipv4Addr;
+
+use endivedyke::opaque::{Action, Message, MessageKind};
+
+use crate::builder::{Agents, BALANCER, flow, host, hosts_told, opener};
+
+fn balancer(index: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 9, 1, index)
+}
+
+/// Lets every agent hear a packet of a balancer.
+fn deliver_to_all(agents: &mut Agents, from: Ipv4Addr, now_ms: u64) {
+    let mut message = Message::new(MessageKind::Deliver);
+    message.host = from;
+    for index in 1..=agents.count() {
+        let packet = opener(&flow(index), 0);
+        let hear = |keeper: &mut endivedyke::opaque::Keeper, scene: &_| {
+            keeper.peer_says(scene, from, &message, &packet)
+        };
+        agents
+            .with(host(index), now_ms, hear)
+            .expect("sound packet");
+    }
+}
+
+/// Returns whom each agent greets now.
+fn greeted(agents: &mut Agents, now_ms: u64) -> Vec<Vec<Ipv4Addr>> {
+    let hosts = (1..=agents.count()).map(host);
+    let actions: Vec<Vec<Action>> = hosts
+        .map(|at| agents.with(at, now_ms, |keeper, scene| keeper.greet(scene)))
+        .collect();
+    let greeted = actions.iter();
+    greeted
+        .map(|actions| hosts_told(actions, MessageKind::Greeting))
+        .collect()
+}
+
+#[test]
+fn a_balancer_is_greeted_while_it_is_quiet_and_not_forgotten() {
+    for (after_ms, greeters) in [(0, 0), (249, 0), (250, 3), (59_999, 3), (60_000, 0)] {
+        let mut agents = Agents::new(5);
+        deliver_to_all(&mut agents, BALANCER, 1_000);
+        let greeted = greeted(&mut agents, 1_000 + after_ms);
+        let greeting = greeted.iter().filter(|hosts| **hosts == [BALANCER]);
+        assert_eq!(greeting.count(), greeters, "after {after_ms} ms");
+    }
+}
+
+#[test]
+fn three_agents_greet_a_balancer_however_many_there_are() {
+    for count in [2, 7, 250] {
+        let mut agents = Agents::new(count);
+        for index in 1..=20 {
+            deliver_to_all(&mut agents, balancer(index), 1_000);
+        }
+        let greetings: usize = greeted(&mut agents, 2_000).iter().map(Vec::len).sum();
+        assert_eq!(greetings, 20 * usize::from(count.min(3)), "{count} agents");
+    }
+}
+
+#[test]
+fn of_many_balancers_those_heard_last_are_remembered() {
+    let mut agents = Agents::new(1);
+    for index in 1..=40 {
+        deliver_to_all(&mut agents, balancer(index), 1_000 + u64::from(index));
+    }
+    let greeted = greeted(&mut agents, 2_000).remove(0);
+    assert_eq!(greeted, (9..=40).map(balancer).collect::<Vec<_>>());
+}
--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -5,6 +5,7 @@
 mod directory;
 mod forwarder;
 mod freshness;
+mod greetings;
 mod keeper;
 mod lookup;
 mod message;
