--- a/tests/opaque/greetings.rs
+++ b/tests/opaque/greetings.rs
@@ -16,12 +16,10 @@
     message.host = from;
     for index in 1..=agents.count() {
         let packet = opener(&flow(index), 0);
-        let hear = |keeper: &mut endivedyke::opaque::Keeper, scene: &_| {
+        let heard = agents.with(host(index), now_ms, |keeper, scene| {
             keeper.peer_says(scene, from, &message, &packet)
-        };
-        agents
-            .with(host(index), now_ms, hear)
-            .expect("sound packet");
+        });
+        heard.expect("sound packet");
     }
 }
 
