Find open flows while no process has a configuration

Cause: after a restart of balancers and agents while the platform answers nobody no process knows a route or an agent, so that open flows stood still until the platform's return though their backend servers lived. Ruled out: routes guessed from packets (an accepted configuration could revert); copies of the configuration outside our processes (nothing of ours is written anywhere). Change: agents greet seeds while they start, seeds tell balancers of them, and a balancer shows packets that open nothing to agents until one holds the flow. Nothing opens and nothing is reset without a configuration.

--- a/lab/tests/opaque_site.rs
+++ b/lab/tests/opaque_site.rs
@@ -330,6 +330,34 @@
     });
 }
 
+#[test]
+fn feeds_go_on_after_a_restart_of_all_processes_while_the_store_is_silent() {
+    run(async {
+        let mut site = site(3).await;
+        site.call(&[site.plan(0, 12, 0)]).expect("callers");
+        sleep_ms(500).await;
+        site.store().set_fault(Some(StoreFault::Silent));
+        for index in 0..3 {
+            site.balancer(index).expect("runs").kill().expect("runs");
+            site.agent(index).expect("runs").kill().expect("runs");
+        }
+        for index in 0..3 {
+            site.start_balancer(index).expect("starts");
+            site.start_agent(index).expect("starts");
+        }
+        sleep_ms(1_500).await;
+        let before = site.tally().answered;
+        sleep_ms(1_000).await;
+        let after = site.tally().answered;
+        assert!(after > before + 50, "{before} answers, then {after}");
+        site.store().set_fault(None);
+        site.wait_ready().await.expect("ready");
+        let tally = site.finish().await;
+        assert_promises(&site, &tally);
+        assert_eq!((tally.failed, tally.reset), (0, 0), "{}", summary(&tally));
+    });
+}
+
 #[test]
 fn few_processes_read_the_store() {
     run(async {
--- a/src/opaque/entry.rs
+++ b/src/opaque/entry.rs
@@ -58,15 +58,15 @@
             .await;
     })
     .detach();
-    node.start().await;
+    let receiving = entry.clone();
+    compio::runtime::spawn(async move { receiving.receive(&callers).await }).detach();
+    node.start(&[MessageKind::Beat]).await;
     node.subscribe();
     let tidied = entry.clone();
     control.timers.every(TIDY_MS, move || {
         let now_ms = tidied.node.control.now_ms();
         tidied.forwarder.borrow_mut().expire(now_ms);
     });
-    let receiving = entry.clone();
-    compio::runtime::spawn(async move { receiving.receive(&callers).await }).detach();
     ready.set(true);
     log::info!(
         "event=ready revision={}",
@@ -95,6 +95,10 @@
 
     fn take(self: &Rc<Self>, packet: Vec<u8>) {
         let now_ms = self.node.control.now_ms();
+        if !self.node.values.has_routes() {
+            self.search(&packet, now_ms);
+            return;
+        }
         let result = {
             let directory = self.node.directory.borrow();
             let mut suspicion = self.node.control.suspicion.borrow_mut();
@@ -108,6 +112,33 @@
         self.start_ticking();
     }
 
+    /// Forwards a packet while there is no configuration.
+    fn search(&self, packet: &[u8], now_ms: u64) {
+        let result = {
+            let mut search = self.node.search.borrow_mut();
+            let mut forwarder = self.forwarder.borrow_mut();
+            forwarder.handle_without_routes(&mut search, packet, now_ms)
+        };
+        match result {
+            Ok(actions) => self.node.perform(actions, |_| {}),
+            Err(error) => self.node.drop_packet(&error),
+        }
+    }
+
+    /// Notes which agents run, for as long as no configuration tells.
+    fn note_agents(&self, from: Ipv4Addr, message: &Message, payload: &[u8]) {
+        if self.node.values.has_routes() {
+            return;
+        }
+        let now_ms = self.node.control.now_ms();
+        let mut search = self.node.search.borrow_mut();
+        match message.kind {
+            MessageKind::Greeting => search.heard(from, now_ms),
+            MessageKind::BeatReply => search.heard_list(payload, now_ms),
+            _ => {}
+        }
+    }
+
     fn peer_says(self: &Rc<Self>, from: Ipv4Addr, message: &Message, payload: &[u8]) {
         let now_ms = self.node.control.now_ms();
         self.node.control.suspicion.borrow_mut().answered(from);
@@ -115,6 +146,7 @@
         self.forwarder
             .borrow_mut()
             .heard(from, load_permille, now_ms);
+        self.note_agents(from, message, payload);
         if self.node.take_beat(from, message) {
             return;
         }
@@ -126,6 +158,10 @@
                 let mut forwarder = self.forwarder.borrow_mut();
                 forwarder.holds(flow, message.host, now_ms);
             }
+            MessageKind::Found => {
+                log::info!("event=flow_found flow={flow} host={from}");
+                self.forwarder.borrow_mut().holds(flow, from, now_ms);
+            }
             MessageKind::AttemptFailed => {
                 let mut forwarder = self.forwarder.borrow_mut();
                 forwarder.attempt_failed(&flow, message.waited_ms, now_ms);
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -16,6 +16,7 @@
 use crate::opaque::directory::Directory;
 use crate::opaque::expected_retries::ExpectedRetries;
 use crate::opaque::flow_map::FlowMap;
+use crate::opaque::flow_search::FlowSearch;
 use crate::opaque::known_loads::KnownLoads;
 use crate::opaque::message::{Message, MessageKind};
 use crate::opaque::segment::{FLOW_KEY_BYTES, FlowKey, Segment, WireFormat};
@@ -123,6 +124,36 @@
         Ok(self.deliver(host, packet, waited_ms))
     }
 
+    /// Decides about a caller's packet while no configuration is known: what opens nothing is shown to agents
+    /// until one of them holds its flow, and what opens a flow waits for a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns the code for which the packet is dropped.
+    pub fn handle_without_routes(
+        &mut self,
+        search: &mut FlowSearch,
+        packet: &[u8],
+        now_ms: u64,
+    ) -> Result<Vec<Action>> {
+        let segment = (self.wire.decode)(packet)?;
+        let flow = segment.flow_from_caller();
+        if segment.opens {
+            return Err(Error::new(Code::RouteUnknown, flow.called.to_string()));
+        }
+        if let Some(hint) = self.hints.get_mut(&flow) {
+            hint.seen_ms = now_ms;
+            let host = hint.host;
+            return Ok(vec![self.deliver(host, packet.to_vec(), 0)]);
+        }
+        let find = Message::new(MessageKind::Find);
+        let agents = search.next_agents(&flow, now_ms);
+        self.metrics.packets_shown.inc_by(agents.len() as u64);
+        let agents = agents.into_iter();
+        let shown = agents.map(|host| Action::ToPeer(host, find, packet.to_vec()));
+        Ok(shown.collect())
+    }
+
     /// Notes that an attempt of a caller failed after it had waited for so long.
     pub fn attempt_failed(&mut self, flow: &FlowKey, waited_ms: u16, now_ms: u64) {
         let caller = *flow.caller.ip();
--- a/src/opaque/node.rs
+++ b/src/opaque/node.rs
@@ -13,6 +13,7 @@
 use crate::error::{Error, Result};
 use crate::opaque::action::Action;
 use crate::opaque::directory::{BackendChange, Directory};
+use crate::opaque::flow_search::FlowSearch;
 use crate::opaque::freshness::BEAT_MS;
 use crate::opaque::message::{Message, MessageKind, UNKNOWN_LOAD};
 use crate::opaque::published::PublishedValues;
@@ -36,6 +37,8 @@
     receiver: UdpSocket,
     sender: std::net::UdpSocket,
     askers: RefCell<Vec<(Ipv4Addr, u64)>>,
+    /// The agents heard of while there is no configuration.
+    pub(crate) search: RefCell<FlowSearch>,
     /// The load that messages tell of the backend server beside this process.
     pub(crate) load_permille: Cell<u16>,
 }
@@ -53,6 +56,7 @@
             receiver,
             sender,
             askers: RefCell::default(),
+            search: RefCell::default(),
             load_permille: Cell::new(UNKNOWN_LOAD),
         });
         control.tells_peers.set(false);
@@ -61,9 +65,14 @@
         Ok(node)
     }
 
-    /// Returns once a configuration is in force.
-    pub(crate) async fn start(self: &Rc<Self>) {
-        let ask = |host| self.send(host, Message::new(MessageKind::Beat), Vec::new());
+    /// Returns once a configuration is in force; meanwhile seeds are asked for one, again and again, by
+    /// messages of these kinds.
+    pub(crate) async fn start(self: &Rc<Self>, kinds: &[MessageKind]) {
+        let ask = |host| {
+            for kind in kinds {
+                self.send(host, Message::new(*kind), Vec::new());
+            }
+        };
         self.values.start(ask).await;
     }
 
@@ -156,7 +165,8 @@
         match message.kind {
             MessageKind::Beat => {
                 self.note_asker(from);
-                self.send(from, Message::new(MessageKind::BeatReply), Vec::new());
+                let reply = Message::new(MessageKind::BeatReply);
+                self.send(from, reply, self.running_agents());
                 true
             }
             MessageKind::BeatReply => {
@@ -172,6 +182,15 @@
         }
     }
 
+    /// Returns the list of agents for a balancer that asks while neither has a configuration.
+    fn running_agents(&self) -> Vec<u8> {
+        if self.values.has_routes() {
+            return Vec::new();
+        }
+        let now_ms = self.control.now_ms();
+        self.search.borrow_mut().list(now_ms)
+    }
+
     fn note_asker(&self, host: Ipv4Addr) {
         let now_ms = self.control.now_ms();
         let mut askers = self.askers.borrow_mut();
--- a/src/opaque/published.rs
+++ b/src/opaque/published.rs
@@ -163,7 +163,8 @@
         until_ms.saturating_sub(self.lapse_clock_ms()).min(LAPSE_MS)
     }
 
-    fn has_routes(&self) -> bool {
+    /// Tells whether a configuration is in force.
+    pub(crate) fn has_routes(&self) -> bool {
         self.control.store.borrow().revision(super::ROUTES_NAME) > 0
     }
 
--- a/src/opaque/side.rs
+++ b/src/opaque/side.rs
@@ -75,7 +75,9 @@
     });
     side.clone().receive(from_backend);
     side.clone().watch_backend(doubted);
-    node.start().await;
+    // The greeting lets balancers show it packets of open flows before there is a configuration.
+    node.start(&[MessageKind::Beat, MessageKind::Greeting])
+        .await;
     side.subscribe();
     ready.set(true);
     log::info!(
--- a/src/process/opaque_metrics.rs
+++ b/src/process/opaque_metrics.rs
@@ -22,6 +22,7 @@
     pub(crate) openers_dropped: Counter,
     pub(crate) openers_unanswered: Counter,
     pub(crate) retries_known: Counter,
+    pub(crate) packets_shown: Counter,
     pub(crate) flows_reset: CodeCounter,
     pub(crate) flows_open: Gauge,
     pub(crate) requests_busy: Gauge,
@@ -49,6 +50,7 @@
             openers_dropped: Counter::default(),
             openers_unanswered: Counter::default(),
             retries_known: Counter::default(),
+            packets_shown: Counter::default(),
             flows_reset: CodeCounter::default(),
             flows_open: Gauge::default(),
             requests_busy: Gauge::default(),
@@ -102,8 +104,13 @@
         );
     }
 
-    fn counters(&self) -> [(&'static str, &'static str, &Counter); 13] {
+    fn counters(&self) -> [(&'static str, &'static str, &Counter); 14] {
         [
+            (
+                "packets_shown",
+                "Packets shown to agents to find their flow, while there was no configuration",
+                &self.packets_shown,
+            ),
             (
                 "retries_known",
                 "Openers known to be retries of attempts that failed",
--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -3,6 +3,7 @@
 mod backend_life;
 mod builder;
 mod directory;
+mod flow_search;
 mod forwarder;
 mod freshness;
 mod greetings;
