Let the soak kill everything while the store is silent

Seeds from 1000 on draw from 23 faults; those below play what they played, since some are kept as tests.

--- a/lab/src/opaque/soak.rs
+++ b/lab/src/opaque/soak.rs
@@ -20,6 +20,8 @@
 const PAUSE_MS: std::ops::Range<u64> = 100..900;
 /// How long a fault lasts, in milliseconds.
 const FAULT_MS: std::ops::Range<u64> = 200..2_500;
+/// After how long processes start again that are killed while the store is silent, in milliseconds.
+const RESTART_MS: u64 = 300;
 /// How long a backend server that drains goes on, in milliseconds.
 const DRAIN_MS: u64 = 1_500;
 /// How long after the return of the store a lapsed entry is back, in milliseconds.
@@ -51,9 +53,13 @@
     ResetLinks,
     SilenceLinks,
     CrashSilently,
+    KillAllInSilence,
 }
 
-const FAULTS: [Fault; 22] = [
+/// The seeds below which only the first faults are drawn, so that a kept seed goes on playing what it played.
+const FIRST_SEED_OF_ALL: u64 = 1_000;
+const FIRST_FAULTS: usize = 22;
+const FAULTS: [Fault; 23] = [
     Fault::KillBalancer,
     Fault::StopBalancer,
     Fault::FreezeBalancer,
@@ -76,6 +82,7 @@
     Fault::ResetLinks,
     Fault::SilenceLinks,
     Fault::CrashSilently,
+    Fault::KillAllInSilence,
 ];
 
 /// What ends a fault.
@@ -95,6 +102,7 @@
 
 struct Soak {
     site: OpaqueSite,
+    faults: &'static [Fault],
     random: StdRng,
     started: Instant,
     heals: Vec<(u64, Heal)>,
@@ -113,6 +121,11 @@
     }
     let mut soak = Soak {
         site: builder.start().await?,
+        faults: if seed < FIRST_SEED_OF_ALL {
+            &FAULTS[..FIRST_FAULTS]
+        } else {
+            &FAULTS
+        },
         random: StdRng::seed_from_u64(seed),
         started: Instant::now(),
         heals: Vec::new(),
@@ -142,7 +155,7 @@
     }
 
     fn strike(&mut self) -> Result<()> {
-        let fault = FAULTS[self.random.random_range(0..FAULTS.len())];
+        let fault = self.faults[self.random.random_range(0..self.faults.len())];
         let balancer = self.random.random_range(0..BALANCERS);
         let index = self.random.random_range(0..BACKENDS);
         let due_ms = self.now_ms() + self.random.random_range(FAULT_MS);
@@ -224,6 +237,11 @@
                 }
             }
             Fault::KillAll => self.kill_all(due_ms)?,
+            Fault::KillAllInSilence => {
+                self.site.store().set_fault(Some(StoreFault::Silent));
+                self.kill_all(self.now_ms() + RESTART_MS)?;
+                self.heals.push((due_ms + RESTART_MS, Heal::Store));
+            }
         }
         Ok(())
     }
