Group the modules of opaque flows by what they are for

Cause: 37 files lay on one floor, and two pairs of modules named each other (process/metrics with opaque_metrics, programs/operator/remote with status). Change: folders for what travels, what a decision about an opener reads, where flows are, what is published, and the processes; the counter by result code and the answers of hosts have files of their own; tests of openers stand apart from those of other packets, unchanged. Nothing decides otherwise.

--- a/src/opaque/flow_book.rs
+++ b/src/opaque/finding/flow_book.rs
@@ -2,8 +2,8 @@
 
 use std::net::Ipv4Addr;
 
-use crate::opaque::flow_map::FlowMap;
-use crate::opaque::segment::{FlowKey, Segment};
+use crate::opaque::finding::flow_map::FlowMap;
+use crate::opaque::packets::segment::{FlowKey, Segment};
 use crate::process::opaque_metrics::OpaqueMetrics;
 
 /// How many flows an agent remembers: eight times the connections of the largest backend servers.
--- a/src/opaque/flow_map.rs
+++ b/src/opaque/finding/flow_map.rs
@@ -1,6 +1,6 @@
 //! A bounded map of flows, in sorted vectors.
 
-use crate::opaque::segment::FlowKey;
+use crate::opaque::packets::segment::FlowKey;
 
 /// How many flows a bucket of a full map holds on average, so that an insertion moves a few kilobytes.
 const BUCKET_FLOWS: usize = 64;
--- a/src/opaque/flow_search.rs
+++ b/src/opaque/finding/flow_search.rs
@@ -9,8 +9,8 @@
 use std::net::Ipv4Addr;
 
 use crate::config::hash;
-use crate::opaque::flow_map::FlowMap;
-use crate::opaque::segment::FlowKey;
+use crate::opaque::finding::flow_map::FlowMap;
+use crate::opaque::packets::segment::FlowKey;
 
 /// To how many agents each copy of a packet is shown: on a small site to all, and on a larger one to the next
 /// ones with each copy that its caller sends, so that the first second after a restart stays affordable.
--- a/src/opaque/lookup.rs
+++ b/src/opaque/finding/lookup.rs
@@ -2,8 +2,8 @@
 
 use std::net::Ipv4Addr;
 
-use crate::opaque::directory::Directory;
-use crate::opaque::segment::{FlowKey, Segment};
+use crate::opaque::packets::segment::{FlowKey, Segment};
+use crate::opaque::values::directory::Directory;
 use crate::process::opaque_metrics::OpaqueMetrics;
 
 /// How long an agent waits before it asks those again that did not answer, in milliseconds.
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -12,14 +12,14 @@
 use crate::decisions::placement;
 use crate::decisions::suspicion::Suspicion;
 use crate::error::{Error, Result};
-use crate::opaque::action::Action;
-use crate::opaque::directory::Directory;
-use crate::opaque::expected_retries::ExpectedRetries;
-use crate::opaque::flow_map::FlowMap;
-use crate::opaque::flow_search::FlowSearch;
-use crate::opaque::known_loads::KnownLoads;
-use crate::opaque::message::{Message, MessageKind};
-use crate::opaque::segment::{FLOW_KEY_BYTES, FlowKey, Segment, WireFormat};
+use crate::opaque::finding::flow_map::FlowMap;
+use crate::opaque::finding::flow_search::FlowSearch;
+use crate::opaque::openers::expected_retries::ExpectedRetries;
+use crate::opaque::openers::known_loads::KnownLoads;
+use crate::opaque::packets::action::Action;
+use crate::opaque::packets::message::{Message, MessageKind};
+use crate::opaque::packets::segment::{FLOW_KEY_BYTES, FlowKey, Segment, WireFormat};
+use crate::opaque::values::directory::Directory;
 use crate::process::opaque_metrics::OpaqueMetrics;
 
 /// How many hints a balancer keeps; the brief speaks of hundreds of thousands of flows for each.
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -15,15 +15,15 @@
 use crate::config::service_id::ServiceId;
 use crate::decisions::suspicion::Suspicion;
 use crate::error::Result;
-use crate::opaque::action::Action;
-use crate::opaque::directory::Directory;
-use crate::opaque::flow_book::{Flow, FlowBook, Holding, Running};
-use crate::opaque::known_balancers::KnownBalancers;
-use crate::opaque::lookup::Lookups;
-use crate::opaque::mean_load::{FAILING_LOAD, MeanLoad};
-use crate::opaque::message::{Message, MessageKind, UNKNOWN_LOAD};
-use crate::opaque::recent_outcomes::RecentOutcomes;
-use crate::opaque::segment::{FlowKey, Segment, WireFormat};
+use crate::opaque::finding::flow_book::{Flow, FlowBook, Holding, Running};
+use crate::opaque::finding::lookup::Lookups;
+use crate::opaque::openers::mean_load::{FAILING_LOAD, MeanLoad};
+use crate::opaque::openers::recent_outcomes::RecentOutcomes;
+use crate::opaque::packets::action::Action;
+use crate::opaque::packets::message::{Message, MessageKind, UNKNOWN_LOAD};
+use crate::opaque::packets::segment::{FlowKey, Segment, WireFormat};
+use crate::opaque::values::directory::Directory;
+use crate::opaque::values::known_balancers::KnownBalancers;
 use crate::process::opaque_metrics::OpaqueMetrics;
 
 /// How long a backend server may take to answer an opener or to return a packet, in milliseconds:
--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -2,11 +2,11 @@
 
 use std::net::Ipv4Addr;
 
-use crate::opaque::action::Action;
-use crate::opaque::flow_book::{Flow, Holding, Running};
+use crate::opaque::finding::flow_book::{Flow, Holding, Running};
 use crate::opaque::keeper::{BACKEND_TIMEOUT_MS, Keeper, Scene, tell};
-use crate::opaque::message::MessageKind;
-use crate::opaque::segment::{FlowKey, Segment};
+use crate::opaque::packets::action::Action;
+use crate::opaque::packets::message::MessageKind;
+use crate::opaque::packets::segment::{FlowKey, Segment};
 
 /// The time from which an answer is logged as slow, in milliseconds: above the latency that the users
 /// aim at for any kind of request today.
--- a/src/opaque/keeper/backend_life.rs
+++ b/src/opaque/keeper/backend_life.rs
@@ -1,10 +1,10 @@
 //! What an agent believes of the process of its backend server: listening, ended, restarted, failing.
 
 use crate::code::Code;
-use crate::opaque::action::Action;
-use crate::opaque::directory::Directory;
-use crate::opaque::flow_book::Remains;
+use crate::opaque::finding::flow_book::Remains;
 use crate::opaque::keeper::{Keeper, Scene};
+use crate::opaque::packets::action::Action;
+use crate::opaque::values::directory::Directory;
 
 /// How long nothing must listen at the backend server's address, and no packet come from there, before
 /// its process counts as ended, in milliseconds: the connection attempt is repeated meanwhile.
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -1,13 +1,13 @@
 //! Openers: which the agent takes, and where the others go.
 
 use crate::code::Code;
-use crate::opaque::action::Action;
-use crate::opaque::directory::OwnBackend;
-use crate::opaque::flow_book::{Flow, Holding, Opening};
+use crate::opaque::finding::flow_book::{Flow, Holding, Opening};
 use crate::opaque::keeper::{Keeper, Scene, say_holds, tell};
-use crate::opaque::message::{Message, MessageKind};
-use crate::opaque::opener_order::next_host;
-use crate::opaque::segment::{FlowKey, Segment};
+use crate::opaque::openers::opener_order::next_host;
+use crate::opaque::packets::action::Action;
+use crate::opaque::packets::message::{Message, MessageKind};
+use crate::opaque::packets::segment::{FlowKey, Segment};
+use crate::opaque::values::directory::OwnBackend;
 
 /// How often a silent or failing backend server is tried with an opener, in milliseconds.
 const PROBE_MS: u64 = 200;
--- a/src/opaque/keeper/questions.rs
+++ b/src/opaque/keeper/questions.rs
@@ -3,13 +3,13 @@
 use std::net::Ipv4Addr;
 
 use crate::code::Code;
-use crate::opaque::action::Action;
-use crate::opaque::flow_book::{Flow, Holding};
+use crate::opaque::finding::flow_book::{Flow, Holding};
+use crate::opaque::finding::lookup::{FIRST_ASKED, Question, Verdict};
 use crate::opaque::keeper::{Keeper, Scene, say_holds, tell};
-use crate::opaque::lookup::{FIRST_ASKED, Question, Verdict};
-use crate::opaque::message::{Message, MessageKind};
-use crate::opaque::opener_order::likely_hosts;
-use crate::opaque::segment::{FlowKey, Segment};
+use crate::opaque::openers::opener_order::likely_hosts;
+use crate::opaque::packets::action::Action;
+use crate::opaque::packets::message::{Message, MessageKind};
+use crate::opaque::packets::segment::{FlowKey, Segment};
 
 impl Keeper {
     /// Asks all other agents who holds a flow.
--- a/src/opaque/keeper/told.rs
+++ b/src/opaque/keeper/told.rs
@@ -1,9 +1,9 @@
 //! What an agent tells balancers of its own accord.
 
-use crate::opaque::action::Action;
 use crate::opaque::keeper::{Keeper, Scene};
-use crate::opaque::message::{Message, MessageKind};
-use crate::opaque::segment::FlowKey;
+use crate::opaque::packets::action::Action;
+use crate::opaque::packets::message::{Message, MessageKind};
+use crate::opaque::packets::segment::FlowKey;
 
 impl Keeper {
     /// Tells balancers that a caller's attempt failed after it waited for so long.
--- a/src/opaque/expected_retries.rs
+++ b/src/opaque/openers/expected_retries.rs
@@ -6,8 +6,8 @@
 
 use std::net::Ipv4Addr;
 
-use crate::opaque::flow_map::FlowMap;
-use crate::opaque::segment::FlowKey;
+use crate::opaque::finding::flow_map::FlowMap;
+use crate::opaque::packets::segment::FlowKey;
 
 /// How soon after a failed attempt its caller's next opener counts as the retry, in milliseconds. Callers
 /// retry a round trip after their opener was refused, and 30 to 110 ms after their flow was reset.
--- a/src/opaque/known_loads.rs
+++ b/src/opaque/openers/known_loads.rs
@@ -2,7 +2,7 @@
 
 use std::net::Ipv4Addr;
 
-use crate::opaque::message::UNKNOWN_LOAD;
+use crate::opaque::packets::message::UNKNOWN_LOAD;
 
 /// The age at which a load no longer counts, in milliseconds: twice the time over which it is a mean.
 const MAX_AGE_MS: u64 = 2_000;
--- a/src/opaque/opener_order.rs
+++ b/src/opaque/openers/opener_order.rs
@@ -4,7 +4,7 @@
 
 use crate::decisions::placement;
 use crate::opaque::keeper::Scene;
-use crate::opaque::segment::FlowKey;
+use crate::opaque::packets::segment::FlowKey;
 
 /// Returns the agent after `own` in the order of a flow, if one is left that was not offered it
 /// and fewer than `max_hops` were.
--- a/src/opaque/action.rs
+++ b/src/opaque/packets/action.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use crate::opaque::message::Message;
+use crate::opaque::packets::message::Message;
 
 /// One thing to send, with the bytes as they go out.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/opaque/entry.rs
+++ b/src/opaque/processes/entry.rs
@@ -12,9 +12,10 @@
 use crate::controllers::control::Control;
 use crate::error::{Error, Result};
 use crate::opaque::forwarder::{Forwarder, named_flow};
-use crate::opaque::message::{Message, MessageKind};
-use crate::opaque::ticker::Ticker;
-use crate::opaque::{Adapter, Node, readiness};
+use crate::opaque::packets::message::{Message, MessageKind};
+use crate::opaque::processes::readiness;
+use crate::opaque::processes::ticker::Ticker;
+use crate::opaque::{Adapter, Node};
 use crate::process::udp::{self, BUFFER_BYTES};
 
 /// How long a balancer goes on forwarding after it said that it takes no traffic: the platform asks
--- /dev/null
+++ b/src/opaque/processes/mod.rs
@@ -0,0 +1,11 @@
+//! The balancer and the agent as processes: sockets, timers, readiness, the state dump.
+//!
+//! The rule that lives here: nothing here decides about a packet; `forwarder` and `keeper` are asked. See docs/OPAQUE.md.
+
+pub(crate) mod backend_watch;
+pub(crate) mod entry;
+pub(crate) mod node;
+pub(crate) mod readiness;
+pub(crate) mod side;
+pub(crate) mod state;
+pub(crate) mod ticker;
--- a/src/opaque/side.rs
+++ b/src/opaque/processes/side.rs
@@ -13,14 +13,15 @@
 use crate::config::service_id::ServiceId;
 use crate::controllers::control::Control;
 use crate::error::{Error, Result};
-use crate::opaque::action::Action;
-use crate::opaque::backend_watch::{self, BackendSign};
+use crate::opaque::finding::lookup::MAX_ASKED;
 use crate::opaque::keeper::{Keeper, KeeperIdentity, Scene};
-use crate::opaque::lookup::MAX_ASKED;
-use crate::opaque::message::{Message, MessageKind};
-use crate::opaque::published::START_SETTLE_MS;
-use crate::opaque::ticker::Ticker;
-use crate::opaque::{Adapter, Node, readiness};
+use crate::opaque::packets::action::Action;
+use crate::opaque::packets::message::{Message, MessageKind};
+use crate::opaque::processes::backend_watch::{self, BackendSign};
+use crate::opaque::processes::readiness;
+use crate::opaque::processes::ticker::Ticker;
+use crate::opaque::values::published::START_SETTLE_MS;
+use crate::opaque::{Adapter, Node};
 use crate::process::udp::{self, BUFFER_BYTES};
 
 /// How long an agent that stops still hands packets to its backend server while openers go
--- /dev/null
+++ b/src/opaque/values/mod.rs
@@ -0,0 +1,10 @@
+//! What is published, who reads it, and how it travels to those that do not.
+//!
+//! The rule that lives here: a value is never replaced by an older one, and what is old is not taken for what is so now. See docs/OPAQUE.md.
+
+pub(crate) mod directory;
+pub(crate) mod freshness;
+pub(crate) mod known_balancers;
+pub(crate) mod news;
+pub(crate) mod published;
+pub(crate) mod source;
--- a/src/opaque/news.rs
+++ b/src/opaque/values/news.rs
@@ -4,7 +4,7 @@
 
 use crate::config::config_store::ConfigStore;
 use crate::opaque::GONE_TEXT;
-use crate::opaque::source::Batch;
+use crate::opaque::values::source::Batch;
 
 /// Returns the values of a batch that are news: name, revision and text, in the order of their revisions.
 ///
--- a/src/opaque/published.rs
+++ b/src/opaque/values/published.rs
@@ -12,11 +12,11 @@
 use crate::controllers::relay;
 use crate::error::{Error, Result};
 use crate::opaque::BACKEND_PREFIX;
-use crate::opaque::directory::LAPSE_MS;
-use crate::opaque::freshness::{self, Freshness, Standing, WATCH_WAIT_MS};
-use crate::opaque::message::{Message, UNKNOWN_AGE_MS, UNSETTLED_UNIT_MS};
-use crate::opaque::news::news;
-use crate::opaque::source::{Batch, Read, Source};
+use crate::opaque::packets::message::{Message, UNKNOWN_AGE_MS, UNSETTLED_UNIT_MS};
+use crate::opaque::values::directory::LAPSE_MS;
+use crate::opaque::values::freshness::{self, Freshness, Standing, WATCH_WAIT_MS};
+use crate::opaque::values::news::news;
+use crate::opaque::values::source::{Batch, Read, Source};
 
 /// How long a process waits after a failed read before the next one, at first, in milliseconds.
 const MIN_BACKOFF_MS: u64 = 200;
@@ -165,7 +165,11 @@
 
     /// Tells whether a configuration is in force.
     pub(crate) fn has_routes(&self) -> bool {
-        self.control.store.borrow().revision(super::ROUTES_NAME) > 0
+        self.control
+            .store
+            .borrow()
+            .revision(crate::opaque::ROUTES_NAME)
+            > 0
     }
 
     /// Reads the platform forever, while this process should.
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -1,44 +1,14 @@
 //! Counters and gauges of a process, read at `/metrics`.
 
-use std::sync::atomic::AtomicU64;
-
-use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
-use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use serde_json::{Value, json};
 
 use crate::code::Code;
+use crate::process::code_counter::CodeCounter;
 use crate::process::opaque_metrics::OpaqueMetrics;
 
-/// The label of counters that are split by result code.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub(crate) struct CodeLabel {
-    code: u32,
-}
-
-/// A counter for each result code.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct CodeCounter(Family<CodeLabel, Counter<u64, AtomicU64>>);
-
-impl CodeCounter {
-    pub(crate) fn inc(&self, code: Code) {
-        let code = u32::from(code.number());
-        self.0.get_or_create(&CodeLabel { code }).inc();
-    }
-
-    /// Returns the counters as they are registered.
-    pub(crate) fn family(&self) -> Family<CodeLabel, Counter<u64, AtomicU64>> {
-        self.0.clone()
-    }
-
-    pub(crate) fn get(&self, code: Code) -> u64 {
-        let code = u32::from(code.number());
-        self.0.get_or_create(&CodeLabel { code }).get()
-    }
-}
-
 /// All metrics; a balancer and an agent each use those that fit them.
 #[derive(Debug, Default)]
 pub(crate) struct Metrics {
@@ -115,7 +85,7 @@
             "Stateless resets sent",
             &self.stateless_resets,
         );
-        let dropped = self.packets_dropped.0.clone();
+        let dropped = self.packets_dropped.family();
         registry.register("packets_dropped", "Datagrams dropped, by code", dropped);
     }
 
@@ -135,9 +105,9 @@
             &self.requests_moved,
         );
         registry.register("flows_open", "Open flows", self.flows_open.clone());
-        let refused = self.flows_refused.0.clone();
+        let refused = self.flows_refused.family();
         registry.register("flows_refused", "Openers refused, by code", refused);
-        let requests = self.requests.0.clone();
+        let requests = self.requests.family();
         registry.register(
             "requests",
             "Requests that have their final answer, by code",
@@ -195,7 +165,7 @@
             self.services_open.clone(),
         );
         let mut by_code = |name: &str, help: &str, counter: &CodeCounter| {
-            registry.register(name, help, counter.0.clone());
+            registry.register(name, help, counter.family());
         };
         by_code(
             "links_refused",
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -4,6 +4,7 @@
 //! noticed. It knows nothing of what is published or decided, and uses no other folder.
 
 pub(crate) mod clock;
+pub(crate) mod code_counter;
 pub(crate) mod counted_stream;
 pub(crate) mod http_client;
 pub(crate) mod http_server;
--- a/src/process/opaque_metrics.rs
+++ b/src/process/opaque_metrics.rs
@@ -7,7 +7,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-use crate::process::metrics::CodeCounter;
+use crate::process::code_counter::CodeCounter;
 
 /// Bounds of times in seconds: from a millisecond, doubled to about eight seconds, the longest time
 /// limit of the users' requests.
--- a/src/programs/operator.rs
+++ b/src/programs/operator.rs
@@ -1,5 +1,6 @@
 //! The operators' client: checks tables, predicts edits and shows the state of processes.
 
+mod host_states;
 mod remote;
 mod status;
 mod tables;
--- a/src/programs/operator/remote.rs
+++ b/src/programs/operator/remote.rs
@@ -14,6 +14,7 @@
 use crate::error::{Error, Result};
 use crate::links::peers::Peers;
 use crate::process::metrics::Metrics;
+use crate::programs::operator::host_states::HostStates;
 use crate::programs::operator::{StateOptions, StatusOptions, status};
 use crate::programs::state_view;
 
@@ -67,9 +68,6 @@
     Ok(status::text(&states))
 }
 
-/// What each host answered; nothing where it was silent.
-pub(crate) type HostStates = Vec<(Ipv4Addr, Option<Value>)>;
-
 /// Reads the state of every listed host; while the platform is silent or keeps no list, of the seeds and
 /// of the hosts that they know.
 async fn read_all(settings: &Settings) -> Result<HostStates> {
--- a/src/programs/operator/status.rs
+++ b/src/programs/operator/status.rs
@@ -4,7 +4,7 @@
 
 use serde_json::Value;
 
-use crate::programs::operator::remote::HostStates;
+use crate::programs::operator::host_states::HostStates;
 use crate::programs::state_view::{cells, columns_of, percent, scalar};
 
 /// Lays out a row for each process, then one for each target or for each process of opaque flows.
--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -13,6 +13,7 @@
 mod message_bounds;
 mod model;
 mod news;
+mod openers;
 mod policies;
 mod queue_model;
 mod queue_plan;
