--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -27,7 +27,7 @@
 }
 
 /// What ends a request, the most telling first.
-const MEANINGS: [Meaning; 17] = [
+const MEANINGS: [Meaning; 18] = [
     meaning(
         "request_lost",
         "reason",
@@ -112,6 +112,12 @@
         "",
         "nobody had room for a copy of its opener, and its caller sent the next one",
     ),
+    meaning(
+        "opener_waits",
+        "",
+        "",
+        "its opener came while its balancer had no configuration, and was not forwarded",
+    ),
     meaning(
         "opener_unanswered",
         "",
@@ -133,7 +139,7 @@
 ];
 
 /// What changes of belief beside a story add to it.
-const CIRCUMSTANCES: [Meaning; 7] = [
+const CIRCUMSTANCES: [Meaning; 9] = [
     meaning(
         "lines_dropped",
         "",
@@ -142,6 +148,18 @@
     ),
     meaning("resumed", "", "", "the process had stood still before"),
     meaning("start", "", "", "the process had just started"),
+    meaning(
+        "waiting_for_configuration",
+        "",
+        "",
+        "it had no configuration, and the platform gave it none",
+    ),
+    meaning(
+        "configuration_from_peer",
+        "",
+        "",
+        "it took its configuration from another process",
+    ),
     meaning(
         "backend_fails",
         "",
--- a/src/explain/story.rs
+++ b/src/explain/story.rs
@@ -9,12 +9,13 @@
 const AFTER_MS: u64 = 500;
 
 /// What changes what a process believes or can do; see docs/OPERATIONS.md, "Log lines".
-const CONTEXT: [&str; 18] = [
+const CONTEXT: [&str; 20] = [
     "backend_ended",
     "backend_fails",
     "backend_restarted",
     "backend_serves",
     "backend_silent",
+    "configuration_from_peer",
     "host_suspected",
     "leaving",
     "lines_dropped",
@@ -28,6 +29,7 @@
     "unlisted_backend",
     "unsettled",
     "value_rejected",
+    "waiting_for_configuration",
 ];
 
 /// The lines of a request or flow, and those of the processes that dealt with it, in order of time.
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -139,6 +139,10 @@
         let segment = (self.wire.decode)(packet)?;
         let flow = segment.flow_from_caller();
         if segment.opens {
+            log::info!(
+                "event=opener_waits flow={flow} copy={}",
+                segment.acknowledgement
+            );
             return Err(Error::new(Code::RouteUnknown, flow.called.to_string()));
         }
         if let Some(hint) = self.hints.get_mut(&flow) {
--- a/src/opaque/processes/state.rs
+++ b/src/opaque/processes/state.rs
@@ -47,6 +47,8 @@
         "openers_handed_on": opaque.openers_handed_on.get(),
         "openers_dropped": opaque.openers_dropped.get(),
         "lookups_started": opaque.lookups_started.get(),
+        "packets_shown": opaque.packets_shown.get(),
+        "retries_known": opaque.retries_known.get(),
         "lookups_given_up": opaque.lookups_given_up.get(),
         "values_age_ms": (opaque.values_age_seconds.get() * 1_000.0) as u64,
     });
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -101,6 +101,25 @@
     }
 }
 
+#[test]
+fn a_flow_that_came_before_a_configuration_is_explained() {
+    let logs = Logs::default().process(
+        "10.0.0.1",
+        &[
+            (4_000, "event=start host=10.0.0.1"),
+            (4_100, &format!("event=opener_waits flow={FLOW} copy=0")),
+            (4_400, "event=waiting_for_configuration retry_ms=200"),
+        ],
+    );
+    let text = explain(FLOW, &logs.files).expect("a story");
+    for part in [
+        "its balancer had no configuration",
+        "the platform gave it none (10.0.0.1)",
+    ] {
+        assert!(text.contains(part), "{part}: {text}");
+    }
+}
+
 #[test]
 fn nothing_about_an_id_is_an_error_with_its_code() {
     let logs = Logs::default().process("10.0.0.1", &[(1, "event=ready revision=3")]);
