Tell balancers of agents that greeted, and not of hearsay

Cause, found in reading: two balancers that ask each other told each other of an agent that had died, each time as heard just now, so that it was shown packets for as long as there was no configuration.

--- a/src/opaque/finding/flow_search.rs
+++ b/src/opaque/finding/flow_search.rs
@@ -23,10 +23,19 @@
 const MAX_SEARCHED: usize = 16_384;
 const ADDRESS_BYTES: usize = 4;
 
+/// An agent that runs.
+#[derive(Debug, Clone, Copy)]
+struct RunningAgent {
+    host: Ipv4Addr,
+    heard_ms: u64,
+    /// When it greeted this process itself, if it did.
+    greeted_ms: Option<u64>,
+}
+
 /// The agents heard of, sorted by host, and how far the search for each flow has come.
 #[derive(Debug)]
 pub struct FlowSearch {
-    agents: Vec<(Ipv4Addr, u64)>,
+    agents: Vec<RunningAgent>,
     /// How many agents each flow's packets were shown to.
     shown: FlowMap<usize>,
 }
@@ -40,17 +49,33 @@
         }
     }
 
-    /// Notes that an agent runs.
-    pub fn heard(&mut self, host: Ipv4Addr, now_ms: u64) {
-        match self.agents.binary_search_by_key(&host, |(host, _)| *host) {
-            Ok(index) => self.agents[index].1 = now_ms,
-            Err(index) if self.agents.len() < MAX_AGENTS => {
-                self.agents.insert(index, (host, now_ms));
-            }
-            Err(_) => {}
+    /// Notes that an agent greeted this process.
+    pub fn greeted(&mut self, host: Ipv4Addr, now_ms: u64) {
+        if let Some(agent) = self.heard(host, now_ms) {
+            agent.greeted_ms = Some(now_ms);
         }
     }
 
+    fn heard(&mut self, host: Ipv4Addr, now_ms: u64) -> Option<&mut RunningAgent> {
+        let found = self.agents.binary_search_by_key(&host, |agent| agent.host);
+        let index = match found {
+            Ok(index) => index,
+            Err(_) if self.agents.len() >= MAX_AGENTS => return None,
+            Err(index) => {
+                let agent = RunningAgent {
+                    host,
+                    heard_ms: now_ms,
+                    greeted_ms: None,
+                };
+                self.agents.insert(index, agent);
+                index
+            }
+        };
+        let agent = &mut self.agents[index];
+        agent.heard_ms = now_ms;
+        Some(agent)
+    }
+
     /// Notes the agents of which another balancer has heard.
     pub fn heard_list(&mut self, list: &[u8], now_ms: u64) {
         for bytes in list.chunks_exact(ADDRESS_BYTES).take(MAX_AGENTS) {
@@ -61,11 +86,16 @@
         }
     }
 
-    /// Returns the agents that said something themselves or are told of, as a list for other balancers.
-    pub fn list(&mut self, now_ms: u64) -> Vec<u8> {
-        self.forget(now_ms);
-        let hosts = self.agents.iter();
-        hosts.flat_map(|(host, _)| host.octets()).collect()
+    /// Returns the agents that greeted this process lately, as a list for other balancers.
+    ///
+    /// Those that it was told of are left out: two balancers would tell each other of a dead agent for ever.
+    pub fn list(&self, now_ms: u64) -> Vec<u8> {
+        let is_recent = |agent: &&RunningAgent| {
+            let greeted_ms = agent.greeted_ms;
+            greeted_ms.is_some_and(|greeted_ms| now_ms < greeted_ms + HEARD_MS)
+        };
+        let greeted = self.agents.iter().filter(is_recent);
+        greeted.flat_map(|agent| agent.host.octets()).collect()
     }
 
     /// Returns the agents to which a packet of a flow is shown now.
@@ -76,9 +106,9 @@
         let mut order: Vec<(u64, Ipv4Addr)> = self
             .agents
             .iter()
-            .map(|(host, _)| {
-                let host_hash = hash::bytes_hash(&host.octets());
-                (hash::pair_hash(flow.hash(), host_hash), *host)
+            .map(|agent| {
+                let host_hash = hash::bytes_hash(&agent.host.octets());
+                (hash::pair_hash(flow.hash(), host_hash), agent.host)
             })
             .collect();
         order.sort_unstable();
@@ -95,7 +125,7 @@
 
     fn forget(&mut self, now_ms: u64) {
         self.agents
-            .retain(|(_, heard_ms)| now_ms < heard_ms + HEARD_MS);
+            .retain(|agent| now_ms < agent.heard_ms + HEARD_MS);
     }
 }
 
--- a/src/opaque/processes/entry.rs
+++ b/src/opaque/processes/entry.rs
@@ -134,7 +134,7 @@
         let now_ms = self.node.control.now_ms();
         let mut search = self.node.search.borrow_mut();
         match message.kind {
-            MessageKind::Greeting => search.heard(from, now_ms),
+            MessageKind::Greeting => search.greeted(from, now_ms),
             MessageKind::BeatReply => search.heard_list(payload, now_ms),
             _ => {}
         }
--- a/src/opaque/processes/node.rs
+++ b/src/opaque/processes/node.rs
@@ -188,7 +188,7 @@
             return Vec::new();
         }
         let now_ms = self.control.now_ms();
-        self.search.borrow_mut().list(now_ms)
+        self.search.borrow().list(now_ms)
     }
 
     fn note_asker(&self, host: Ipv4Addr) {
