--- a/lab/src/opaque/site.rs
+++ b/lab/src/opaque/site.rs
@@ -1,5 +1,6 @@
 //! A site of opaque flows on loopback: real balancers and agents, stand-ins for the rest.
 
+mod control_proxy;
 mod faults;
 mod seen;
 mod settings;
--- a/lab/tests/opaque_site.rs
+++ b/lab/tests/opaque_site.rs
@@ -358,6 +358,37 @@
     });
 }
 
+#[test]
+fn changes_arrive_though_open_control_links_go_silent() {
+    run(async {
+        let mut site = site(3).await;
+        let proxy = site.restart_agent_behind_proxy(0).await.expect("starts");
+        site.wait_ready().await.expect("ready");
+        // Only the agent behind the proxy can read the store, so that all others pull over links to it.
+        let mut others: Vec<_> = (0..3).map(|index| site.balancer_host(index)).collect();
+        others.extend([site.agent_host(1), site.agent_host(2)]);
+        site.store().turn_away(&others);
+        // Watches that were open end, and processes find out who can read.
+        sleep_ms(5_000).await;
+        site.drain_backend(2);
+        sleep_ms(3_000).await;
+        proxy.silence_open();
+        site.route(0, 0);
+        // A call on a silent link, and the next question.
+        sleep_ms(4_000).await;
+        let newest = site.metric(site.agent_host(0), "config_revision").await;
+        let newest = newest.expect("answers");
+        let mut links = 0.0;
+        for host in others {
+            let revision = site.metric(host, "config_revision").await;
+            assert_eq!(revision.expect("answers"), newest, "{host}");
+            let pulls = site.metric(host, "relay_pull_seconds_count").await;
+            links += pulls.expect("answers");
+        }
+        assert!(links >= 2.0, "{links} pulls");
+    });
+}
+
 #[test]
 fn few_processes_read_the_store() {
     run(async {
