Let a stand-in site hold its network for as long as it runs

Ruled out: leftover processes (each ends with its site), ephemeral ports (32768 and up, the programs listen below 10000).

Change: LoopbackNet keeps a listener on a port of its own, the same for both forms of sites, until the site is dropped.

--- a/lab/src/opaque/site.rs
+++ b/lab/src/opaque/site.rs
@@ -15,13 +15,13 @@
 use serde_json::json;
 use tempfile::TempDir;
 
+use crate::loopback_net::LoopbackNet;
 use crate::opaque::backend::{BackendHandle, BackendJournal, BackendSpec, Connections, OpenFlows};
 use crate::opaque::callers::{CallPlan, CallTally, CallersHandle};
 use crate::opaque::proxy::ProxyHandle;
 use crate::opaque::routers::Routers;
 use crate::opaque::store::StoreHandle;
 use crate::process::Process;
-use crate::site::free_net;
 
 const STORE_PORT: u16 = 8_169;
 /// Where processes reach the store, through the proxy.
@@ -122,8 +122,8 @@
     ///
     /// Returns code 5001 where an address is taken.
     pub async fn start_stand_ins(self) -> Result<OpaqueSite> {
-        let net = free_net(STORE_PORT)?;
-        let ip = |last: usize| Ipv4Addr::new(127, net.0, net.1, last as u8);
+        let net = LoopbackNet::draw()?;
+        let ip = |last: usize| net.ip(last as u8);
         let store = StoreHandle::start((ip(2), STORE_PORT).into()).await?;
         let proxy =
             ProxyHandle::start((ip(2), PROXY_PORT).into(), (ip(2), STORE_PORT).into()).await?;
@@ -159,7 +159,7 @@
 
 /// A running site; its processes end when it is dropped.
 pub struct OpaqueSite {
-    net: (u8, u8),
+    net: LoopbackNet,
     folder: TempDir,
     spec: OpaqueSiteBuilder,
     store: StoreHandle,
@@ -182,7 +182,7 @@
 
 impl OpaqueSite {
     fn ip(&self, last: usize) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.net.0, self.net.1, last as u8)
+        self.net.ip(last as u8)
     }
 
     /// Returns the host of a balancer.
--- a/lab/src/site.rs
+++ b/lab/src/site.rs
@@ -11,6 +11,7 @@
 use tempfile::TempDir;
 
 use crate::http_text;
+use crate::loopback_net::LoopbackNet;
 use crate::process::Process;
 
 /// The TCP port of control links on every host.
@@ -85,7 +86,7 @@
     /// Returns code 5001 where a process does not come up.
     pub async fn start(self) -> Result<Site> {
         let mut site = Site {
-            net: free_net(PLATFORM_PORT)?,
+            net: LoopbackNet::draw()?,
             folder: tempfile::tempdir()?,
             spec: self,
             platform: None,
@@ -102,7 +103,7 @@
 /// A running site; its processes end when it is dropped.
 #[derive(Debug)]
 pub struct Site {
-    net: (u8, u8),
+    net: LoopbackNet,
     folder: TempDir,
     pub(crate) spec: SiteBuilder,
     platform: Option<Process>,
@@ -112,21 +113,9 @@
     backends: Vec<Process>,
 }
 
-/// Finds a loopback network that no other site of this machine uses, by a port that each site binds.
-pub(crate) fn free_net(port: u16) -> Result<(u8, u8)> {
-    for _ in 0..100 {
-        let net = (rand::random_range(16..=250), rand::random_range(0..=250));
-        let address = (Ipv4Addr::new(127, net.0, net.1, 2), port);
-        if std::net::TcpListener::bind(address).is_ok() {
-            return Ok(net);
-        }
-    }
-    Err(Error::new(Code::Io, "no free loopback network"))
-}
-
 impl Site {
     fn ip(&self, last: usize) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.net.0, self.net.1, last as u8)
+        self.net.ip(last as u8)
     }
 
     /// Returns the address of the configuration service.
--- /dev/null
+++ b/lab/tests/loopback_net.rs
@@ -0,0 +1,12 @@
+//! Two sites never share a network of the machine.
+
+use endivedyke_lab::LoopbackNet;
+
+#[test]
+fn a_network_has_one_site_at_a_time() {
+    let first = LoopbackNet::draw().expect("a free one");
+    assert!(LoopbackNet::reserve(first.numbers()).is_err());
+    let numbers = first.numbers();
+    drop(first);
+    LoopbackNet::reserve(numbers).expect("free again");
+}
