Tell a backend server by its id and start; use no entry of another program

Cause: an id was one lifetime, so that a process which started again under its id changed nothing that anybody looked at: callers of flows that it had acknowledged waited, and the failures of the lifetime before counted against it. An entry that could not be read left the value before it in force, and one in an unknown state counted as draining; a sound entry of a service that nobody named took the address of a backend server that served, or added a host to those asked that never answers. A key with a character that a query can't hold, last on a page, made each whole read fail; changes of more than 2 MB made each watch fail, for good.

Change: the start is a field of the published text (fields with unknown names are passed over from now on). A start after all that were published for an id is a new lifetime; an earlier one may be a late write of the lifetime before, and proves nothing. An entry that is not sound is a value of its own, "unusable" with a reason: no new flow, asked for open ones for as long as a flow lives, a line and a gauge for each change of that and none for each read. Services that the configuration names are published too. Keys are percent-encoded; an answer that is too long is read page by page, an item at a time.

Replaced checks: "odd" as a state counted as draining and is unusable now, as the users' page says; an entry without the time for which it is cold was read and is unusable for the same reason; a malformed entry had no value and has one that says so.

Ruled out: taking an earlier start for a restart (with a connection that broke before, a late write would have reset flows that are held: a_late_write_of_the_lifetime_before_resets_nothing).

A clock that went back between two starts costs callers of the lifetime before their early reset, and no more.

--- a/lab/src/opaque/backend.rs
+++ b/lab/src/opaque/backend.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::net::{SocketAddrV4, UdpSocket};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use compio::net::{TcpListener, TcpStream};
 use compio::runtime::JoinHandle;
@@ -96,14 +96,17 @@
     server: Rc<RefCell<Server>>,
     pub(crate) spec: BackendSpec,
     pub(crate) id: String,
+    /// When this lifetime started, in milliseconds of Unix time.
+    pub(crate) started_unix_ms: u64,
     connections: Connections,
     _serving: JoinHandle<()>,
     _listening: JoinHandle<()>,
 }
 
 impl BackendHandle {
-    /// Starts a new lifetime at the address of the settings.
+    /// Starts a new lifetime at the address of the settings, under an id.
     pub(crate) async fn start(
+        id: &str,
         spec: &BackendSpec,
         journal: &Rc<RefCell<BackendJournal>>,
         open_flows: &OpenFlows,
@@ -130,7 +133,8 @@
             connections,
             server,
             spec: spec.clone(),
-            id: format!("i-{:08x}", rand::random::<u32>()),
+            id: id.to_owned(),
+            started_unix_ms: unix_ms(),
             _serving: compio::runtime::spawn(async move {
                 loop {
                     serving.borrow_mut().step();
@@ -168,6 +172,12 @@
     }
 }
 
+/// Returns the time of day in milliseconds of Unix time.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 impl Server {
     fn now_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
--- a/lab/src/opaque/site.rs
+++ b/lab/src/opaque/site.rs
@@ -273,6 +273,16 @@
     ///
     /// Returns code 5001 where an address is taken.
     pub async fn start_backend(&mut self, index: usize, service: usize) -> Result<()> {
+        let id = format!("i-{:08x}", rand::random::<u32>());
+        self.start_backend_as(&id, index, service).await
+    }
+
+    /// Starts a new lifetime of a backend server under the id that it had, and registers it.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 5001 where an address is taken.
+    pub async fn start_backend_as(&mut self, id: &str, index: usize, service: usize) -> Result<()> {
         let host = self.agent_host(index);
         let spec = &self.spec.services[service];
         let spec = BackendSpec {
@@ -284,7 +294,7 @@
             queue: 4 * spec.slots,
             work_ms: spec.work_ms,
         };
-        let backend = self.start_at_free_address(&spec, index).await?;
+        let backend = self.start_at_free_address(id, &spec, index).await?;
         self.backends[index] = Some(backend);
         self.service_of[index] = service;
         self.register(index, "ready");
@@ -294,12 +304,13 @@
     /// Starts a server once the one before it has let go of its address.
     async fn start_at_free_address(
         &self,
+        id: &str,
         spec: &BackendSpec,
         index: usize,
     ) -> Result<BackendHandle> {
         let until = Instant::now() + ADDRESS_TIMEOUT;
         loop {
-            match BackendHandle::start(spec, &self.journals[index], &self.open_flows).await {
+            match BackendHandle::start(id, spec, &self.journals[index], &self.open_flows).await {
                 Err(_) if Instant::now() < until => compio::time::sleep(POLL).await,
                 result => return result,
             }
@@ -323,6 +334,7 @@
                 "state": state,
                 "coldRemainingMs": COLD_MS,
                 "sequence": 1,
+                "born": backend.started_unix_ms,
             });
             self.store.put(&format!("servers/{}", backend.id), &entry);
         }
--- a/lab/src/opaque/site/faults.rs
+++ b/lab/src/opaque/site/faults.rs
@@ -1,7 +1,9 @@
 //! What may befall the backend servers of a site.
 
+use serde_json::json;
+
 use crate::opaque::backend::BackendHandle;
-use crate::opaque::site::OpaqueSite;
+use crate::opaque::site::{APP_PORT, OpaqueSite};
 
 impl OpaqueSite {
     /// Lets a backend server report that it leaves, and close flows after their next answer.
@@ -37,6 +39,24 @@
         }
     }
 
+    /// Writes over a backend server's entry as another program would.
+    pub fn overwrite_entry(&self, index: usize) {
+        if let Some(backend) = &self.backends[index] {
+            let entry = json!({"service": backend.spec.service, "state": "ready"});
+            self.store.put(&format!("servers/{}", backend.id), &entry);
+        }
+    }
+
+    /// Writes an entry of a service that no configuration names, at the address of a backend server.
+    pub fn write_foreign_entry(&self, index: usize) {
+        let entry = json!({
+            "service": "unheard-of", "address": format!("{}:{APP_PORT}", self.agent_host(index)),
+            "zone": "zone-a", "version": "v9", "slots": 64, "state": "ready",
+            "coldRemainingMs": 0, "sequence": 1, "born": 1,
+        });
+        self.store.put("servers/i-of-another-program", &entry);
+    }
+
     /// Publishes a backend server's entry again, if the server lives.
     pub fn register_again(&self, index: usize) {
         let draining = self.backends[index]
--- a/lab/src/opaque/soak.rs
+++ b/lab/src/opaque/soak.rs
@@ -54,12 +54,14 @@
     SilenceLinks,
     CrashSilently,
     KillAllInSilence,
+    RestartUnderId,
+    OverwriteEntry,
+    ForeignEntry,
 }
 
-/// The seeds below which only the first faults are drawn, so that a kept seed goes on playing what it played.
-const FIRST_SEED_OF_ALL: u64 = 1_000;
-const FIRST_FAULTS: usize = 22;
-const FAULTS: [Fault; 23] = [
+/// From which seed how many of the faults are drawn, so that a kept seed goes on playing what it played.
+const DRAWN_FAULTS: [(u64, usize); 3] = [(2_000, 26), (1_000, 23), (0, 22)];
+const FAULTS: [Fault; 26] = [
     Fault::KillBalancer,
     Fault::StopBalancer,
     Fault::FreezeBalancer,
@@ -83,8 +85,18 @@
     Fault::SilenceLinks,
     Fault::CrashSilently,
     Fault::KillAllInSilence,
+    Fault::RestartUnderId,
+    Fault::OverwriteEntry,
+    Fault::ForeignEntry,
 ];
 
+/// Returns the faults that a seed draws from.
+fn faults_of(seed: u64) -> &'static [Fault] {
+    let mut drawn = DRAWN_FAULTS.iter();
+    let count = drawn.find(|(first_seed, _)| seed >= *first_seed);
+    &FAULTS[..count.map_or(FAULTS.len(), |(_, count)| *count)]
+}
+
 /// What ends a fault.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Heal {
@@ -93,6 +105,7 @@
     StartAgent(usize),
     ThawAgent(usize),
     StartBackend { index: usize, old_id: String },
+    StartUnderId { index: usize, id: String },
     EndDrain(usize),
     Register(usize),
     Store,
@@ -121,11 +134,7 @@
     }
     let mut soak = Soak {
         site: builder.start().await?,
-        faults: if seed < FIRST_SEED_OF_ALL {
-            &FAULTS[..FIRST_FAULTS]
-        } else {
-            &FAULTS
-        },
+        faults: faults_of(seed),
         random: StdRng::seed_from_u64(seed),
         started: Instant::now(),
         heals: Vec::new(),
@@ -202,6 +211,17 @@
                         .push((due_ms, Heal::StartBackend { index, old_id }));
                 }
             }
+            Fault::RestartUnderId => {
+                if let Some(id) = self.site.crash_backend(index) {
+                    self.heals.push((due_ms, Heal::StartUnderId { index, id }));
+                }
+            }
+            Fault::OverwriteEntry => {
+                self.site.overwrite_entry(index);
+                self.heals.push((due_ms, Heal::Register(index)));
+            }
+            // It stays, as nobody of the site knows it.
+            Fault::ForeignEntry => self.site.write_foreign_entry(index),
             Fault::Link(fault) => {
                 self.site.proxy().set_fault(Some(fault));
                 self.heals.push((due_ms, Heal::Link));
@@ -292,6 +312,7 @@
                 self.site.expire_entry(&old_id);
                 Ok(())
             }
+            Heal::StartUnderId { index, id } => self.site.start_backend_as(&id, index, 0).await,
             Heal::EndDrain(index) => {
                 if let Some(old_id) = self.site.crash_backend(index) {
                     self.site.expire_entry(&old_id);
--- a/lab/src/opaque/store.rs
+++ b/lab/src/opaque/store.rs
@@ -13,6 +13,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 
 use crate::http_text::text;
@@ -20,6 +21,8 @@
 const WATCH_POLL: Duration = Duration::from_millis(10);
 /// How many items a page holds; fewer than the platform's, so that tests meet several pages.
 const PAGE_ITEMS: usize = 8;
+/// From how many bytes of values a page ends, as the platform's pages do.
+const PAGE_BYTES: usize = 1_000_000;
 
 /// How the store misbehaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -177,11 +180,22 @@
             _ => (&store.items, store.revision),
         };
         let (prefix, after) = (parameter(query, "prefix"), parameter(query, "after"));
-        let mut found = items
+        let found: Vec<&Item> = items
             .iter()
-            .filter(|item| item.key.starts_with(prefix) && item.key.as_str() > after);
-        let page: Vec<Value> = found.by_ref().take(PAGE_ITEMS).map(event).collect();
-        let has_more = found.next().is_some();
+            .filter(|item| item.key.starts_with(&prefix) && item.key > after)
+            .collect();
+        let mut bytes = 0;
+        let page: Vec<Value> = found
+            .iter()
+            .take(PAGE_ITEMS)
+            .take_while(|item| {
+                let fits = bytes < PAGE_BYTES;
+                bytes += item.value.as_ref().map_or(0, String::len);
+                fits
+            })
+            .map(|item| event(item))
+            .collect();
+        let has_more = page.len() < found.len();
         let body = json!({"items": page, "hasMore": has_more, "storeRevision": revision});
         text(StatusCode::OK, body.to_string())
     }
@@ -199,7 +213,7 @@
                 }
                 let newer = store.events.iter();
                 let newer =
-                    newer.filter(|item| item.revision > after && item.key.starts_with(prefix));
+                    newer.filter(|item| item.revision > after && item.key.starts_with(&prefix));
                 let events: Vec<Value> = newer.map(event).collect();
                 if store.fault.is_none() && (!events.is_empty() || Instant::now() >= until) {
                     let body = json!({"events": events, "storeRevision": store.revision});
@@ -211,10 +225,11 @@
     }
 }
 
-fn parameter<'a>(query: &'a str, name: &str) -> &'a str {
+fn parameter(query: &str, name: &str) -> String {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let mut found = pairs.filter(|(key, _)| *key == name);
-    found.next().map_or("", |(_, value)| value)
+    let value = found.next().map_or("", |(_, value)| value);
+    percent_decode_str(value).decode_utf8_lossy().into_owned()
 }
 
 fn event(item: &Item) -> Value {
--- a/src/code.rs
+++ b/src/code.rs
@@ -74,6 +74,7 @@
     2303 ValueTooLarge "value: larger than one megabyte", "split the service";
     2401 RoutesSyntax "routes: a row is malformed or an address stands twice", "write address,service,weight,priority,repeatable";
     2402 BackendSyntax "backend server: the published value is malformed", "write service,address,zone,slots,state and, while it is cold, the milliseconds left";
+    2403 EntryUnusable "backend server: what is published names none to use", "see which other program writes there";
     2501 LogSilent "logs: no line names this request or flow", "give the log files of all processes, and the id as callers know it";
     3001 SettingsSyntax "settings: the file is not INI", "correct the line named";
     3002 SettingsUnknown "settings: unknown section or key", "remove or correct the key named";
@@ -98,6 +99,7 @@
     5003 PlatformStale "the configuration service shows an older revision", "none: the table in force stays";
     5004 Usage "the command line is malformed", "see --help";
     5005 PlatformForgot "the configuration service no longer has these changes", "none: everything is read anew";
+    5006 AnswerTooLarge "an HTTP answer is larger than 4 MB", "none: what it tells is read in parts";
 }
 
 impl Code {
--- a/src/config/backend_entry.rs
+++ b/src/config/backend_entry.rs
@@ -11,6 +11,10 @@
 pub const BACKEND_PREFIX: &str = "backend/";
 /// The text of a value whose backend server is no longer published.
 pub const GONE_TEXT: &str = "gone";
+/// What the text of a value starts with that names no backend server to use; the reason follows.
+const UNUSABLE_PREFIX: &str = "unusable,";
+/// What the field starts with that tells the start of a backend server.
+const STARTED_PREFIX: &str = "started=";
 
 /// The longest cold start that is believed, in milliseconds: a slip of the pen must not slow a service for
 /// days. The users' servers are cold for two seconds.
@@ -25,6 +29,73 @@
     Draining,
 }
 
+/// Why a published entry names no backend server to use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UnusableReason {
+    /// Its bytes can't be read, or its fields are missing or of another type.
+    Malformed,
+    /// It is in a state that this version does not know.
+    UnknownState,
+}
+
+impl UnusableReason {
+    /// Every reason with its word in published texts and log lines.
+    const WORDS: [(Self, &str); 2] = [
+        (Self::Malformed, "malformed"),
+        (Self::UnknownState, "unknown-state"),
+    ];
+
+    /// Returns the word for this reason in published texts and log lines.
+    pub fn word(self) -> &'static str {
+        let mut words = Self::WORDS.iter();
+        words
+            .find(|(reason, _)| *reason == self)
+            .map_or("", |(_, word)| word)
+    }
+
+    fn of(word: &str) -> Option<Self> {
+        let mut words = Self::WORDS.iter();
+        words
+            .find(|(_, known)| *known == word)
+            .map(|(reason, _)| *reason)
+    }
+}
+
+/// What a published value says of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BackendValue {
+    /// It is published.
+    There(Backend),
+    /// Something stands at its name which can't be used, as when another program wrote there.
+    ///
+    /// It says nothing about flows that are open at the backend server.
+    Unusable(UnusableReason),
+    /// It is no longer published.
+    Gone,
+}
+
+impl BackendValue {
+    /// Parses a published value.
+    ///
+    /// # Errors
+    ///
+    /// Returns code 2402 with the text at fault.
+    pub fn parse(text: &str) -> Result<BackendValue> {
+        if let Some(word) = text.strip_prefix(UNUSABLE_PREFIX) {
+            let reason = UnusableReason::of(word);
+            let malformed = || Error::new(Code::BackendSyntax, format!("{text:?}"));
+            return reason.map(BackendValue::Unusable).ok_or_else(malformed);
+        }
+        Ok(Backend::parse(text)?.into())
+    }
+}
+
+impl From<Option<Backend>> for BackendValue {
+    fn from(backend: Option<Backend>) -> Self {
+        backend.map_or(Self::Gone, Self::There)
+    }
+}
+
 /// A published backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Backend {
@@ -40,6 +111,10 @@
     pub state: BackendState,
     /// For how long it is still slow after its start, in milliseconds.
     pub cold_ms: u32,
+    /// When its process started, by its own clock in milliseconds of Unix time, where it tells that.
+    ///
+    /// A process that starts again under the id that it had holds nothing of before.
+    pub started_unix_ms: Option<u64>,
 }
 
 impl Backend {
@@ -60,7 +135,9 @@
             slots,
             state,
             cold_ms,
+            started_unix_ms,
         } = BackendFields::of(text).ok_or_else(malformed)?;
+        let started_unix_ms = started_unix_ms.map(str::parse).transpose();
         let cold_ms: u32 = cold_ms.unwrap_or("0").parse().map_err(|_| malformed())?;
         let state = match state {
             "ready" => BackendState::Ready,
@@ -78,6 +155,7 @@
             slots: slots.ok_or_else(malformed)?,
             state,
             cold_ms: cold_ms.min(MAX_COLD_MS),
+            started_unix_ms: started_unix_ms.map_err(|_| malformed())?,
         }))
     }
 }
@@ -91,6 +169,8 @@
     pub(crate) state: &'a str,
     /// Absent where the server is not cold.
     pub(crate) cold_ms: Option<&'a str>,
+    /// Absent where the server does not tell it.
+    pub(crate) started_unix_ms: Option<&'a str>,
 }
 
 impl<'a> BackendFields<'a> {
@@ -98,11 +178,21 @@
     pub(crate) fn of(text: &'a str) -> Option<Self> {
         let fields: Vec<&str> = text.split(',').collect();
         let (&[service, address, zone, slots, state], rest) = fields.split_first_chunk()?;
-        let cold_ms = match rest {
-            [] => None,
-            [cold_ms] => Some(*cold_ms),
-            _ => return None,
+        let (cold_ms, rest) = match rest {
+            [cold_ms, rest @ ..] if !cold_ms.contains('=') => (Some(*cold_ms), rest),
+            rest => (None, rest),
         };
+        // A field with a name that is not known here was added by a newer version, and is passed over.
+        if rest.iter().any(|field| !field.contains('=')) {
+            return None;
+        }
+        let mut started = rest
+            .iter()
+            .filter_map(|field| field.strip_prefix(STARTED_PREFIX));
+        let started_unix_ms = started.next();
+        if started.next().is_some() {
+            return None;
+        }
         Some(Self {
             service,
             address,
@@ -110,6 +200,7 @@
             slots,
             state,
             cold_ms,
+            started_unix_ms,
         })
     }
 }
@@ -134,3 +225,14 @@
 pub fn cold_backend_text(text: &str, cold_ms: u32) -> String {
     format!("{text},{cold_ms}")
 }
+
+/// Returns the published text of a backend server that tells when its process started; `text` is its text
+/// without that.
+pub fn started_backend_text(text: &str, started_unix_ms: u64) -> String {
+    format!("{text},{STARTED_PREFIX}{started_unix_ms}")
+}
+
+/// Returns the published text of an entry that names no backend server to use.
+pub fn unusable_text(reason: UnusableReason) -> String {
+    format!("{UNUSABLE_PREFIX}{}", reason.word())
+}
--- a/src/config/config_store.rs
+++ b/src/config/config_store.rs
@@ -1,7 +1,7 @@
 //! The published values that a process holds, whose revisions only rise.
 
 use crate::code::Code;
-use crate::config::backend_entry::{BACKEND_PREFIX, Backend};
+use crate::config::backend_entry::{BACKEND_PREFIX, BackendValue};
 use crate::config::delta::Delta;
 use crate::config::hash;
 use crate::config::hosts::HostList;
@@ -248,7 +248,7 @@
             return Ok(Parsed::Table(table));
         }
         if name.starts_with(BACKEND_PREFIX) {
-            Backend::parse(text)?;
+            BackendValue::parse(text)?;
             return Ok(Parsed::Other);
         }
         match name {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) mod route_table;
 pub(crate) mod sealed_id;
 pub(crate) mod service_id;
+pub(crate) mod service_names;
 pub(crate) mod settings;
 pub(crate) mod table;
 pub(crate) mod table_diff;
--- a/src/opaque/keeper/backend_life.rs
+++ b/src/opaque/keeper/backend_life.rs
@@ -3,6 +3,7 @@
 use crate::code::Code;
 use crate::opaque::finding::flow_book::Remains;
 use crate::opaque::keeper::{Keeper, Scene};
+use crate::opaque::openers::recent_outcomes::RecentOutcomes;
 use crate::opaque::packets::action::Action;
 use crate::opaque::values::directory::Directory;
 
@@ -16,10 +17,11 @@
 impl Keeper {
     /// Tells whether the backend server runs and is not published, so that no other process knows of it.
     ///
-    /// Its entry may have lapsed while the platform's service was away; who starts then finds none.
+    /// Its entry may have lapsed while the platform's service was away, or another program wrote there; who
+    /// starts then finds none.
     pub fn is_unlisted(&self, directory: &Directory) -> bool {
         let own = directory.own(self.identity.backend);
-        self.listens && own.is_none_or(|own| own.is_gone)
+        self.listens && own.is_none_or(|own| own.is_gone || !own.is_usable)
     }
 
     /// Tells whether the backend server gave a reason since the last call to look whether it still listens.
@@ -124,6 +126,7 @@
         if before.is_none_or(|before| before >= own.first_revision) {
             return Vec::new();
         }
+        self.forget_outcomes();
         let Some(broke_ms) = self.broke_ms.take() else {
             return Vec::new();
         };
@@ -138,6 +141,14 @@
         self.close_remains(scene, remains)
     }
 
+    /// Forgets how the lifetime before fared: a process that has just started has failed nothing yet, and
+    /// would be tried with five openers a second where it could serve all.
+    fn forget_outcomes(&mut self) {
+        self.outcomes = RecentOutcomes::default();
+        self.failing = false;
+        self.silent_since_ms = None;
+    }
+
     /// Notes that a request failed at the backend server.
     pub(super) fn note_failed(&mut self, now_ms: u64) {
         self.outcomes.note_failed(now_ms);
--- a/src/opaque/processes/node.rs
+++ b/src/opaque/processes/node.rs
@@ -7,8 +7,9 @@
 use compio::BufResult;
 use compio::net::UdpSocket;
 
-use crate::config::backend_entry::Backend;
+use crate::config::backend_entry::BackendValue;
 use crate::config::route_table::RouteTable;
+use crate::config::service_names::{SERVICES_NAME, service_names};
 use crate::controllers::control::Control;
 use crate::error::{Error, Result};
 use crate::opaque::finding::flow_search::FlowSearch;
@@ -109,18 +110,22 @@
                 if let Ok(routes) = RouteTable::parse(&value.text) {
                     directory.set_routes(routes);
                 }
+            } else if *name == SERVICES_NAME {
+                directory.set_services(service_names(&value.text));
             } else if let Some(id) = name.strip_prefix(BACKEND_PREFIX)
-                && let Ok(backend) = Backend::parse(&value.text)
+                && let Ok(backend) = BackendValue::parse(&value.text)
             {
                 changes.push(BackendChange {
                     id,
-                    backend,
+                    value: backend,
                     revision: value.revision,
                 });
             }
         }
         if !changes.is_empty() {
             directory.apply_all(changes, now_ms);
+            let unusable = &self.control.metrics.opaque.entries_unusable;
+            unusable.set(directory.unusable() as i64);
             let hosts = directory.host_list();
             drop(store);
             self.control.store.borrow_mut().set_hosts(hosts);
--- a/src/opaque/processes/state.rs
+++ b/src/opaque/processes/state.rs
@@ -27,6 +27,7 @@
             "zone": fields.zone,
             "slots": fields.slots,
             "state": fields.state,
+            "started_unix_ms": fields.started_unix_ms,
         }))
     });
     records.collect()
@@ -50,6 +51,7 @@
         "packets_shown": opaque.packets_shown.get(),
         "retries_known": opaque.retries_known.get(),
         "lookups_given_up": opaque.lookups_given_up.get(),
+        "entries_unusable": opaque.entries_unusable.get(),
         "values_age_ms": (opaque.values_age_seconds.get() * 1_000.0) as u64,
     });
     state
--- a/src/opaque/values/directory.rs
+++ b/src/opaque/values/directory.rs
@@ -2,7 +2,8 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use crate::config::backend_entry::{Backend, BackendState};
+use crate::code::Code;
+use crate::config::backend_entry::{Backend, BackendState, BackendValue};
 use crate::config::hash;
 use crate::config::hosts::{Host, HostList, HostRole, HostState};
 use crate::config::route_table::RouteTable;
@@ -22,31 +23,82 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Gone {
     since_ms: u64,
+    /// Whether it had not announced to leave, so that it may be back.
     was_ready: bool,
+    /// Whether its last entry could be used.
+    was_usable: bool,
 }
 
 /// One backend server, by its id: an address is used again by others.
+///
+/// An id may be used again too, by a process that starts under the id that it had: a *lifetime* is an id and a
+/// start.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Entry {
     id: String,
     backend: Backend,
     revision: u64,
+    /// The revision at which this lifetime was published first.
     first_revision: u64,
+    /// The latest start that was published for this id.
+    latest_start_unix_ms: Option<u64>,
+    /// Since when its entry can't be used; its backend server may live and hold flows.
+    unusable_since_ms: Option<u64>,
     gone: Option<Gone>,
     /// Until when the backend server is slow after its start.
     cold_until_ms: u64,
 }
 
 impl Entry {
+    fn new(change: &BackendChange<'_>, backend: Backend) -> Self {
+        Self {
+            id: change.id.to_owned(),
+            latest_start_unix_ms: backend.started_unix_ms,
+            backend,
+            revision: change.revision,
+            first_revision: change.revision,
+            unusable_since_ms: None,
+            gone: None,
+            cold_until_ms: 0,
+        }
+    }
+
+    /// Takes what is published anew, perhaps of another lifetime.
+    ///
+    /// Only a start after all that were published is a new lifetime for certain. An earlier one may be a
+    /// write of the lifetime before that arrived late, as well as that of a clock that went back: taken
+    /// for a restart, the first would reset flows that the backend server holds.
+    fn take(&mut self, backend: Backend, revision: u64) {
+        let started = backend.started_unix_ms;
+        if self.latest_start_unix_ms.is_some() && started > self.latest_start_unix_ms {
+            self.first_revision = revision;
+        }
+        self.latest_start_unix_ms = self.latest_start_unix_ms.max(started);
+        self.backend = backend;
+        self.revision = revision;
+        self.unusable_since_ms = None;
+        self.gone = None;
+    }
+
     fn takes_flows(&self, clock_ms: u64) -> bool {
         match self.gone {
-            None => self.backend.state == BackendState::Ready,
-            Some(gone) => gone.was_ready && clock_ms < gone.since_ms + LAPSE_MS,
+            None => self.unusable_since_ms.is_none() && self.backend.state == BackendState::Ready,
+            Some(gone) => gone.was_usable && self.may_return(gone, clock_ms),
         }
     }
 
+    /// Tells whether the backend server may hold flows.
     fn is_current(&self, clock_ms: u64) -> bool {
-        self.gone.is_none() || self.takes_flows(clock_ms)
+        match (self.gone, self.unusable_since_ms) {
+            (Some(gone), _) => self.may_return(gone, clock_ms),
+            // An entry that nobody mends may be that of a dead server, for which nobody answers.
+            (None, Some(since_ms)) => clock_ms < since_ms + REMEMBER_GONE_MS,
+            (None, None) => true,
+        }
+    }
+
+    fn may_return(&self, gone: Gone, clock_ms: u64) -> bool {
+        gone.was_ready && clock_ms < gone.since_ms + LAPSE_MS
     }
 }
 
@@ -59,6 +111,8 @@
     pub takes_flows: bool,
     /// Whether it is no longer published.
     pub is_gone: bool,
+    /// Whether its entry can be used, so that other processes know of it.
+    pub is_usable: bool,
     /// The revision at which it was published first, which tells its lifetime from those before.
     pub first_revision: u64,
     /// Until when it is slow after its start, in milliseconds of this process.
@@ -70,8 +124,8 @@
 pub struct BackendChange<'a> {
     /// Its id.
     pub id: &'a str,
-    /// What it is; `None` where it has vanished.
-    pub backend: Option<Backend>,
+    /// What its value says.
+    pub value: BackendValue,
     /// The revision of the change.
     pub revision: u64,
 }
@@ -82,6 +136,10 @@
     entries: Vec<Entry>,
     tables: Vec<(ServiceId, Table)>,
     routes: RouteTable,
+    /// The services that operators named, sorted; none where that is not known.
+    services: Option<Vec<ServiceId>>,
+    /// Ids whose values name no backend server to use, sorted.
+    unusable: Vec<String>,
     current_hosts: Vec<Ipv4Addr>,
     /// The availability zone of each host, sorted by host.
     zones: Vec<(Ipv4Addr, String)>,
@@ -98,7 +156,7 @@
     pub fn apply(&mut self, id: &str, backend: Option<Backend>, revision: u64, now_ms: u64) {
         let change = BackendChange {
             id,
-            backend,
+            value: backend.into(),
             revision,
         };
         self.apply_all(vec![change], now_ms);
@@ -113,52 +171,96 @@
     }
 
     fn put(&mut self, change: BackendChange<'_>, now_ms: u64) {
-        let BackendChange {
-            id,
-            backend,
-            revision,
-        } = change;
-        let cold_ms = backend.as_ref().map_or(0, |backend| backend.cold_ms);
-        let cold_until_ms = now_ms + u64::from(cold_ms);
+        self.note_usable(&change);
         let found = self
             .entries
-            .binary_search_by(|entry| entry.id.as_str().cmp(id));
-        match (found, backend) {
-            (Ok(index), Some(backend)) => {
+            .binary_search_by(|entry| entry.id.as_str().cmp(change.id));
+        match (found, change.value.clone()) {
+            (Ok(index), BackendValue::There(backend)) => {
+                let entry = &mut self.entries[index];
+                entry.cold_until_ms = now_ms + u64::from(backend.cold_ms);
+                entry.take(backend, change.revision);
+            }
+            (Ok(index), BackendValue::Unusable(_)) => {
                 let entry = &mut self.entries[index];
-                entry.backend = backend;
-                entry.revision = revision;
                 entry.gone = None;
-                entry.cold_until_ms = cold_until_ms;
+                entry.unusable_since_ms.get_or_insert(now_ms);
             }
-            (Ok(index), None) => {
+            (Ok(index), BackendValue::Gone) => {
                 let entry = &mut self.entries[index];
                 let was_ready = entry.backend.state == BackendState::Ready;
+                let was_usable = entry.unusable_since_ms.is_none();
                 entry.gone.get_or_insert(Gone {
                     since_ms: now_ms,
                     was_ready,
+                    was_usable,
                 });
             }
-            (Err(index), Some(backend)) => self.entries.insert(
-                index,
-                Entry {
-                    id: id.to_owned(),
-                    backend,
-                    revision,
-                    first_revision: revision,
-                    gone: None,
-                    cold_until_ms,
-                },
-            ),
-            (Err(_), None) => {}
+            (Err(index), BackendValue::There(backend)) => {
+                let cold_ms = u64::from(backend.cold_ms);
+                let mut entry = Entry::new(&change, backend);
+                entry.cold_until_ms = now_ms + cold_ms;
+                self.entries.insert(index, entry);
+            }
+            // Nothing is known of it: its host can't be asked, and its agent makes itself known.
+            (Err(_), BackendValue::Unusable(_) | BackendValue::Gone) => {}
         }
     }
 
+    /// Notes whether a value can be used; says so where that changed.
+    fn note_usable(&mut self, change: &BackendChange<'_>) {
+        let BackendChange {
+            id,
+            value,
+            revision,
+        } = change;
+        let found = self
+            .unusable
+            .binary_search_by(|known| known.as_str().cmp(id));
+        match (found, value) {
+            (Err(index), BackendValue::Unusable(reason)) => {
+                self.unusable.insert(index, (*id).to_owned());
+                let code = Code::EntryUnusable.number();
+                let reason = reason.word();
+                log::warn!(
+                    "event=entry_unusable id={id:?} revision={revision} code={code} reason={reason}"
+                );
+            }
+            (Ok(index), BackendValue::There(_) | BackendValue::Gone) => {
+                self.unusable.remove(index);
+                log::info!("event=entry_mended id={id:?} revision={revision}");
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns how many values name no backend server to use.
+    pub fn unusable(&self) -> usize {
+        self.unusable.len()
+    }
+
     /// Takes the published routes.
     pub fn set_routes(&mut self, routes: RouteTable) {
         self.routes = routes;
     }
 
+    /// Takes the services that operators named; a backend server of another one is not used.
+    pub fn set_services(&mut self, mut services: Vec<ServiceId>) {
+        services.sort_unstable();
+        self.services = Some(services);
+        self.rebuild();
+    }
+
+    /// Tells whether operators named the service of an entry.
+    ///
+    /// One that they did not name was written by another program. Believed, its entry would take the address
+    /// of a backend server that serves, or add a host to those asked which never answers.
+    fn is_named(&self, entry: &Entry) -> bool {
+        let service = entry.backend.service;
+        let named = |services: &Vec<ServiceId>| services.binary_search(&service).is_ok();
+        self.services.as_ref().is_none_or(named)
+    }
+
     /// Notes that a backend server runs on a host which is not published.
     ///
     /// Its entry may have lapsed before this process started, which then can't remember it.
@@ -184,7 +286,7 @@
     /// vanished can't be seen to come back then.
     pub fn expire(&mut self, clock_ms: u64, now_ms: u64) {
         self.clock_ms = self.clock_ms.max(clock_ms);
-        let lapses = |entry: &Entry| entry.gone.is_some();
+        let lapses = |entry: &Entry| entry.gone.is_some() || entry.unusable_since_ms.is_some();
         if !self.entries.iter().any(lapses) && self.unlisted.is_empty() {
             return;
         }
@@ -208,12 +310,13 @@
         let here = self
             .entries
             .iter()
-            .filter(|entry| entry.backend.address == address);
+            .filter(|entry| entry.backend.address == address && self.is_named(entry));
         let newest = here.max_by_key(|entry| entry.first_revision)?;
         Some(OwnBackend {
             service: newest.backend.service,
             takes_flows: newest.takes_flows(self.clock_ms),
             is_gone: newest.gone.is_some(),
+            is_usable: newest.unusable_since_ms.is_none(),
             first_revision: newest.first_revision,
             cold_until_ms: newest.cold_until_ms,
         })
@@ -229,7 +332,10 @@
     }
 
     fn lapse_end_ms(&self) -> u64 {
-        let lapsed = self.entries.iter().filter(|entry| !self.is_replaced(entry));
+        let lapsed = self
+            .entries
+            .iter()
+            .filter(|entry| self.is_named(entry) && !self.is_replaced(entry));
         let gone = lapsed.filter_map(|entry| entry.gone);
         let ends = gone.filter(|gone| gone.was_ready);
         ends.map(|gone| gone.since_ms + LAPSE_MS).max().unwrap_or(0)
@@ -239,6 +345,7 @@
     fn is_replaced(&self, entry: &Entry) -> bool {
         let newer = |other: &Entry| {
             other.gone.is_none()
+                && self.is_named(other)
                 && other.backend.address == entry.backend.address
                 && other.first_revision > entry.first_revision
         };
@@ -263,7 +370,9 @@
 
     /// Returns the hosts of agents, which relay published values to each other.
     pub fn host_list(&self) -> HostList {
-        let current = self.entries.iter().filter(|entry| entry.gone.is_none());
+        let is_listed = |entry: &&Entry| entry.gone.is_none() && entry.unusable_since_ms.is_none();
+        let current = self.entries.iter().filter(is_listed);
+        let current = current.filter(|entry| self.is_named(entry));
         let hosts = current.map(|entry| Host {
             address: *entry.backend.address.ip(),
             zone: entry.backend.zone.clone(),
@@ -282,7 +391,7 @@
         for entry in self
             .entries
             .iter()
-            .filter(|entry| entry.is_current(clock_ms))
+            .filter(|entry| entry.is_current(clock_ms) && self.is_named(entry))
         {
             let address = entry.backend.address;
             match newest.binary_search_by_key(&address, |known| known.backend.address) {
--- a/src/process/http_client.rs
+++ b/src/process/http_client.rs
@@ -7,14 +7,16 @@
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 
 use crate::code::Code;
 use crate::error::{Error, Result};
 
-const MAX_BODY_BYTES: usize = 2 << 20;
+/// The longest answer that is taken, in bytes: a page of the users' platform holds about a megabyte, of which the
+/// last value may bring another one, and both grow by a third as base64.
+const MAX_BODY_BYTES: usize = 4 << 20;
 
 /// Opens a connection on which requests can be sent.
 ///
@@ -72,7 +74,13 @@
 async fn collect(response: Response<Incoming>) -> Result<Response<Bytes>> {
     let (parts, body) = response.into_parts();
     let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
-    let body = body.map_err(|error| Error::new(Code::Io, error.to_string()))?;
+    let body = body.map_err(|error| {
+        let code = match error.is::<LengthLimitError>() {
+            true => Code::AnswerTooLarge,
+            false => Code::Io,
+        };
+        Error::new(code, error.to_string())
+    })?;
     Ok(Response::from_parts(parts, body.to_bytes()))
 }
 
--- a/src/process/opaque_metrics.rs
+++ b/src/process/opaque_metrics.rs
@@ -39,6 +39,7 @@
     pub(crate) read_seconds: Histogram,
     pub(crate) pull_seconds: Histogram,
     pub(crate) hosts_suspected: Counter,
+    pub(crate) entries_unusable: Gauge,
 }
 
 impl Default for OpaqueMetrics {
@@ -64,6 +65,7 @@
             hints_wrong: Counter::default(),
             hints_held: Gauge::default(),
             values_age_seconds: Gauge::default(),
+            entries_unusable: Gauge::default(),
             read_seconds: times(),
             pull_seconds: times(),
             hosts_suspected: Counter::default(),
@@ -179,7 +181,7 @@
         ]
     }
 
-    fn gauges(&self) -> [(&'static str, &'static str, &Gauge); 3] {
+    fn gauges(&self) -> [(&'static str, &'static str, &Gauge); 4] {
         [
             (
                 "opaque_flows_open",
@@ -196,6 +198,11 @@
                 "Flows whose holder a balancer remembers",
                 &self.hints_held,
             ),
+            (
+                "entries_unusable",
+                "Published entries that name no backend server to use",
+                &self.entries_unusable,
+            ),
         ]
     }
 }
--- a/tests/opaque/builder.rs
+++ b/tests/opaque/builder.rs
@@ -3,9 +3,9 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use endivedyke::opaque::{
-    Action, Backend, BackendState, Directory, FlowKey, Forwarder, GONE_TEXT, Keeper,
-    KeeperIdentity, Message, MessageKind, OpaqueMetrics, ROUTES_HEADER, RouteTable, Scene, Segment,
-    WireFormat, backend_text,
+    Action, Backend, BackendChange, BackendState, BackendValue, Directory, FlowKey, Forwarder,
+    GONE_TEXT, Keeper, KeeperIdentity, Message, MessageKind, OpaqueMetrics, ROUTES_HEADER,
+    RouteTable, Scene, Segment, UnusableReason, WireFormat, backend_text, started_backend_text,
 };
 use endivedyke::{Code, Error, Result, ServiceId, Suspicion};
 
@@ -193,6 +193,22 @@
     backend_text(SERVICE, &address, zone, 4, state)
 }
 
+/// Returns the text of a ready backend server that tells its start.
+pub(crate) fn started_text(index: u16, started_unix_ms: u64) -> String {
+    started_backend_text(&state_text(index, BackendState::Ready), started_unix_ms)
+}
+
+/// Publishes that an entry names no backend server to use.
+pub(crate) fn overwrite(directory: &mut Directory, index: u16, revision: u64, now_ms: u64) {
+    let id = format!("i-{index}");
+    let change = BackendChange {
+        id: &id,
+        value: BackendValue::Unusable(UnusableReason::Malformed),
+        revision,
+    };
+    directory.apply_all(vec![change], now_ms);
+}
+
 pub(crate) fn publish(
     directory: &mut Directory,
     index: u16,
--- /dev/null
+++ b/tests/opaque/lifetimes.rs
@@ -0,0 +1,161 @@
+//! A backend server is its id and its start: one that starts again under its id holds nothing of before.
+
+use endivedyke::opaque::{Backend, BackendState, Directory};
+
+use crate::builder::{
+    AgentUnderTest, backend_address, directory, flow, host, opener, publish, reaches_backend,
+    resets, started_text, state_text, vanish,
+};
+
+/// Returns the revision at which the lifetime began that is published on host 1.
+fn lifetime(directory: &Directory) -> u64 {
+    let own = directory.own(backend_address(1));
+    own.expect("published").first_revision
+}
+
+/// Publishes these starts one after the other, from revision 10, and returns how many new lifetimes were seen.
+fn lifetimes_seen(starts: &[Option<u64>]) -> usize {
+    let mut directory = Directory::default();
+    let mut seen = Vec::new();
+    for (revision, start) in (10..).zip(starts) {
+        let text = match start {
+            Some(start) => started_text(1, *start),
+            None => state_text(1, BackendState::Ready),
+        };
+        publish(&mut directory, 1, &text, revision, 1_000);
+        seen.push(lifetime(&directory));
+    }
+    seen.dedup();
+    seen.len() - 1
+}
+
+#[test]
+fn only_a_later_start_is_a_new_lifetime_for_certain() {
+    let cases: [(&[Option<u64>], usize); 8] = [
+        (&[Some(100), Some(100)], 0),
+        (&[Some(100), Some(200)], 1),
+        (&[Some(100), Some(200), Some(300)], 2),
+        // A write of the lifetime before that the store did late, and then the next sign of life.
+        (&[Some(200), Some(100), Some(200)], 0),
+        (&[Some(100), Some(200), Some(100), Some(200)], 1),
+        // The clock went back between two starts, or another program wrote an entry without a start.
+        (&[Some(200), Some(150)], 0),
+        (&[Some(200), None, Some(200)], 0),
+        (&[None, Some(200)], 0),
+    ];
+    for (starts, new) in cases {
+        assert_eq!(lifetimes_seen(starts), new, "{starts:?}");
+    }
+}
+
+#[test]
+fn a_start_in_the_far_future_hides_later_ones_and_breaks_nothing() {
+    assert_eq!(lifetimes_seen(&[Some(u64::MAX), Some(100), Some(200)]), 0);
+}
+
+#[test]
+fn a_restart_while_the_entry_was_away_is_seen() {
+    let mut directory = Directory::default();
+    publish(&mut directory, 1, &started_text(1, 100), 5, 0);
+    vanish(&mut directory, 1, 9, 1_000);
+    publish(&mut directory, 1, &started_text(1, 200), 11, 2_000);
+    assert_eq!(lifetime(&directory), 11);
+    assert!(
+        directory
+            .own(backend_address(1))
+            .expect("published")
+            .takes_flows
+    );
+}
+
+#[test]
+fn an_entry_that_came_back_unchanged_is_the_same_lifetime() {
+    let mut directory = Directory::default();
+    publish(&mut directory, 1, &started_text(1, 100), 5, 0);
+    vanish(&mut directory, 1, 9, 1_000);
+    publish(&mut directory, 1, &started_text(1, 100), 11, 2_000);
+    assert_eq!(lifetime(&directory), 5);
+}
+
+#[test]
+fn an_id_that_starts_again_elsewhere_leaves_its_old_host() {
+    let mut directory = directory(2);
+    let text = started_text(1, 100);
+    publish(&mut directory, 1, &text, 10, 1_000);
+    let moved = started_text(3, 200);
+    publish(&mut directory, 1, &moved, 11, 1_000);
+    assert_eq!(directory.current_hosts(), [host(2), host(3)]);
+    assert!(directory.own(backend_address(1)).is_none());
+}
+
+#[test]
+fn an_id_that_starts_again_takes_its_address_back() {
+    let mut directory = Directory::default();
+    publish(&mut directory, 1, &started_text(1, 100), 5, 0);
+    let other = Backend::parse(&state_text(1, BackendState::Draining)).expect("sound");
+    directory.apply("i-other", other, 6, 100);
+    publish(&mut directory, 1, &started_text(1, 200), 7, 200);
+    let own = directory.own(backend_address(1)).expect("published");
+    assert!(own.takes_flows, "the other one stood there before");
+    assert_eq!(own.first_revision, 7);
+}
+
+/// Publishes a start of the backend server beside the agent.
+fn publish_start(agent: &mut AgentUnderTest, start: u64) -> Vec<endivedyke::opaque::Action> {
+    agent.revision += 1;
+    let text = started_text(1, start);
+    publish(&mut agent.directory, 1, &text, agent.revision, agent.now_ms);
+    agent.published_changed()
+}
+
+/// Returns an agent whose backend server held flow 2 when its connection broke.
+fn agent_after_a_break() -> AgentUnderTest {
+    let mut agent = AgentUnderTest::new(3, true);
+    publish_start(&mut agent, 100);
+    agent.open(&flow(2), 500);
+    agent.answer_from_backend(&flow(2));
+    agent.now_ms += 10;
+    agent.keeper.backend_breaks(agent.now_ms);
+    agent.keeper.backend_listens();
+    agent.now_ms += 10;
+    agent
+}
+
+#[test]
+fn flows_of_before_a_restart_under_the_same_id_are_reset() {
+    let mut agent = agent_after_a_break();
+    agent.open(&flow(3), 900);
+    agent.answer_from_backend(&flow(3));
+    assert_eq!(resets(&publish_start(&mut agent, 200)), [flow(2)]);
+}
+
+#[test]
+fn a_late_write_of_the_lifetime_before_resets_nothing() {
+    let mut agent = agent_after_a_break();
+    assert!(resets(&publish_start(&mut agent, 50)).is_empty());
+    assert!(resets(&publish_start(&mut agent, 100)).is_empty());
+}
+
+#[test]
+fn a_restarted_backend_server_is_not_taken_for_failing() {
+    let mut agent = AgentUnderTest::new(3, true);
+    publish_start(&mut agent, 100);
+    for port in 1..=4 {
+        agent.open(&flow(port), 500);
+    }
+    agent.now_ms += 1_000;
+    agent.keeper.expire(agent.now_ms);
+    agent.deliver(&opener(&flow(50), 0));
+    assert!(
+        !reaches_backend(&agent.deliver(&opener(&flow(51), 0))),
+        "it fails"
+    );
+    agent.keeper.backend_breaks(agent.now_ms);
+    publish_start(&mut agent, 200);
+    for port in 60..64 {
+        assert!(
+            reaches_backend(&agent.deliver(&opener(&flow(port), 0))),
+            "{port}"
+        );
+    }
+}
--- /dev/null
+++ b/tests/opaque/unusable_entries.rs
@@ -0,0 +1,107 @@
+//! Entries that another program wrote: they name no backend server to use, and the others hold.
+
+use endivedyke::ServiceId;
+use endivedyke::opaque::{Backend, BackendState, Directory};
+
+use crate::builder::{
+    AgentUnderTest, SERVICE, backend_address, directory, flow, host, opener, overwrite, publish,
+    reaches_backend, request, resets, state_text, vanish,
+};
+
+fn takers(directory: &Directory) -> Vec<std::net::Ipv4Addr> {
+    let table = directory.table(ServiceId::of(SERVICE));
+    let rows = table.map_or(&[][..], |table| &table.rows);
+    let takers = rows.iter().filter(|row| row.weight > 0);
+    takers.map(|row| row.host).collect()
+}
+
+#[test]
+fn an_overwritten_entry_takes_no_flow_and_is_asked_for_those_it_holds() {
+    let mut directory = directory(2);
+    overwrite(&mut directory, 1, 9, 1_000);
+    assert_eq!(takers(&directory), [host(2)]);
+    assert!(directory.is_current(host(1)));
+    assert_eq!(directory.unusable(), 1);
+    publish(
+        &mut directory,
+        1,
+        &state_text(1, BackendState::Ready),
+        10,
+        1_200,
+    );
+    assert_eq!(takers(&directory), [host(1), host(2)]);
+    assert_eq!(directory.unusable(), 0);
+}
+
+#[test]
+fn an_entry_that_nobody_mends_is_not_asked_for_longer_than_a_flow_may_live() {
+    let mut directory = directory(2);
+    overwrite(&mut directory, 1, 9, 1_000);
+    overwrite(&mut directory, 1, 10, 30_000);
+    directory.expire(60_900, 60_900);
+    assert!(directory.is_current(host(1)));
+    directory.expire(61_000, 61_000);
+    assert!(!directory.is_current(host(1)));
+}
+
+#[test]
+fn an_overwritten_entry_that_vanishes_may_be_back_and_takes_no_flow() {
+    let mut directory = directory(2);
+    overwrite(&mut directory, 1, 9, 1_000);
+    vanish(&mut directory, 1, 10, 1_100);
+    assert_eq!(takers(&directory), [host(2)]);
+    assert!(directory.is_current(host(1)));
+    assert!(directory.lapse_ms() > 0);
+    directory.expire(3_600, 3_600);
+    assert!(!directory.is_current(host(1)));
+}
+
+#[test]
+fn an_entry_that_never_was_sound_adds_no_host() {
+    let mut directory = directory(2);
+    overwrite(&mut directory, 7, 9, 1_000);
+    assert_eq!(directory.current_hosts(), [host(1), host(2)]);
+    vanish(&mut directory, 7, 10, 1_100);
+    assert_eq!(directory.unusable(), 0);
+}
+
+#[test]
+fn a_service_that_operators_did_not_name_takes_nobody_s_address() {
+    let mut directory = directory(2);
+    directory.set_services(vec![ServiceId::of(SERVICE)]);
+    for (id, text) in [
+        ("i-at-an-address-in-use", state_text(1, BackendState::Ready)),
+        ("i-at-a-host-of-its-own", state_text(9, BackendState::Ready)),
+    ] {
+        let foreign = Backend::parse(&text.replace(SERVICE, "unheard-of")).expect("sound");
+        directory.apply(id, foreign, 50, 1_000);
+    }
+    assert_eq!(takers(&directory), [host(1), host(2)]);
+    assert_eq!(directory.current_hosts(), [host(1), host(2)]);
+    let own = directory.own(backend_address(1)).expect("published");
+    assert_eq!(own.service, ServiceId::of(SERVICE));
+    assert_eq!(directory.host_list().all().len(), 2);
+}
+
+#[test]
+fn a_service_that_is_named_later_is_used_then() {
+    let mut directory = directory(2);
+    directory.set_services(Vec::new());
+    assert!(takers(&directory).is_empty());
+    directory.set_services(vec![ServiceId::of(SERVICE)]);
+    assert_eq!(takers(&directory), [host(1), host(2)]);
+}
+
+#[test]
+fn an_agent_whose_entry_was_overwritten_keeps_its_flows_and_makes_itself_known() {
+    let mut agent = AgentUnderTest::new(2, true);
+    agent.keeper.backend_listens();
+    agent.open(&flow(1), 500);
+    agent.answer_from_backend(&flow(1));
+    assert!(!agent.keeper.is_unlisted(&agent.directory));
+    overwrite(&mut agent.directory, 1, 9, agent.now_ms);
+    assert!(resets(&agent.published_changed()).is_empty());
+    assert!(agent.keeper.is_unlisted(&agent.directory));
+    assert!(reaches_backend(&agent.deliver(&request(&flow(1), 501))));
+    assert!(!reaches_backend(&agent.deliver(&opener(&flow(2), 0))));
+}
