Let agents offer openers to one that has less to do

Cause: on a site of 109 servers and 59 balancers each balancer hears a given agent about once in 13 s, so that the choice of the lighter of two, tuned where seven servers exist, is never made there.

Change: an agent that takes an opener tells the balancer its load over ten seconds, behind the flow's name where an older process does not look. A balancer tells the mean of its service with each first opener, where a service has 16 servers or more. An agent with a tenth more than that offers the opener to the next in the flow's order, which takes it if it has less than the sender, three times at most. Callers that have waited are not sent further. In the model feeds may have several requests a flow, and several balancers share the callers.

--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -16,8 +16,9 @@
 use crate::opaque::finding::flow_search::FlowSearch;
 use crate::opaque::openers::expected_retries::ExpectedRetries;
 use crate::opaque::openers::known_loads::KnownLoads;
+use crate::opaque::openers::service_means::ServiceMeans;
 use crate::opaque::packets::action::Action;
-use crate::opaque::packets::message::{Message, MessageKind};
+use crate::opaque::packets::message::{Message, MessageKind, UNKNOWN_LOAD};
 use crate::opaque::packets::segment::{FLOW_KEY_BYTES, FlowKey, Segment, WireFormat};
 use crate::opaque::values::directory::Directory;
 use crate::process::opaque_metrics::OpaqueMetrics;
@@ -65,6 +66,9 @@
     watched: VecDeque<Watched>,
     unanswered: Vec<(Ipv4Addr, u32)>,
     loads: KnownLoads,
+    /// The loads over a longer time, of which agents are told the mean.
+    steady_loads: KnownLoads,
+    means: ServiceMeans,
     retries: ExpectedRetries,
 }
 
@@ -89,6 +93,8 @@
             watched: VecDeque::new(),
             unanswered: Vec::new(),
             loads: KnownLoads::default(),
+            steady_loads: KnownLoads::default(),
+            means: ServiceMeans::default(),
             retries: ExpectedRetries::new(),
         }
     }
@@ -121,7 +127,21 @@
             .retries_known
             .inc_by(u64::from(waited_ms > 0 && attempt == 0));
         self.watch(flow, host, attempt, packet.clone(), now_ms);
-        Ok(self.deliver(host, packet, waited_ms))
+        let mut message = self.message(waited_ms);
+        message.load_permille = self.mean_load(directory, &flow, now_ms);
+        Ok(Action::ToPeer(host, message, packet))
+    }
+
+    /// Returns the mean load of the backend servers among which a flow's agent was chosen, by which that agent
+    /// knows whether it has more to do than others.
+    fn mean_load(&mut self, directory: &Directory, flow: &FlowKey, now_ms: u64) -> u16 {
+        let route = directory.routes().get(flow.called);
+        let service = route.and_then(|route| route.service(flow.hash()));
+        let table = service.and_then(|service| Some((service, directory.table(service)?)));
+        table.map_or(UNKNOWN_LOAD, |(service, table)| {
+            self.means
+                .permille(service, table, &self.steady_loads, now_ms)
+        })
     }
 
     /// Decides about a caller's packet while no configuration is known: what opens nothing is shown to agents
@@ -176,6 +196,11 @@
         }
     }
 
+    /// Notes the load of an agent's backend server over a longer time.
+    pub fn heard_steady(&mut self, host: Ipv4Addr, load_permille: u16, now_ms: u64) {
+        self.steady_loads.heard(host, load_permille, now_ms);
+    }
+
     /// Counts an opener without an answer; returns how many there were in a row.
     fn miss(&mut self, host: Ipv4Addr) -> u32 {
         let found = self
@@ -258,6 +283,7 @@
     /// Forgets flows of which nothing was heard for as long as a flow lives.
     pub fn expire(&mut self, now_ms: u64) {
         self.loads.expire(now_ms);
+        self.steady_loads.expire(now_ms);
         self.retries.expire(now_ms);
         let lifetime_ms = self.flow_lifetime_ms;
         self.hints
@@ -393,13 +419,24 @@
     }
 
     fn deliver(&self, host: Ipv4Addr, packet: Vec<u8>, waited_ms: u64) -> Action {
+        Action::ToPeer(host, self.message(waited_ms), packet)
+    }
+
+    /// Makes the message with which a packet of a caller that has waited for so long goes to an agent.
+    fn message(&self, waited_ms: u64) -> Message {
         let mut message = Message::new(MessageKind::Deliver);
         message.host = self.host;
         message.waited_ms = u16::try_from(waited_ms).unwrap_or(u16::MAX);
-        Action::ToPeer(host, message, packet)
+        message
     }
 }
 
+/// Returns the load over a longer time that the payload of a [`MessageKind::Holds`] tells behind its flow.
+pub fn steady_load(payload: &[u8]) -> Option<u16> {
+    let bytes = payload.get(FLOW_KEY_BYTES..)?.first_chunk()?;
+    Some(u16::from_be_bytes(*bytes))
+}
+
 /// Returns the flow that the payload of a message names.
 pub(crate) fn named_flow(payload: &[u8]) -> Option<FlowKey> {
     FlowKey::from_bytes(payload.get(..FLOW_KEY_BYTES)?)
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -5,6 +5,7 @@
 
 mod answers;
 mod backend_life;
+mod offers;
 mod openers;
 mod questions;
 mod told;
@@ -17,7 +18,7 @@
 use crate::error::Result;
 use crate::opaque::finding::flow_book::{Flow, FlowBook, Holding, Running};
 use crate::opaque::finding::lookup::Lookups;
-use crate::opaque::openers::mean_load::{FAILING_LOAD, MeanLoad};
+use crate::opaque::openers::mean_load::{FAILING_LOAD, MeanLoad, RECENT_SPAN_MS, STEADY_SPAN_MS};
 use crate::opaque::openers::recent_outcomes::RecentOutcomes;
 use crate::opaque::packets::action::Action;
 use crate::opaque::packets::message::{Message, MessageKind, UNKNOWN_LOAD};
@@ -63,7 +64,10 @@
     identity: KeeperIdentity,
     metrics: OpaqueMetrics,
     flows: FlowBook,
+    /// The load over the last second, which is told.
     load: MeanLoad,
+    /// The load over a longer time, by which flows are shared out.
+    steady_load: MeanLoad,
     outcomes: RecentOutcomes,
     failing: bool,
     lookups: Lookups,
@@ -99,7 +103,8 @@
             identity,
             metrics: metrics.clone(),
             flows: FlowBook::new(metrics, identity.flow_lifetime_ms),
-            load: MeanLoad::default(),
+            load: MeanLoad::over(RECENT_SPAN_MS),
+            steady_load: MeanLoad::over(STEADY_SPAN_MS),
             outcomes: RecentOutcomes::default(),
             failing: false,
             lookups: Lookups::new(metrics),
@@ -128,6 +133,7 @@
     /// Returns the mean load of the backend server, for balancers to choose by.
     pub fn load_permille(&mut self, scene: &Scene<'_>) -> u16 {
         self.load.changed(self.flows.busy(), scene.now_ms);
+        self.steady_load.changed(self.flows.busy(), scene.now_ms);
         if self.outcomes.is_failing(scene.now_ms) {
             // What fails at once looks idle, and would attract what others could serve.
             return FAILING_LOAD;
@@ -179,7 +185,7 @@
             self.balancers.heard(from, scene.now_ms);
         }
         match message.kind {
-            MessageKind::Deliver | MessageKind::HandOn => {
+            MessageKind::Deliver | MessageKind::HandOn | MessageKind::Offer => {
                 let segment = (self.wire.decode)(payload)?;
                 if segment.opens {
                     self.opener(scene, &segment, payload, message, &mut actions);
@@ -404,6 +410,13 @@
     actions.push(Action::ToPeer(host, message, key.to_bytes().to_vec()));
 }
 
+/// Tells the balancer from which an opener came that it was passed on, so that it does not wait for this agent.
+fn say_passed_on(key: &FlowKey, message: &Message, actions: &mut Vec<Action>) {
+    if message.kind == MessageKind::Deliver && !message.host.is_unspecified() {
+        tell(MessageKind::Absent, key, message.host, actions);
+    }
+}
+
 /// Tells a balancer who holds a flow, so that it spares the detour.
 fn say_holds(key: &FlowKey, balancer: Ipv4Addr, holder: Ipv4Addr, actions: &mut Vec<Action>) {
     if balancer.is_unspecified() {
--- a/src/opaque/openers/known_loads.rs
+++ b/src/opaque/openers/known_loads.rs
@@ -4,8 +4,14 @@
 
 use crate::opaque::packets::message::UNKNOWN_LOAD;
 
-/// The age at which a load no longer counts, in milliseconds: twice the time over which it is a mean.
+/// The age at which a load no longer counts for a choice of two, in milliseconds: twice the time over which
+/// it is a mean.
 const MAX_AGE_MS: u64 = 2_000;
+/// The age at which the load over a longer time no longer counts for the mean of a service, in milliseconds: that
+/// over which it is a mean, in which one of fifty balancers hears about half of a hundred agents.
+const MEAN_MAX_AGE_MS: u64 = 10_000;
+/// From how many loads a mean is told: fewer say little of the others.
+const MIN_KNOWN: u32 = 4;
 /// How much lower the load of a flow's second target must be for it to go there, in thousandths of a
 /// slot: below it, what is saved in waiting is less than the question who holds the flow, which a
 /// balancer without its hint must have asked.
@@ -37,15 +43,29 @@
         }
     }
 
+    /// Returns the mean load of those of the hosts that were heard of lately, where they are enough to tell.
+    pub(crate) fn mean(&self, hosts: impl Iterator<Item = Ipv4Addr>, now_ms: u64) -> Option<u16> {
+        let (mut sum, mut count) = (0, 0);
+        for permille in hosts.filter_map(|host| self.newer_than(host, MEAN_MAX_AGE_MS, now_ms)) {
+            sum += u32::from(permille);
+            count += 1;
+        }
+        (count >= MIN_KNOWN).then(|| (sum / count) as u16)
+    }
+
     /// Forgets loads that no longer count.
     pub(crate) fn expire(&mut self, now_ms: u64) {
         self.loads
-            .retain(|(_, _, heard_ms)| now_ms < heard_ms + MAX_AGE_MS);
+            .retain(|(_, _, heard_ms)| now_ms < heard_ms + MEAN_MAX_AGE_MS);
     }
 
     fn get(&self, host: Ipv4Addr, now_ms: u64) -> Option<u16> {
+        self.newer_than(host, MAX_AGE_MS, now_ms)
+    }
+
+    fn newer_than(&self, host: Ipv4Addr, max_age_ms: u64, now_ms: u64) -> Option<u16> {
         let index = self.loads.binary_search_by_key(&host, |load| load.0).ok()?;
         let (_, permille, heard_ms) = self.loads[index];
-        (now_ms < heard_ms + MAX_AGE_MS).then_some(permille)
+        (now_ms < heard_ms + max_age_ms).then_some(permille)
     }
 }
--- a/src/opaque/openers/mod.rs
+++ b/src/opaque/openers/mod.rs
@@ -8,3 +8,4 @@
 pub(crate) mod mean_load;
 pub(crate) mod opener_order;
 pub(crate) mod recent_outcomes;
+pub(crate) mod service_means;
--- a/src/opaque/packets/message.rs
+++ b/src/opaque/packets/message.rs
@@ -25,7 +25,8 @@
     Deliver = 1,
     /// A caller's opener from an agent that does not take it.
     HandOn = 2,
-    /// An agent takes or holds this flow: send its packets there.
+    /// An agent takes or holds this flow: send its packets there. Behind the flow may stand the load of the sender's
+    /// backend server over ten seconds, in thousandths of a slot.
     Holds = 3,
     /// A caller's packet of a flow that the sender does not know: deliver it if it is held there.
     Find = 4,
@@ -43,6 +44,8 @@
     AttemptFailed = 10,
     /// The sender runs and holds these revisions: for a balancer that may have just started.
     Greeting = 11,
+    /// A caller's opener from an agent that could take it and has more to do than others: for one that has less.
+    Offer = 12,
 }
 
 /// The trailer of a datagram between two processes.
@@ -64,6 +67,9 @@
     pub unsettled_ms: u16,
     /// The requests for each slot of the sender's backend server, over the last second, in
     /// thousandths; [`UNKNOWN_LOAD`] from a process without one.
+    ///
+    /// An opener from a balancer tells the mean of its service's backend servers here, and an offered one that
+    /// of the sender's, both over the last ten seconds.
     pub load_permille: u16,
     /// Of an opener and of [`MessageKind::AttemptFailed`], for how long the caller has waited in attempts that
     /// failed, as far as known, in milliseconds; rounded down to whole [`WAIT_UNIT_MS`], of which 15 fit.
@@ -171,6 +177,7 @@
         MessageKind::Unlisted,
         MessageKind::AttemptFailed,
         MessageKind::Greeting,
+        MessageKind::Offer,
     ];
     kinds.into_iter().find(|kind| *kind as u8 == byte)
 }
--- a/src/opaque/processes/entry.rs
+++ b/src/opaque/processes/entry.rs
@@ -11,7 +11,7 @@
 use crate::code::Code;
 use crate::controllers::control::Control;
 use crate::error::{Error, Result};
-use crate::opaque::forwarder::{Forwarder, named_flow};
+use crate::opaque::forwarder::{Forwarder, named_flow, steady_load};
 use crate::opaque::packets::message::{Message, MessageKind};
 use crate::opaque::processes::readiness;
 use crate::opaque::processes::ticker::Ticker;
@@ -158,6 +158,9 @@
             MessageKind::Holds => {
                 let mut forwarder = self.forwarder.borrow_mut();
                 forwarder.holds(flow, message.host, now_ms);
+                if let Some(permille) = steady_load(payload) {
+                    forwarder.heard_steady(from, permille, now_ms);
+                }
             }
             MessageKind::Found => {
                 log::info!("event=flow_found flow={flow} host={from}");
--- a/src/opaque/processes/node.rs
+++ b/src/opaque/processes/node.rs
@@ -223,7 +223,9 @@
         // A process that starts now does not know what vanished a moment ago; who saw it tells it.
         let lapse_ms = self.directory.borrow().lapse_ms();
         message.unsettled_ms = message.unsettled_ms.max(lapse_ms as u16);
-        message.load_permille = self.load_permille.get();
+        if message.load_permille == UNKNOWN_LOAD {
+            message.load_permille = self.load_permille.get();
+        }
         message.append(&mut payload);
         let address = SocketAddrV4::new(host, self.control.settings.datagram_port);
         self.send_datagram(&self.sender, address, &payload);
--- a/src/process/opaque_metrics.rs
+++ b/src/process/opaque_metrics.rs
@@ -19,6 +19,7 @@
 pub struct OpaqueMetrics {
     pub(crate) openers_taken: Counter,
     pub(crate) openers_handed_on: Counter,
+    pub(crate) openers_offered: Counter,
     pub(crate) openers_dropped: Counter,
     pub(crate) openers_unanswered: Counter,
     pub(crate) retries_known: Counter,
@@ -48,6 +49,7 @@
         Self {
             openers_taken: Counter::default(),
             openers_handed_on: Counter::default(),
+            openers_offered: Counter::default(),
             openers_dropped: Counter::default(),
             openers_unanswered: Counter::default(),
             retries_known: Counter::default(),
@@ -106,7 +108,7 @@
         );
     }
 
-    fn counters(&self) -> [(&'static str, &'static str, &Counter); 14] {
+    fn counters(&self) -> [(&'static str, &'static str, &Counter); 15] {
         [
             (
                 "packets_shown",
@@ -128,6 +130,11 @@
                 "Openers passed to another agent",
                 &self.openers_handed_on,
             ),
+            (
+                "openers_offered",
+                "Openers offered to an agent that has less to do",
+                &self.openers_offered,
+            ),
             (
                 "openers_dropped",
                 "Openers without room that may come again",
--- a/tests/opaque/builder.rs
+++ b/tests/opaque/builder.rs
@@ -406,6 +406,11 @@
             .expect("sound packet")
     }
 
+    /// Lets the agent note its load, as with each message that it sends.
+    pub(crate) fn look_at_load(&mut self) {
+        self.with(|keeper, scene| keeper.load_permille(scene));
+    }
+
     pub(crate) fn refuse(&mut self) -> Vec<Action> {
         self.with(|keeper, scene| keeper.backend_refuses(scene))
     }
--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -14,6 +14,7 @@
 mod message_bounds;
 mod model;
 mod news;
+mod offers;
 mod openers;
 mod policies;
 mod queue_model;
--- /dev/null
+++ b/tests/opaque/offers.rs
@@ -0,0 +1,143 @@
+//! Openers that an agent could take and offers to one that has less to do.
+
+use endivedyke::Suspicion;
+use endivedyke::opaque::{Action, Message, MessageKind, UNKNOWN_LOAD, steady_load};
+
+use crate::builder::{
+    AgentUnderTest, BALANCER, directory, flow, forwarder, host, hosts_told, opener, reaches_backend,
+};
+
+/// Returns an agent whose backend server has run four requests for five seconds: one for each of its slots.
+fn loaded_agent() -> AgentUnderTest {
+    let mut agent = AgentUnderTest::new(20, true);
+    for port in 1..=4 {
+        agent.open(&flow(port), 500);
+    }
+    wait(&mut agent, 2_500);
+    // Requests that their callers may have given up count no longer; these have new ones.
+    for port in 5..=8 {
+        agent.open(&flow(port), 500);
+    }
+    wait(&mut agent, 2_500);
+    agent
+}
+
+fn wait(agent: &mut AgentUnderTest, for_ms: u64) {
+    agent.look_at_load();
+    agent.now_ms += for_ms;
+    agent.keeper.expire(agent.now_ms);
+    agent.look_at_load();
+}
+
+/// Hands over an opener with the load of others and returns what the agent does.
+fn open(agent: &mut AgentUnderTest, kind: MessageKind, load_permille: u16) -> Vec<Action> {
+    let mut message = Message::new(kind);
+    message.host = BALANCER;
+    message.load_permille = load_permille;
+    agent.hear(BALANCER, message, &opener(&flow(900), 0))
+}
+
+#[test]
+fn an_agent_with_more_than_the_mean_offers_openers() {
+    for (others, offers) in [
+        (UNKNOWN_LOAD, false),
+        (3_000, false),
+        (1_300, false),
+        (100, true),
+        (0, true),
+    ] {
+        let mut agent = loaded_agent();
+        // Room for the opener, whatever it had to do before.
+        agent.now_ms += 1_000;
+        agent.keeper.expire(agent.now_ms);
+        let actions = open(&mut agent, MessageKind::Deliver, others);
+        let offered = hosts_told(&actions, MessageKind::Offer);
+        assert_eq!(offered.len(), usize::from(offers), "{others}: {actions:?}");
+        assert_eq!(reaches_backend(&actions), !offers, "{others}");
+        let told = hosts_told(&actions, MessageKind::Absent);
+        assert_eq!(told.len(), usize::from(offers), "{others}");
+    }
+}
+
+#[test]
+fn an_offered_opener_is_taken_by_an_agent_that_has_less() {
+    for (sender, taken) in [(3_000, true), (1, false)] {
+        let mut agent = loaded_agent();
+        let actions = open(&mut agent, MessageKind::Offer, sender);
+        assert_eq!(reaches_backend(&actions), taken, "{sender}");
+    }
+}
+
+#[test]
+fn an_opener_is_offered_a_few_times_and_then_taken() {
+    let mut agent = loaded_agent();
+    let mut message = Message::new(MessageKind::Offer);
+    message.load_permille = 1;
+    message.hops = 3;
+    let actions = agent.hear(host(2), message, &opener(&flow(900), 0));
+    assert!(reaches_backend(&actions));
+}
+
+#[test]
+fn callers_that_have_waited_are_not_sent_further() {
+    let mut agent = loaded_agent();
+    let mut message = Message::new(MessageKind::Deliver);
+    message.load_permille = 1;
+    message.waited_ms = 300;
+    let actions = agent.hear(BALANCER, message, &opener(&flow(900), 0));
+    assert!(hosts_told(&actions, MessageKind::Offer).is_empty());
+    message.waited_ms = 0;
+    let actions = agent.hear(BALANCER, message, &opener(&flow(901), 1));
+    assert!(hosts_told(&actions, MessageKind::Offer).is_empty());
+}
+
+#[test]
+fn an_agent_that_has_just_started_offers_nothing() {
+    let mut agent = AgentUnderTest::new(20, true);
+    for port in 1..=4 {
+        agent.open(&flow(port), 500);
+    }
+    wait(&mut agent, 1_000);
+    let actions = open(&mut agent, MessageKind::Deliver, 1);
+    assert!(hosts_told(&actions, MessageKind::Offer).is_empty());
+}
+
+/// Returns the load that a balancer of a site tells the agent of an opener, when it heard these.
+fn mean_told(servers: u16, heard: &[u16]) -> u16 {
+    let directory = directory(servers);
+    let mut balancer = forwarder();
+    for (index, permille) in (1..).zip(heard) {
+        balancer.heard_steady(host(index), *permille, 1_000);
+    }
+    let mut suspicion = Suspicion::default();
+    let packet = opener(&flow(1), 0);
+    let action = balancer.handle(&directory, &mut suspicion, packet, 1_100);
+    match action.expect("routed") {
+        Action::ToPeer(_, message, _) => message.load_permille,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn balancers_tell_the_mean_of_many_servers_as_far_as_they_know_it() {
+    assert_eq!(mean_told(20, &[100, 200, 300, 400]), 250);
+    assert_eq!(mean_told(20, &[100, 200, 300]), UNKNOWN_LOAD, "too few");
+    assert_eq!(
+        mean_told(15, &[100, 200, 300, 400]),
+        UNKNOWN_LOAD,
+        "a small service"
+    );
+}
+
+#[test]
+fn the_word_that_an_opener_was_taken_tells_the_load() {
+    let mut agent = loaded_agent();
+    let actions = open(&mut agent, MessageKind::Deliver, UNKNOWN_LOAD);
+    let holds = actions.iter().find_map(|action| match action {
+        Action::ToPeer(_, message, payload) if message.kind == MessageKind::Holds => {
+            steady_load(payload)
+        }
+        _ => None,
+    });
+    assert!(holds.is_some_and(|permille| permille > 500), "{holds:?}");
+}
--- a/tests/opaque/policies.rs
+++ b/tests/opaque/policies.rs
@@ -4,16 +4,17 @@
 use crate::queue_model::Model;
 use crate::queue_plan::{Outcome, Plan, Policy};
 
-const POLICIES: [Policy; 5] = [
+const POLICIES: [Policy; 6] = [
     Policy::Hash,
     Policy::TwoChoices,
     Policy::LeastLoaded,
     Policy::RetriesUnknown,
+    Policy::MeanUnknown,
     Policy::Product,
 ];
 
 /// Plays a plan under each policy and prints a row for each, for docs/MEASUREMENTS.md.
-fn compare(name: &str, plan: &Plan) -> [Outcome; 5] {
+fn compare(name: &str, plan: &Plan) -> [Outcome; 6] {
     POLICIES.map(|policy| {
         let outcome = Model::run(plan, policy);
         println!(
@@ -30,7 +31,7 @@
 }
 
 /// Returns the share served in time by the best of the others, and by the product.
-fn shares(outcomes: &[Outcome; 5]) -> (f64, f64) {
+fn shares(outcomes: &[Outcome; 6]) -> (f64, f64) {
     let [others @ .., _, product] = outcomes;
     let best = others
         .iter()
@@ -117,6 +118,36 @@
     assert!(known - unknown >= bound("opaque_in_time_by_known_retries"));
 }
 
+/// A site of a hundred servers and many balancers, each of which hears an agent every few seconds; its feeds
+/// have some requests each, with pauses.
+fn many_balancers(seed: u64) -> Plan {
+    Plan {
+        balancers: 50,
+        flow: (5.0, 2_000.0),
+        aim_ms: 400,
+        for_ms: 30_000,
+        seed,
+        ..Plan::new(100, 2, 30.0, 0.25)
+    }
+}
+
+#[test]
+fn no_server_of_a_hundred_gets_much_more_than_its_share() {
+    const SEEDS: u64 = 2;
+    let mean = |policy| {
+        let runs = (1..=SEEDS).map(|seed| Model::run(&many_balancers(seed), policy));
+        let runs: Vec<Outcome> = runs.collect();
+        let of = |figure: fn(&Outcome) -> f64| -> f64 {
+            runs.iter().map(figure).sum::<f64>() / SEEDS as f64
+        };
+        (of(Outcome::imbalance), of(Outcome::in_time_share))
+    };
+    let (unknown, known) = (mean(Policy::MeanUnknown), mean(Policy::Product));
+    println!("busiest over mean, in time: {unknown:.3?} without the mean known, {known:.3?} with");
+    assert!(known.0 <= bound("opaque_busiest_of_a_hundred"), "{known:?}");
+    assert!(known.1 >= bound("opaque_in_time_of_a_hundred"), "{known:?}");
+}
+
 #[test]
 fn a_plan_played_twice_gives_the_same_figures() {
     let plan = Plan {
--- a/tests/opaque/queue_model.rs
+++ b/tests/opaque/queue_model.rs
@@ -16,8 +16,8 @@
 use rand::{Rng, SeedableRng};
 
 use crate::builder::{
-    ACK, Agents, FIN, PacketSpec, SERVICE, WIRE, flow_of, forwarder, from_backend, host, index_of,
-    opener, request,
+    ACK, Agents, FIN, PacketSpec, SERVICE, WIRE, flow_of, forwarder, from_backend, from_caller,
+    host, index_of, opener,
 };
 use crate::queue_plan::{Outcome, Plan, Policy};
 
@@ -38,6 +38,9 @@
 /// How many callers there are; each has an address of its own.
 const CALLERS: usize = 100;
 const ACCEPTED: u32 = 500;
+/// The length of a request and of an answer, in bytes.
+const REQUEST_BYTES: u32 = 40;
+const ANSWER_BYTES: u32 = 100;
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -48,6 +51,7 @@
     Accepted(u16, Ipv4Addr),
     Refused(u16),
     Done(u16, u16, u32),
+    NextRequest(u16),
     Tick,
     Beat,
     OpenTimeout(u16),
@@ -55,6 +59,11 @@
     PowerBack,
 }
 
+/// Returns the balancers of a plan, which know nothing yet.
+fn forwarders(plan: &Plan) -> Vec<Forwarder> {
+    (0..plan.balancers).map(|_| forwarder()).collect()
+}
+
 /// A caller's request, which keeps its place through all attempts.
 #[derive(Debug, Clone, Copy)]
 struct Call {
@@ -66,8 +75,15 @@
 #[derive(Debug, Clone, Copy)]
 struct Attempt {
     call: usize,
+    /// Which of the callers it is.
+    caller: u8,
+    /// The requests that follow on its flow, and those that went before.
+    left: u32,
+    sent: u32,
     accepted: bool,
     over: bool,
+    /// The server that holds its flow.
+    open_at: Option<Ipv4Addr>,
 }
 
 #[derive(Debug, Default)]
@@ -88,7 +104,7 @@
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     next_event: u64,
     agents: Agents,
-    forwarder: Forwarder,
+    forwarders: Vec<Forwarder>,
     told: Vec<f64>,
     servers: Vec<Server>,
     calls: Vec<Call>,
@@ -136,7 +152,7 @@
             events: BinaryHeap::new(),
             next_event: 0,
             agents: Agents::new(plan.servers),
-            forwarder: forwarder(),
+            forwarders: forwarders(plan),
             told: vec![0.0; usize::from(plan.servers)],
             servers: (0..plan.servers).map(|_| Server::default()).collect(),
             calls: Vec::new(),
@@ -174,6 +190,7 @@
             Event::Accepted(port, at) => self.accepted(port, at),
             Event::Refused(port) => self.try_again(port),
             Event::Done(server, port, lives) => self.done(server, port, lives),
+            Event::NextRequest(port) => self.next_request(port),
             Event::Tick => self.tick(),
             Event::Beat => self.beat(),
             Event::OpenTimeout(port) => self.give_up_opening(port),
@@ -190,7 +207,7 @@
 
     fn arrival(&mut self) {
         let slots = f64::from(self.plan.servers) * self.plan.slots as f64;
-        let mut per_ms = self.plan.load * slots / self.plan.work_ms;
+        let mut per_ms = self.plan.load * slots / self.plan.work_ms / self.plan.flow.0;
         if let Some((from_ms, until_ms, more)) = self.plan.burst
             && (from_ms..until_ms).contains(&self.now_ms)
         {
@@ -202,7 +219,8 @@
                 first_ms: self.now_ms,
                 tries: 0,
             });
-            self.attempt(self.calls.len() - 1);
+            let left = self.draw_left();
+            self.attempt(self.calls.len() - 1, left);
             self.next_arrival_ms += self.draw_ms(1.0 / per_ms);
         }
         let next_ms = self.next_arrival_ms as u64;
@@ -211,12 +229,25 @@
         }
     }
 
-    fn attempt(&mut self, call: usize) {
+    /// Draws how many requests follow the first of a flow.
+    fn draw_left(&mut self) -> u32 {
+        let mean = self.plan.flow.0 - 1.0;
+        if mean <= 0.0 {
+            return 0;
+        }
+        self.draw_ms(mean).round() as u32
+    }
+
+    fn attempt(&mut self, call: usize, left: u32) {
         self.next_port = self.next_port.checked_add(1).unwrap_or(1_024);
         let attempt = Attempt {
             call,
+            caller: (call % CALLERS) as u8,
+            left,
+            sent: 0,
             accepted: false,
             over: false,
+            open_at: None,
         };
         let port = self.next_port;
         self.attempts.insert(port, attempt);
@@ -248,8 +279,8 @@
 
     /// Returns the flow of an attempt.
     fn key(&self, port: u16) -> FlowKey {
-        let caller = self.attempts[&port].call % CALLERS;
-        flow_of(Ipv4Addr::new(100, 64, 0, caller as u8), port)
+        let caller = self.attempts[&port].caller;
+        flow_of(Ipv4Addr::new(100, 64, 0, caller), port)
     }
 
     /// Chooses a server as a balancer does that is alone.
@@ -263,7 +294,10 @@
         let among = match self.policy {
             Policy::Hash => 1,
             Policy::TwoChoices => 2.min(order.len()),
-            Policy::LeastLoaded | Policy::RetriesUnknown | Policy::Product => order.len(),
+            Policy::LeastLoaded
+            | Policy::RetriesUnknown
+            | Policy::MeanUnknown
+            | Policy::Product => order.len(),
         };
         let told = |at: Ipv4Addr| self.told[usize::from(index_of(at)) - 1];
         let hosts = order[..among].iter().map(|row| row.host);
@@ -287,11 +321,43 @@
             return;
         }
         attempt.accepted = true;
-        if self.policy.is_product() {
-            self.forward(request(&self.key(port), ACCEPTED + 1));
-        } else {
+        attempt.open_at = Some(at);
+        self.send_request(port, at);
+    }
+
+    /// Sends the next request of a flow, which is open at a server.
+    fn send_request(&mut self, port: u16, at: Ipv4Addr) {
+        if !self.policy.is_product() {
             self.enqueue(at, port);
+            return;
         }
+        let attempt = self.attempts.get_mut(&port).expect("known");
+        let sent = attempt.sent;
+        attempt.sent += 1;
+        let spec = PacketSpec {
+            flags: ACK,
+            sequence: 101 + REQUEST_BYTES * sent,
+            acknowledgement: ACCEPTED + 1 + ANSWER_BYTES * sent,
+            data_bytes: REQUEST_BYTES as usize,
+        };
+        self.forward(from_caller(&self.key(port), spec));
+    }
+
+    fn next_request(&mut self, port: u16) {
+        let now_ms = self.now_ms;
+        let attempt = self.attempts.get_mut(&port).expect("known");
+        // The flow ended with its server, or its port was taken by another one.
+        let Some(at) = attempt.open_at.filter(|_| attempt.left > 0) else {
+            return;
+        };
+        attempt.left -= 1;
+        attempt.over = false;
+        attempt.call = self.calls.len();
+        self.calls.push(Call {
+            first_ms: now_ms,
+            tries: 0,
+        });
+        self.send_request(port, at);
     }
 
     fn try_again(&mut self, port: u16) {
@@ -300,11 +366,12 @@
             return;
         }
         attempt.over = true;
-        let index = attempt.call;
+        attempt.open_at = None;
+        let (index, left) = (attempt.call, attempt.left);
         let call = &mut self.calls[index];
         call.tries += 1;
         if call.tries <= RETRIES && self.now_ms < call.first_ms + DEADLINE_MS {
-            self.attempt(index);
+            self.attempt(index, left);
         }
     }
 
@@ -344,11 +411,14 @@
         }
         server.running.retain(|running| *running != port);
         if self.policy.is_product() {
+            let attempt = &self.attempts[&port];
+            let sent = attempt.sent.max(1);
+            let end = if attempt.left == 0 { FIN } else { 0 };
             let spec = PacketSpec {
-                flags: ACK | FIN,
-                sequence: ACCEPTED + 1,
-                acknowledgement: 141,
-                data_bytes: 100,
+                flags: ACK | end,
+                sequence: ACCEPTED + 1 + ANSWER_BYTES * (sent - 1),
+                acknowledgement: 101 + REQUEST_BYTES * sent,
+                data_bytes: ANSWER_BYTES as usize,
             };
             self.backend_says(host(index + 1), from_backend(&self.key(port), spec));
         }
@@ -362,7 +432,12 @@
             return;
         }
         attempt.over = true;
-        let wait_ms = self.now_ms + HOP_MS - self.calls[attempt.call].first_ms;
+        let (call, left) = (attempt.call, attempt.left);
+        if left > 0 {
+            let pause_ms = self.draw_ms(self.plan.flow.1) as u64;
+            self.at(self.now_ms + pause_ms, Event::NextRequest(port));
+        }
+        let wait_ms = self.now_ms + HOP_MS - self.calls[call].first_ms;
         if wait_ms > DEADLINE_MS {
             return;
         }
--- a/tests/opaque/queue_model/processes.rs
+++ b/tests/opaque/queue_model/processes.rs
@@ -3,21 +3,28 @@
 use std::net::Ipv4Addr;
 
 use endivedyke::opaque::{
-    Action, BackendState, Keeper, Message, MessageKind, Scene, cold_backend_text,
+    Action, BackendState, Keeper, Message, MessageKind, Scene, UNKNOWN_LOAD, cold_backend_text,
+    steady_load,
 };
 
-use super::{ACCEPTED, BEAT_MS, Event, Model, TICK_MS};
-use crate::builder::{BALANCER, WIRE, acceptance, forwarder, host, publish, state_text};
+use super::{ACCEPTED, BEAT_MS, Event, Model, TICK_MS, forwarders};
+use crate::builder::{BALANCER, WIRE, acceptance, host, publish, state_text};
 
 impl Model {
     pub(super) fn forward(&mut self, packet: Vec<u8>) {
         let (directory, now_ms) = (&self.agents.directory, self.now_ms);
-        let action = self
-            .forwarder
-            .handle(directory, &mut self.agents.suspicion, packet, now_ms);
+        let segment = (WIRE.decode)(&packet).expect("sound");
+        let index = self.balancer_of(segment.source.port());
+        let suspicion = &mut self.agents.suspicion;
+        let action = self.forwarders[index].handle(directory, suspicion, packet, now_ms);
         self.perform(BALANCER, action.into_iter().collect());
     }
 
+    /// Returns which balancer the packets of a caller's port come through.
+    fn balancer_of(&self, port: u16) -> usize {
+        usize::from(port) % self.forwarders.len()
+    }
+
     /// Does what a process on a host asks for.
     fn perform(&mut self, at: Ipv4Addr, actions: Vec<Action>) {
         for action in actions {
@@ -30,7 +37,10 @@
     }
 
     fn send(&mut self, from: Ipv4Addr, to: Ipv4Addr, mut message: Message, mut payload: Vec<u8>) {
-        if from != BALANCER {
+        if from == BALANCER && !self.policy.knows_mean() {
+            message.load_permille = UNKNOWN_LOAD;
+        }
+        if from != BALANCER && message.load_permille == UNKNOWN_LOAD {
             message.load_permille = self.with(from, |keeper, scene| keeper.load_permille(scene));
         }
         message.append(&mut payload);
@@ -55,19 +65,26 @@
 
     pub(super) fn balancer_hears(&mut self, from: Ipv4Addr, datagram: &[u8]) {
         let (payload, message) = Message::split(datagram).expect("sound");
-        self.forwarder
-            .heard(from, message.load_permille, self.now_ms);
         // The payload names the flow: the caller's address and port come first.
         let &[_, _, _, _, high, low, ..] = payload else {
             return;
         };
-        let key = self.key(u16::from_be_bytes([high, low]));
+        let port = u16::from_be_bytes([high, low]);
+        let key = self.key(port);
+        let index = self.balancer_of(port);
+        let forwarder = &mut self.forwarders[index];
+        forwarder.heard(from, message.load_permille, self.now_ms);
         match message.kind {
-            MessageKind::Holds => self.forwarder.holds(key, message.host, self.now_ms),
-            MessageKind::Absent => self.forwarder.handed_on(&key, from),
+            MessageKind::Holds => {
+                forwarder.holds(key, message.host, self.now_ms);
+                if let Some(permille) = steady_load(payload) {
+                    forwarder.heard_steady(from, permille, self.now_ms);
+                }
+            }
+            MessageKind::Absent => forwarder.handed_on(&key, from),
             MessageKind::AttemptFailed if self.policy.knows_retries() => {
                 let waited_ms = message.waited_ms;
-                self.forwarder.attempt_failed(&key, waited_ms, self.now_ms);
+                forwarder.attempt_failed(&key, waited_ms, self.now_ms);
             }
             _ => {}
         }
@@ -94,9 +111,10 @@
             return;
         }
         let (directory, now_ms) = (&self.agents.directory, self.now_ms);
-        let actions = self
-            .forwarder
-            .tick(directory, &mut self.agents.suspicion, now_ms);
+        let mut actions = Vec::new();
+        for forwarder in &mut self.forwarders {
+            actions.extend(forwarder.tick(directory, &mut self.agents.suspicion, now_ms));
+        }
         self.perform(BALANCER, actions);
         for index in 1..=self.plan.servers {
             let actions = self.with(host(index), |keeper, scene| keeper.tick(scene));
@@ -115,16 +133,21 @@
                 keeper.expire(scene.now_ms);
                 keeper.load_permille(scene)
             });
-            self.forwarder.heard(host(index), permille, self.now_ms);
+            // One of many asks few agents for the newest values, and hears the others when it sends to them.
+            if let [only] = self.forwarders.as_mut_slice() {
+                only.heard(host(index), permille, self.now_ms);
+            }
+        }
+        for forwarder in &mut self.forwarders {
+            forwarder.expire(self.now_ms);
         }
-        self.forwarder.expire(self.now_ms);
     }
 
     /// Ends all servers and agents and what they hold; callers of it try again.
     pub(super) fn lose_power(&mut self) {
         self.dark = true;
         self.agents.restart();
-        self.forwarder = forwarder();
+        self.forwarders = forwarders(&self.plan);
         for index in 0..self.servers.len() {
             let server = &mut self.servers[index];
             server.lives += 1;
--- a/tests/opaque/queue_plan.rs
+++ b/tests/opaque/queue_plan.rs
@@ -11,6 +11,8 @@
     LeastLoaded,
     /// The product, but balancers do not hear of attempts that failed, so that each retry looks fresh.
     RetriesUnknown,
+    /// The product, but agents are not told the mean load, so that none offers an opener to a lighter one.
+    MeanUnknown,
     /// The product.
     Product,
 }
@@ -18,20 +20,32 @@
 impl Policy {
     /// Tells whether the product's own code decides.
     pub(crate) fn is_product(self) -> bool {
-        matches!(self, Policy::RetriesUnknown | Policy::Product)
+        matches!(
+            self,
+            Policy::RetriesUnknown | Policy::MeanUnknown | Policy::Product
+        )
+    }
+
+    /// Tells whether agents are told the mean load.
+    pub(crate) fn knows_mean(self) -> bool {
+        self != Policy::MeanUnknown
     }
 
     /// Tells whether balancers hear of attempts that failed.
     pub(crate) fn knows_retries(self) -> bool {
-        self == Policy::Product
+        matches!(self, Policy::MeanUnknown | Policy::Product)
     }
 }
 
 /// What is asked of the servers.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Plan {
+    /// How many balancers share the callers; each hears only the agents to which it sends.
+    pub(crate) balancers: u16,
     pub(crate) servers: u16,
     pub(crate) slots: usize,
+    /// The mean number of requests on a flow, and the mean pause before each but the first, in milliseconds.
+    pub(crate) flow: (f64, f64),
     /// The mean time of a request at a server, in milliseconds.
     pub(crate) work_ms: f64,
     /// What is asked, as a part of what all slots can do.
@@ -52,8 +66,10 @@
 impl Plan {
     pub(crate) fn new(servers: u16, slots: usize, work_ms: f64, load: f64) -> Self {
         Self {
+            balancers: 1,
             servers,
             slots,
+            flow: (1.0, 0.0),
             work_ms,
             load,
             first_slower: 1.0,
