Let balancers ask many different agents for newer values, and for what is newer only

Cause: processes that the published entries do not list, as all balancers, came after all listed ones in the order of those that ask, at a place between one and eight behind: by their rank all of them asked the same one or two agents. Each change was told to up to 64 of them at once by one process, and each asked it for the names of the last 64 revisions, twenty times the bytes of the one that was new.

Pulls ask for what is above their own highest revision first, and further back only where revisions still differ.

--- a/src/controllers/relay.rs
+++ b/src/controllers/relay.rs
@@ -16,7 +16,8 @@
 
 /// How often a process compares its revisions with one peer, in milliseconds.
 pub(crate) const COMPARE_PERIOD_MS: u64 = 1_000;
-/// How far below its own highest revision a process first asks for changes.
+/// How far below its own highest revision a process asks for changes that it missed between newer ones, before it
+/// asks for all.
 const RECENT_REVISIONS: u64 = 64;
 /// From how many peers a starting process takes what they hold.
 const START_PEERS: usize = 3;
@@ -104,10 +105,14 @@
     if theirs == mine {
         return Ok(());
     }
-    pull(control, host, mine.highest.saturating_sub(RECENT_REVISIONS)).await?;
-    let mine = control.store.borrow().digest();
-    if theirs.hash != mine.hash && theirs.highest >= mine.highest {
-        pull(control, host, 0).await?;
+    // Most often only what is newer is missing; the names of the last revisions are twenty times the bytes of one.
+    let missing = [0, RECENT_REVISIONS, u64::MAX];
+    for floor in missing.map(|below| mine.highest.saturating_sub(below)) {
+        pull(control, host, floor).await?;
+        let mine = control.store.borrow().digest();
+        if theirs.hash == mine.hash || theirs.highest < mine.highest {
+            break;
+        }
     }
     Ok(())
 }
--- a/src/opaque/values/freshness.rs
+++ b/src/opaque/values/freshness.rs
@@ -60,13 +60,15 @@
     order.sort_unstable();
     let listed = order.iter().position(|(_, address)| *address == me);
     // A process that is not listed, as all while nothing is published yet, is no reader by its place.
-    let late = hash::bytes_hash(&me.octets()) as usize % FAN_OUT;
-    let rank = listed.unwrap_or(order.len().max(READERS) + late);
+    let own_hash = hash::bytes_hash(&me.octets()) as usize;
+    let rank = listed.unwrap_or(order.len().max(READERS) + own_hash % FAN_OUT);
     let parent = match rank {
         0 => None,
         rank if rank < READERS => Some(0),
         // Spread over the readers, then over those that ask them.
         rank if rank < READERS * (FAN_OUT + 1) => Some(rank % READERS),
+        // Balancers are not listed and may be hundreds: by their rank they would all ask one or two agents.
+        _ if listed.is_none() => Some(own_hash % order.len()),
         rank => Some((rank - READERS) / FAN_OUT),
     };
     Standing {
--- a/tests/opaque/freshness.rs
+++ b/tests/opaque/freshness.rs
@@ -51,6 +51,23 @@
     }
 }
 
+#[test]
+fn hosts_that_are_not_listed_ask_many_different_ones() {
+    for (agents, balancers) in [(45, 20), (136, 59), (1_000, 400)] {
+        let hosts = hosts(agents);
+        let unlisted = (1..=balancers).map(|index| Ipv4Addr::from(0x0a09_0000 + index));
+        let askers = all(agents).chain(unlisted);
+        let parent = |host| standing(&hosts, host, |_| true).parent;
+        let mut asked: Vec<Ipv4Addr> = askers.filter_map(parent).collect();
+        asked.sort_unstable();
+        let busiest = asked.chunk_by(|a, b| a == b).map(<[_]>::len).max();
+        assert!(
+            busiest <= Some(18),
+            "{busiest:?} with {balancers} balancers"
+        );
+    }
+}
+
 #[test]
 fn dead_readers_are_passed_over() {
     let hosts = hosts(10);
