Let balancers ask agents of their own availability zone for newer values

Cause: a balancer draws the agent that it asks from all zones, so that four of five answers cross zones on a site of five.

Change: it draws among the agents of its own zone, and among all where there is none that is trusted.

A zone whose agents are all cut off from the store reads through its own agents, which ask others outside of it.

--- a/src/opaque/mod.rs
+++ b/src/opaque/mod.rs
@@ -30,7 +30,7 @@
 pub use crate::opaque::packets::message::{Message, MessageKind, UNKNOWN_AGE_MS, UNKNOWN_LOAD};
 pub use crate::opaque::packets::segment::{FlowKey, Segment, WireFormat};
 pub use crate::opaque::values::directory::{BackendChange, Directory, OwnBackend};
-pub use crate::opaque::values::freshness::{Freshness, READERS, Standing, standing};
+pub use crate::opaque::values::freshness::{Asker, Freshness, READERS, Standing, standing};
 pub use crate::opaque::values::news::news;
 pub use crate::opaque::values::published::forgot;
 pub use crate::opaque::values::source::{Batch, Published, Read, Source};
--- a/src/opaque/values/freshness.rs
+++ b/src/opaque/values/freshness.rs
@@ -8,7 +8,7 @@
 use std::net::Ipv4Addr;
 
 use crate::config::hash;
-use crate::config::hosts::HostList;
+use crate::config::hosts::{Host, HostList};
 
 /// How many processes read the platform while all is well.
 pub const READERS: usize = 2;
@@ -47,35 +47,64 @@
     pub parent: Option<Ipv4Addr>,
 }
 
-/// Returns where the process on `me` stands among the hosts that `trusted` lets pass.
-pub fn standing(hosts: &HostList, me: Ipv4Addr, trusted: impl Fn(Ipv4Addr) -> bool) -> Standing {
-    let addresses = hosts.all().iter().map(|host| host.address);
-    let mut order: Vec<(u64, Ipv4Addr)> = addresses
-        .filter(|address| *address == me || trusted(*address))
-        .map(|address| {
-            let host_hash = hash::bytes_hash(&address.octets());
-            (hash::pair_hash(ORDER_SALT, host_hash), address)
+/// A process as it looks for its place among the others.
+#[derive(Debug, Clone, Copy)]
+pub struct Asker<'a> {
+    /// Its host.
+    pub host: Ipv4Addr,
+    /// The availability zone of its host.
+    pub zone: &'a str,
+}
+
+/// Returns where a process stands among the hosts that `trusted` lets pass.
+pub fn standing(
+    hosts: &HostList,
+    asker: Asker<'_>,
+    trusted: impl Fn(Ipv4Addr) -> bool,
+) -> Standing {
+    let passing = |host: &&Host| host.address == asker.host || trusted(host.address);
+    let mut order: Vec<(u64, &Host)> = hosts
+        .all()
+        .iter()
+        .filter(passing)
+        .map(|host| {
+            let host_hash = hash::bytes_hash(&host.address.octets());
+            (hash::pair_hash(ORDER_SALT, host_hash), host)
         })
         .collect();
-    order.sort_unstable();
-    let listed = order.iter().position(|(_, address)| *address == me);
+    order.sort_unstable_by_key(|(place, host)| (*place, host.address));
+    let listed = order
+        .iter()
+        .position(|(_, host)| host.address == asker.host);
     // A process that is not listed, as all while nothing is published yet, is no reader by its place.
-    let own_hash = hash::bytes_hash(&me.octets()) as usize;
+    let own_hash = hash::bytes_hash(&asker.host.octets()) as usize;
     let rank = listed.unwrap_or(order.len().max(READERS) + own_hash % FAN_OUT);
     let parent = match rank {
         0 => None,
-        rank if rank < READERS => Some(0),
+        rank if rank < READERS => order.first(),
         // Spread over the readers, then over those that ask them.
-        rank if rank < READERS * (FAN_OUT + 1) => Some(rank % READERS),
-        // Balancers are not listed and may be hundreds: by their rank they would all ask one or two agents.
-        _ if listed.is_none() => Some(own_hash % order.len()),
-        rank => Some((rank - READERS) / FAN_OUT),
+        rank if rank < READERS * (FAN_OUT + 1) => order.get(rank % READERS),
+        _ if listed.is_none() => near(&order, asker.zone, own_hash),
+        rank => order.get((rank - READERS) / FAN_OUT),
     };
     Standing {
         rank,
-        parent: parent
-            .and_then(|parent| order.get(parent))
-            .map(|(_, address)| *address),
+        parent: parent.map(|(_, host)| host.address),
+    }
+}
+
+/// Returns one of the hosts of an availability zone, or of all where it has none, for a process that is not listed.
+///
+/// Balancers are not listed and may be hundreds: by their rank they would all ask one or two agents.
+fn near<'a, 'b>(
+    order: &'a [(u64, &'b Host)],
+    zone: &str,
+    own_hash: usize,
+) -> Option<&'a (u64, &'b Host)> {
+    let in_zone = || order.iter().filter(|(_, host)| host.zone == zone);
+    match in_zone().count() {
+        0 => order.get(own_hash % order.len().max(1)),
+        count => in_zone().nth(own_hash % count),
     }
 }
 
--- a/src/opaque/values/published.rs
+++ b/src/opaque/values/published.rs
@@ -14,7 +14,7 @@
 use crate::opaque::BACKEND_PREFIX;
 use crate::opaque::packets::message::{Message, UNKNOWN_AGE_MS, UNSETTLED_UNIT_MS};
 use crate::opaque::values::directory::LAPSE_MS;
-use crate::opaque::values::freshness::{self, Freshness, Standing, WATCH_WAIT_MS};
+use crate::opaque::values::freshness::{self, Asker, Freshness, Standing, WATCH_WAIT_MS};
 use crate::opaque::values::news::news;
 use crate::opaque::values::source::{Batch, Read, Source};
 
@@ -293,8 +293,12 @@
         let suspicion = self.control.suspicion.borrow();
         let store = self.control.store.borrow();
         let me = self.control.settings.host;
+        let asker = Asker {
+            host: me,
+            zone: &self.control.settings.zone,
+        };
         let trusted = |host| !suspicion.is_suspected(host, now_ms);
-        let mut standing = freshness::standing(store.hosts(), me, trusted);
+        let mut standing = freshness::standing(store.hosts(), asker, trusted);
         // While nobody is published the seeds read, and the others ask them.
         let seeds = &self.control.settings.seeds;
         if standing.parent.is_none() && standing.rank > 0 && !seeds.contains(&me) {
--- a/tests/opaque/freshness.rs
+++ b/tests/opaque/freshness.rs
@@ -3,19 +3,29 @@
 use std::net::Ipv4Addr;
 
 use endivedyke::HostList;
-use endivedyke::opaque::{Freshness, READERS, Standing, standing};
+use endivedyke::opaque::{Asker, Freshness, READERS, Standing};
+
+/// The availability zones of the hosts, by turns.
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+
+fn zone(host: Ipv4Addr) -> &'static str {
+    ZONES[u32::from(host) as usize % ZONES.len()]
+}
 
 fn hosts(count: u32) -> HostList {
     let mut text = String::from("host,zone,role,state\n");
-    for index in 1..=count {
-        text += &format!(
-            "{},zone-a,backend,live\n",
-            Ipv4Addr::from(0x0a00_0000 + index)
-        );
+    for host in all(count) {
+        text += &format!("{host},{},backend,live\n", zone(host));
     }
     HostList::parse(&text).expect("sound list")
 }
 
+/// Returns where a host stands among those that `trusted` lets pass.
+fn standing(hosts: &HostList, host: Ipv4Addr, trusted: impl Fn(Ipv4Addr) -> bool) -> Standing {
+    let zone = zone(host);
+    endivedyke::opaque::standing(hosts, Asker { host, zone }, trusted)
+}
+
 fn all(count: u32) -> impl Iterator<Item = Ipv4Addr> {
     (1..=count).map(|index| Ipv4Addr::from(0x0a00_0000 + index))
 }
@@ -68,6 +78,18 @@
     }
 }
 
+#[test]
+fn hosts_that_are_not_listed_ask_in_their_availability_zone() {
+    let hosts = hosts(45);
+    for index in 1..=20 {
+        let host = Ipv4Addr::from(0x0a09_0000 + index);
+        let parent = standing(&hosts, host, |_| true).parent;
+        assert_eq!(parent.map(zone), Some(zone(host)));
+        let far = standing(&hosts, host, |other| zone(other) != zone(host)).parent;
+        assert!(far.is_some_and(|far| zone(far) != zone(host)), "{far:?}");
+    }
+}
+
 #[test]
 fn dead_readers_are_passed_over() {
     let hosts = hosts(10);
