Let balancers, not agents, offer a declined opener to the next agent

Cause: an agent does not know which other agents are dead, and told the balancer that the opener was passed on, so that nobody watched an opener offered to a dead agent: its caller's copy after 200 ms went to the same one next.

Change: an agent with a tenth more than the mean declines, and the balancer sends the opener to the next in the flow's order and watches it as any other; of two kept copies the one of the agent that was asked last counts. Three may decline. The mean decides each time, so that fewer go on. An older balancer tells no mean, so that its openers are not declined.

--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -35,6 +35,8 @@
 /// where all agents could be chosen, callers of a zone would draw to the few servers in it (the
 /// busiest of seven stood at 1.31 of the mean then, and at 1.11 with three).
 const NEAR_CHOICE: RangeInclusive<usize> = 3..=8;
+/// How many agents may decline an opener: of four in a row one almost always has no more than the mean.
+const MAX_DECLINED: usize = 3;
 /// How many openers are watched for their agents' answers at once.
 const MAX_WATCHED: usize = 4_096;
 
@@ -51,6 +53,8 @@
     flow: FlowKey,
     host: Ipv4Addr,
     attempt: usize,
+    /// How many agents with more to do than others declined it.
+    declined: usize,
     packet: Vec<u8>,
 }
 
@@ -126,7 +130,14 @@
         self.metrics
             .retries_known
             .inc_by(u64::from(waited_ms > 0 && attempt == 0));
-        self.watch(flow, host, attempt, packet.clone(), now_ms);
+        self.watch(Watched {
+            due_ms: now_ms + TAKEN_TIMEOUT_MS,
+            flow,
+            host,
+            attempt,
+            declined: 0,
+            packet: packet.clone(),
+        });
         let mut message = self.message(waited_ms);
         message.load_permille = self.mean_load(directory, &flow, now_ms);
         Ok(Action::ToPeer(host, message, packet))
@@ -233,6 +244,34 @@
             .retain(|watched| watched.flow != *flow || watched.host != host);
     }
 
+    /// Offers an opener that an agent with much to do declined to the next one, which may decline it too.
+    pub fn declined(
+        &mut self,
+        directory: &Directory,
+        suspicion: &Suspicion,
+        flow: &FlowKey,
+        host: Ipv4Addr,
+        now_ms: u64,
+    ) -> Option<Action> {
+        let is_it = |watched: &Watched| watched.flow == *flow && watched.host == host;
+        let index = self.watched.iter().position(is_it)?;
+        let mut watched = self.watched.remove(index)?;
+        watched.attempt += 1;
+        watched.declined += 1;
+        watched.due_ms = now_ms + TAKEN_TIMEOUT_MS;
+        let attempt = watched.attempt;
+        watched.host = self
+            .opener_host(directory, suspicion, flow, attempt, now_ms)
+            .ok()?;
+        let mut message = self.message(0);
+        if watched.declined < MAX_DECLINED {
+            message.load_permille = self.mean_load(directory, flow, now_ms);
+        }
+        let action = Action::ToPeer(watched.host, message, watched.packet.clone());
+        self.watch(watched);
+        Some(action)
+    }
+
     /// Tells whether [`Forwarder::tick`] has something to wait for.
     pub fn is_waiting(&self) -> bool {
         !self.watched.is_empty()
@@ -399,22 +438,9 @@
         Ok(order)
     }
 
-    fn watch(
-        &mut self,
-        flow: FlowKey,
-        host: Ipv4Addr,
-        attempt: usize,
-        packet: Vec<u8>,
-        now_ms: u64,
-    ) {
-        if self.watched.len() < MAX_WATCHED && self.hints.get(&flow).is_none() {
-            self.watched.push_back(Watched {
-                due_ms: now_ms + TAKEN_TIMEOUT_MS,
-                flow,
-                host,
-                attempt,
-                packet,
-            });
+    fn watch(&mut self, watched: Watched) {
+        if self.watched.len() < MAX_WATCHED && self.hints.get(&watched.flow).is_none() {
+            self.watched.push_back(watched);
         }
     }
 
@@ -431,7 +457,8 @@
     }
 }
 
-/// Returns the load over a longer time that the payload of a [`MessageKind::Holds`] tells behind its flow.
+/// Returns the load over a longer time that the payload of a [`MessageKind::Holds`] or [`MessageKind::Declined`]
+/// tells behind its flow.
 pub fn steady_load(payload: &[u8]) -> Option<u16> {
     let bytes = payload.get(FLOW_KEY_BYTES..)?.first_chunk()?;
     Some(u16::from_be_bytes(*bytes))
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -5,7 +5,7 @@
 
 mod answers;
 mod backend_life;
-mod offers;
+mod declines;
 mod openers;
 mod questions;
 mod told;
@@ -185,7 +185,7 @@
             self.balancers.heard(from, scene.now_ms);
         }
         match message.kind {
-            MessageKind::Deliver | MessageKind::HandOn | MessageKind::Offer => {
+            MessageKind::Deliver | MessageKind::HandOn => {
                 let segment = (self.wire.decode)(payload)?;
                 if segment.opens {
                     self.opener(scene, &segment, payload, message, &mut actions);
@@ -210,7 +210,8 @@
             | MessageKind::BeatReply
             | MessageKind::Unlisted
             | MessageKind::AttemptFailed
-            | MessageKind::Greeting => {}
+            | MessageKind::Greeting
+            | MessageKind::Declined => {}
         }
         Ok(actions)
     }
@@ -410,13 +411,6 @@
     actions.push(Action::ToPeer(host, message, key.to_bytes().to_vec()));
 }
 
-/// Tells the balancer from which an opener came that it was passed on, so that it does not wait for this agent.
-fn say_passed_on(key: &FlowKey, message: &Message, actions: &mut Vec<Action>) {
-    if message.kind == MessageKind::Deliver && !message.host.is_unspecified() {
-        tell(MessageKind::Absent, key, message.host, actions);
-    }
-}
-
 /// Tells a balancer who holds a flow, so that it spares the detour.
 fn say_holds(key: &FlowKey, balancer: Ipv4Addr, holder: Ipv4Addr, actions: &mut Vec<Action>) {
     if balancer.is_unspecified() {
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -2,7 +2,7 @@
 
 use crate::code::Code;
 use crate::opaque::finding::flow_book::{Flow, Holding, Opening};
-use crate::opaque::keeper::{Keeper, Scene, say_holds, say_passed_on};
+use crate::opaque::keeper::{Keeper, Scene, say_holds, tell};
 use crate::opaque::openers::opener_order::next_host;
 use crate::opaque::packets::action::Action;
 use crate::opaque::packets::message::{Message, MessageKind};
@@ -121,15 +121,15 @@
                 self.log_not_taken(scene, &key, &opening, &place, NotTaken::Behind);
                 self.metrics.openers_dropped.inc();
             }
-            Ok(()) => {
-                match self.lighter_agent(scene, &key, &opening, message) {
-                    Some(host) => self.offer(scene, host, &key, opening, message, actions),
-                    None => self.take_opener(scene, &key, opening, actions),
-                };
+            Ok(()) if self.declines(scene, &opening, message) => {
+                self.decline(scene, &key, message, actions);
             }
+            Ok(()) => self.take_opener(scene, &key, opening, actions),
             Err(reason) => {
                 self.log_not_taken(scene, &key, &opening, &place, reason);
-                say_passed_on(&key, message, actions);
+                if message.kind == MessageKind::Deliver && !message.host.is_unspecified() {
+                    tell(MessageKind::Absent, &key, message.host, actions);
+                }
                 let hops = match reason {
                     NotTaken::Crowded => CROWDED_HOPS,
                     _ => MAX_HOPS,
@@ -183,8 +183,7 @@
         self.metrics.openers_taken.inc();
         self.lookups.forget(key);
         self.pending.push(*key);
-        say_holds(key, balancer, self.identity.host, actions);
-        self.tell_steady_load(scene, actions);
+        self.say_taken(scene, key, balancer, actions);
         actions.push(Action::ToBackend(packet));
     }
 
--- a/src/opaque/openers/service_means.rs
+++ b/src/opaque/openers/service_means.rs
@@ -9,8 +9,8 @@
 /// time all backend servers of the service are looked up.
 const KEPT_MS: u64 = 500;
 /// From how many backend servers of a service a mean is told: of fewer each balancer hears each one within a second
-/// or so, and chooses by load itself. Of seven, offers between agents spread nothing better, and after a loss of
-/// power one more hop cost 0.011 of the openers their time, in model time.
+/// or so, and chooses by load itself. Of seven, openers that go from agent to agent by load spread no better, and after
+/// a loss of power 0.011 of them were late for it, in model time.
 const MIN_SERVERS: usize = 16;
 
 #[derive(Debug, Clone, Copy)]
--- a/src/opaque/packets/message.rs
+++ b/src/opaque/packets/message.rs
@@ -44,8 +44,9 @@
     AttemptFailed = 10,
     /// The sender runs and holds these revisions: for a balancer that may have just started.
     Greeting = 11,
-    /// A caller's opener from an agent that could take it and has more to do than others: for one that has less.
-    Offer = 12,
+    /// The sender could take this flow and has more to do than others: offer it to another agent. Behind the flow
+    /// stands a load as with [`MessageKind::Holds`].
+    Declined = 12,
 }
 
 /// The trailer of a datagram between two processes.
@@ -68,8 +69,8 @@
     /// The requests for each slot of the sender's backend server, over the last second, in
     /// thousandths; [`UNKNOWN_LOAD`] from a process without one.
     ///
-    /// An opener from a balancer tells the mean of its service's backend servers here, and an offered one that
-    /// of the sender's, both over the last ten seconds.
+    /// An opener from a balancer tells the mean of its service's backend servers over the last ten seconds here,
+    /// where it may be declined.
     pub load_permille: u16,
     /// Of an opener and of [`MessageKind::AttemptFailed`], for how long the caller has waited in attempts that
     /// failed, as far as known, in milliseconds; rounded down to whole [`WAIT_UNIT_MS`], of which 15 fit.
@@ -177,7 +178,7 @@
         MessageKind::Unlisted,
         MessageKind::AttemptFailed,
         MessageKind::Greeting,
-        MessageKind::Offer,
+        MessageKind::Declined,
     ];
     kinds.into_iter().find(|kind| *kind as u8 == byte)
 }
--- a/src/opaque/processes/entry.rs
+++ b/src/opaque/processes/entry.rs
@@ -13,6 +13,7 @@
 use crate::error::{Error, Result};
 use crate::opaque::forwarder::{Forwarder, named_flow, steady_load};
 use crate::opaque::packets::message::{Message, MessageKind};
+use crate::opaque::packets::segment::FlowKey;
 use crate::opaque::processes::readiness;
 use crate::opaque::processes::ticker::Ticker;
 use crate::opaque::{Adapter, Node};
@@ -154,13 +155,15 @@
         let Some(flow) = named_flow(payload) else {
             return;
         };
+        if let Some(permille) = steady_load(payload) {
+            let mut forwarder = self.forwarder.borrow_mut();
+            forwarder.heard_steady(from, permille, now_ms);
+        }
         match message.kind {
+            MessageKind::Declined => self.declined(&flow, from, now_ms),
             MessageKind::Holds => {
                 let mut forwarder = self.forwarder.borrow_mut();
                 forwarder.holds(flow, message.host, now_ms);
-                if let Some(permille) = steady_load(payload) {
-                    forwarder.heard_steady(from, permille, now_ms);
-                }
             }
             MessageKind::Found => {
                 log::info!("event=flow_found flow={flow} host={from}");
@@ -175,6 +178,16 @@
         }
     }
 
+    fn declined(&self, flow: &FlowKey, from: Ipv4Addr, now_ms: u64) {
+        let action = {
+            let directory = self.node.directory.borrow();
+            let suspicion = self.node.control.suspicion.borrow();
+            let mut forwarder = self.forwarder.borrow_mut();
+            forwarder.declined(&directory, &suspicion, flow, from, now_ms)
+        };
+        self.node.perform(action.into_iter().collect(), |_| {});
+    }
+
     fn start_ticking(self: &Rc<Self>) {
         let (waiting, ticked) = (self.clone(), self.clone());
         let is_waiting = move || waiting.forwarder.borrow().is_waiting();
--- a/src/opaque/processes/state.rs
+++ b/src/opaque/processes/state.rs
@@ -46,7 +46,7 @@
         "hints_wrong": opaque.hints_wrong.get(),
         "openers_taken": opaque.openers_taken.get(),
         "openers_handed_on": opaque.openers_handed_on.get(),
-        "openers_offered": opaque.openers_offered.get(),
+        "openers_declined": opaque.openers_declined.get(),
         "openers_dropped": opaque.openers_dropped.get(),
         "lookups_started": opaque.lookups_started.get(),
         "packets_shown": opaque.packets_shown.get(),
--- a/src/process/opaque_metrics.rs
+++ b/src/process/opaque_metrics.rs
@@ -19,7 +19,7 @@
 pub struct OpaqueMetrics {
     pub(crate) openers_taken: Counter,
     pub(crate) openers_handed_on: Counter,
-    pub(crate) openers_offered: Counter,
+    pub(crate) openers_declined: Counter,
     pub(crate) openers_dropped: Counter,
     pub(crate) openers_unanswered: Counter,
     pub(crate) retries_known: Counter,
@@ -49,7 +49,7 @@
         Self {
             openers_taken: Counter::default(),
             openers_handed_on: Counter::default(),
-            openers_offered: Counter::default(),
+            openers_declined: Counter::default(),
             openers_dropped: Counter::default(),
             openers_unanswered: Counter::default(),
             retries_known: Counter::default(),
@@ -131,9 +131,9 @@
                 &self.openers_handed_on,
             ),
             (
-                "openers_offered",
-                "Openers offered to an agent that has less to do",
-                &self.openers_offered,
+                "openers_declined",
+                "Openers left to an agent that has less to do",
+                &self.openers_declined,
             ),
             (
                 "openers_dropped",
--- a/tests/opaque/queue_plan.rs
+++ b/tests/opaque/queue_plan.rs
@@ -11,7 +11,7 @@
     LeastLoaded,
     /// The product, but balancers do not hear of attempts that failed, so that each retry looks fresh.
     RetriesUnknown,
-    /// The product, but agents are not told the mean load, so that none offers an opener to a lighter one.
+    /// The product, but agents are not told the mean load, so that none leaves an opener to a lighter one.
     MeanUnknown,
     /// The product.
     Product,
