Ask a peer first for what is newer only where it has something newer

Change: the short question goes first only where the peer's highest revision is above the own one, and the longer ones follow as they did.

--- a/src/controllers/relay.rs
+++ b/src/controllers/relay.rs
@@ -106,14 +106,17 @@
         return Ok(());
     }
     // Most often only what is newer is missing; the names of the last revisions are twenty times the bytes of one.
-    let missing = [0, RECENT_REVISIONS, u64::MAX];
-    for floor in missing.map(|below| mine.highest.saturating_sub(below)) {
-        pull(control, host, floor).await?;
-        let mine = control.store.borrow().digest();
-        if theirs.hash == mine.hash || theirs.highest < mine.highest {
-            break;
+    if theirs.highest > mine.highest {
+        pull(control, host, mine.highest).await?;
+        if control.store.borrow().digest().hash == theirs.hash {
+            return Ok(());
         }
     }
+    pull(control, host, mine.highest.saturating_sub(RECENT_REVISIONS)).await?;
+    let mine = control.store.borrow().digest();
+    if theirs.hash != mine.hash && theirs.highest >= mine.highest {
+        pull(control, host, 0).await?;
+    }
     Ok(())
 }
 
