Explain entries of another program and declined openers

Cause: both have lines, and explain passed over them. Change: an unusable entry near a story is named beside it, a decline is a cause of its own. Test: an_entry_of_another_program_and_a_decline_are_explained, red before. No daemon changes.

--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -27,7 +27,7 @@
 }
 
 /// What ends a request, the most telling first.
-const MEANINGS: [Meaning; 18] = [
+const MEANINGS: [Meaning; 19] = [
     meaning(
         "request_lost",
         "reason",
@@ -118,6 +118,12 @@
         "",
         "its opener came while its balancer had no configuration, and was not forwarded",
     ),
+    meaning(
+        "opener_declined",
+        "",
+        "",
+        "an agent with more to do than others declined its opener, and another got it",
+    ),
     meaning(
         "opener_unanswered",
         "",
@@ -139,7 +145,7 @@
 ];
 
 /// What changes of belief beside a story add to it.
-const CIRCUMSTANCES: [Meaning; 9] = [
+const CIRCUMSTANCES: [Meaning; 10] = [
     meaning(
         "lines_dropped",
         "",
@@ -172,6 +178,12 @@
         "",
         "its backend server did not answer openers then",
     ),
+    meaning(
+        "entry_unusable",
+        "",
+        "",
+        "a published entry named no backend server to use then, as when another program writes there",
+    ),
     meaning(
         "platform_fails",
         "",
--- a/src/explain/story.rs
+++ b/src/explain/story.rs
@@ -9,13 +9,15 @@
 const AFTER_MS: u64 = 500;
 
 /// What changes what a process believes or can do; see docs/OPERATIONS.md, "Log lines".
-const CONTEXT: [&str; 20] = [
+const CONTEXT: [&str; 22] = [
     "backend_ended",
     "backend_fails",
     "backend_restarted",
     "backend_serves",
     "backend_silent",
     "configuration_from_peer",
+    "entry_mended",
+    "entry_unusable",
     "host_suspected",
     "leaving",
     "lines_dropped",
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -120,6 +120,17 @@
     }
 }
 
+#[test]
+fn an_entry_of_another_program_and_a_decline_are_explained() {
+    let unusable = r#"event=entry_unusable id="i-1" revision=9 code=2403 reason=malformed"#;
+    let declined = format!("event=opener_declined flow={FLOW} load_permille=400 mean_permille=200");
+    let logs = Logs::default().process("10.0.0.1", &[(4_900, unusable), (5_000, &declined)]);
+    let text = explain(FLOW, &logs.files).expect("a story");
+    for part in ["more to do than others", "named no backend server to use"] {
+        assert!(text.contains(part), "{part}: {text}");
+    }
+}
+
 #[test]
 fn nothing_about_an_id_is_an_error_with_its_code() {
     let logs = Logs::default().process("10.0.0.1", &[(1, "event=ready revision=3")]);
