--- a/src/config/backend_entry.rs
+++ b/src/config/backend_entry.rs
@@ -65,7 +65,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum BackendValue {
     /// It is published.
-    There(Backend),
+    Published(Backend),
     /// Something stands at its name which can't be used, as when another program wrote there.
     ///
     /// It says nothing about flows that are open at the backend server.
@@ -92,7 +92,7 @@
 
 impl From<Option<Backend>> for BackendValue {
     fn from(backend: Option<Backend>) -> Self {
-        backend.map_or(Self::Gone, Self::There)
+        backend.map_or(Self::Gone, Self::Published)
     }
 }
 
--- a/src/controllers/relay.rs
+++ b/src/controllers/relay.rs
@@ -105,7 +105,7 @@
     if theirs == mine {
         return Ok(());
     }
-    // Most often only what is newer is missing; the names of the last revisions are twenty times the bytes of one.
+    // Most often only what is newer is missing: a hundred bytes, beside two thousand for the last revisions.
     if theirs.highest > mine.highest {
         pull(control, host, mine.highest).await?;
         if control.store.borrow().digest().hash == theirs.hash {
--- a/src/opaque/values/directory.rs
+++ b/src/opaque/values/directory.rs
@@ -176,7 +176,7 @@
             .entries
             .binary_search_by(|entry| entry.id.as_str().cmp(change.id));
         match (found, change.value.clone()) {
-            (Ok(index), BackendValue::There(backend)) => {
+            (Ok(index), BackendValue::Published(backend)) => {
                 let entry = &mut self.entries[index];
                 entry.cold_until_ms = now_ms + u64::from(backend.cold_ms);
                 entry.take(backend, change.revision);
@@ -196,7 +196,7 @@
                     was_usable,
                 });
             }
-            (Err(index), BackendValue::There(backend)) => {
+            (Err(index), BackendValue::Published(backend)) => {
                 let cold_ms = u64::from(backend.cold_ms);
                 let mut entry = Entry::new(&change, backend);
                 entry.cold_until_ms = now_ms + cold_ms;
@@ -226,7 +226,7 @@
                     "event=entry_unusable id={id:?} revision={revision} code={code} reason={reason}"
                 );
             }
-            (Ok(index), BackendValue::There(_) | BackendValue::Gone) => {
+            (Ok(index), BackendValue::Published(_) | BackendValue::Gone) => {
                 self.unusable.remove(index);
                 log::info!("event=entry_mended id={id:?} revision={revision}");
             }
