--- a/lab/tests/common/mod.rs
+++ b/lab/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! What the tests with real processes share.
 #![allow(dead_code, unreachable_pub)]
 
+pub mod opaque;
+
 use std::future::Future;
 use std::time::Duration;
 
--- /dev/null
+++ b/lab/tests/common/opaque.rs
@@ -0,0 +1,43 @@
+//! What the tests with sites of opaque flows share.
+
+use endivedyke_lab::opaque::{CallTally, OpaqueSite, OpaqueSiteBuilder};
+
+/// Returns a site with three balancers and one service with this many backend servers.
+pub async fn site(targets: usize) -> OpaqueSite {
+    let builder = OpaqueSiteBuilder::new(3).service("panel-front", targets, 4, 5);
+    builder.start().await.expect("the site starts")
+}
+
+/// Returns the counts of a tally without its list.
+pub fn summary(tally: &CallTally) -> String {
+    let counts = CallTally {
+        claims: Vec::new(),
+        ..tally.clone()
+    };
+    format!("{counts:?}")
+}
+
+/// Asserts what holds in every run, whatever fails.
+pub fn assert_promises(site: &OpaqueSite, tally: &CallTally) {
+    assert!(tally.answered > 0, "{}", summary(tally));
+    assert_eq!(tally.wrong, 0, "{}", summary(tally));
+    assert_eq!(site.doubled(), 0, "claims ran twice");
+    assert_eq!(
+        site.strayed(),
+        0,
+        "packets reached servers they were not for"
+    );
+    let ran = site.ran();
+    let lost = tally
+        .claims
+        .iter()
+        .filter(|id| ran.binary_search(id).is_err());
+    assert_eq!(lost.count(), 0, "claims were answered and did not run");
+}
+
+/// Asserts that no caller noticed anything.
+pub fn assert_unnoticed(site: &OpaqueSite, tally: &CallTally) {
+    assert_promises(site, tally);
+    let seen = (tally.answered, tally.failed, tally.reset, tally.refused);
+    assert_eq!(seen, (tally.requests, 0, 0, 0), "{}", summary(tally));
+}
--- /dev/null
+++ b/lab/tests/opaque_entries.rs
@@ -0,0 +1,72 @@
+//! Opaque flows while entries tell of new starts, or of nothing that can be used.
+
+mod common;
+
+use common::opaque::{assert_promises, assert_unnoticed, site, summary};
+use common::{run, sleep_ms};
+use endivedyke_lab::opaque::OpaqueSiteBuilder;
+
+#[test]
+fn the_old_flows_of_a_backend_server_restarted_under_its_id_are_reset() {
+    run(async {
+        let mut site = site(1).await;
+        site.call(&[site.plan(0, 6, 0)]).expect("callers");
+        sleep_ms(800).await;
+        let id = site.crash_backend(0).expect("runs");
+        site.start_backend_as(&id, 0, 0).await.expect("starts");
+        sleep_ms(1_500).await;
+        let tally = site.finish().await;
+        assert_promises(&site, &tally);
+        assert!(tally.reset > 0, "{}", summary(&tally));
+        assert_eq!(tally.failed, 0, "{}", summary(&tally));
+    });
+}
+
+#[test]
+fn entries_of_another_program_stop_no_flow() {
+    run(async {
+        let mut site = site(3).await;
+        site.call(&[site.plan(0, 10, 4)]).expect("callers");
+        sleep_ms(500).await;
+        site.overwrite_entry(0);
+        site.write_foreign_entry(1);
+        site.store().put("servers/a&b=c #", &serde_json::json!(7));
+        sleep_ms(700).await;
+        let host = site.balancer_host(0);
+        let unusable = site.metric(host, "entries_unusable").await;
+        assert!(unusable.expect("answers") >= 1.0);
+        site.register_again(0);
+        sleep_ms(1_500).await;
+        let tally = site.finish().await;
+        assert_unnoticed(&site, &tally);
+    });
+}
+
+#[test]
+fn a_site_starts_and_follows_beside_large_entries_of_another_program() {
+    run(async {
+        let builder = OpaqueSiteBuilder::new(2).service("panel-front", 3, 4, 5);
+        let mut site = builder.start_stand_ins().await.expect("addresses");
+        let large = serde_json::json!("x".repeat(700_000));
+        for index in 0..6 {
+            site.store()
+                .put(&format!("servers/other {index} &%"), &large);
+        }
+        for index in 0..2 {
+            site.start_balancer(index).expect("starts");
+        }
+        for index in 0..3 {
+            site.start_agent(index).expect("starts");
+        }
+        site.wait_ready().await.expect("ready");
+        site.call(&[site.plan(0, 6, 3)]).expect("callers");
+        for index in 0..6 {
+            site.store().put(&format!("servers/more {index}"), &large);
+        }
+        site.drain_backend(0);
+        sleep_ms(3_000).await;
+        assert_eq!(site.open_flows(0), 0, "the change was not read");
+        let tally = site.finish().await;
+        assert_unnoticed(&site, &tally);
+    });
+}
