Show in status which server of a service has most and least beside its share

Cause: the users measure imbalance, and an operator of opaque flows had to compare the metrics of a hundred agents by hand.

Change: status ends with a row for each service: servers, open flows, the busiest and the least busy with their part of their share by slots. Operators' client only; no daemon changes.

--- a/lab/tests/operator_client.rs
+++ b/lab/tests/operator_client.rs
@@ -9,7 +9,7 @@
 use endivedyke::TABLE_HEADER;
 use endivedyke::opaque::ROUTES_HEADER;
 use endivedyke_lab::binary;
-use endivedyke_lab::opaque::OpaqueSiteBuilder;
+use endivedyke_lab::opaque::{OpaqueSite, OpaqueSiteBuilder};
 
 /// How often the state of all processes is asked for before one counts as silent for good.
 const STATUS_TRIES: usize = 20;
@@ -176,6 +176,48 @@
     });
 }
 
+/// Returns the cells of a service's row.
+fn service_row(status: &str, service: &str) -> Vec<String> {
+    let rows = status.lines().map(str::split_whitespace);
+    let mut rows = rows.map(|cells| cells.map(str::to_owned).collect::<Vec<_>>());
+    let row = rows.find(|cells| cells.first().is_some_and(|name| name == service));
+    row.expect("a row of the service")
+}
+
+/// Tells whether a service's row names a backend server with the most open flows.
+fn shows_busiest(site: &OpaqueSite, servers: usize, row: &[String]) -> bool {
+    let most = (0..servers).map(|index| site.open_flows(index)).max();
+    let named = (0..servers).find(|index| site.agent_host(*index).to_string() == row[3]);
+    named.map(|index| site.open_flows(index)) == most
+}
+
+#[test]
+fn status_shows_the_busiest_and_the_least_busy_server_of_a_service() {
+    run(async {
+        let builder = OpaqueSiteBuilder::new(2).service("panel-front", 3, 4, 5);
+        let mut site = builder.start().await.expect("the site starts");
+        site.call(&[site.plan(0, 12, 0)]).expect("callers");
+        sleep_ms(1_000).await;
+        let agent = site.settings_path(site.agent_host(0)).display().to_string();
+        // A process may be late once, and callers open flows anew meanwhile; sooner or later all agree.
+        let mut row = Vec::new();
+        let mut agrees = false;
+        for _ in 0..STATUS_TRIES {
+            let status = text(&client(&["status", "--settings", &agent])).0;
+            row = service_row(&status, "panel-front");
+            agrees = row[1] == "3" && shows_busiest(&site, 3, &row);
+            if agrees {
+                break;
+            }
+            sleep_ms(200).await;
+        }
+        assert!(agrees, "{row:?}");
+        let share = |cell: &str| cell.parse::<f64>().expect("a share");
+        assert!(share(&row[4]) >= 1.0 && share(&row[6]) <= 1.0, "{row:?}");
+        site.finish().await;
+    });
+}
+
 #[test]
 fn status_shows_every_process_of_opaque_flows() {
     run(async {
--- a/src/programs/operator.rs
+++ b/src/programs/operator.rs
@@ -2,6 +2,7 @@
 
 mod host_states;
 mod remote;
+mod service_loads;
 mod status;
 mod tables;
 
--- a/src/programs/operator/status.rs
+++ b/src/programs/operator/status.rs
@@ -5,9 +5,10 @@
 use serde_json::Value;
 
 use crate::programs::operator::host_states::HostStates;
+use crate::programs::operator::service_loads;
 use crate::programs::state_view::{cells, columns_of, percent, scalar};
 
-/// Lays out a row for each process, then one for each target or for each process of opaque flows.
+/// Lays out a row for each process, then one for each target, or for each process and each service of opaque flows.
 pub(crate) fn text(states: &HostStates) -> String {
     let mut processes = vec![cells(&[
         "host", "role", "zone", "revision", "platform", "rejected",
@@ -39,8 +40,14 @@
             opaque.push(opaque_row(*host, state));
         }
     }
-    let lower = if opaque.len() > 1 { opaque } else { targets };
-    columns_of(&processes, 0) + "\n" + &columns_of(&lower, 0)
+    let mut tables = vec![processes];
+    if opaque.len() > 1 {
+        tables.extend([opaque, service_loads::rows(states)]);
+    } else {
+        tables.push(targets);
+    }
+    let tables: Vec<String> = tables.iter().map(|rows| columns_of(rows, 0)).collect();
+    tables.join("\n")
 }
 
 fn list(value: &Value) -> &[Value] {
