--- a/lab/tests/common/opaque.rs
+++ b/lab/tests/common/opaque.rs
@@ -2,6 +2,8 @@
 
 use endivedyke_lab::opaque::{CallTally, OpaqueSite, OpaqueSiteBuilder};
 
+use crate::common::sleep_ms;
+
 /// Returns a site with three balancers and one service with this many backend servers.
 pub async fn site(targets: usize) -> OpaqueSite {
     let builder = OpaqueSiteBuilder::new(3).service("panel-front", targets, 4, 5);
@@ -41,3 +43,18 @@
     let seen = (tally.answered, tally.failed, tally.reset, tally.refused);
     assert_eq!(seen, (tally.requests, 0, 0, 0), "{}", summary(tally));
 }
+
+/// Crashes the backend server of a site, starts the next lifetime as `restart` does, and asserts that the
+/// callers of the one before are told.
+pub async fn assert_old_flows_are_reset(restart: impl AsyncFnOnce(&mut OpaqueSite, &str)) {
+    let mut site = site(1).await;
+    site.call(&[site.plan(0, 6, 0)]).expect("callers");
+    sleep_ms(800).await;
+    let id = site.crash_backend(0).expect("runs");
+    restart(&mut site, &id).await;
+    sleep_ms(1_500).await;
+    let tally = site.finish().await;
+    assert_promises(&site, &tally);
+    assert!(tally.reset > 0, "{}", summary(&tally));
+    assert_eq!(tally.failed, 0, "{}", summary(&tally));
+}
--- a/lab/tests/opaque_entries.rs
+++ b/lab/tests/opaque_entries.rs
@@ -2,24 +2,15 @@
 
 mod common;
 
-use common::opaque::{assert_promises, assert_unnoticed, site, summary};
+use common::opaque::{assert_old_flows_are_reset, assert_unnoticed, site};
 use common::{run, sleep_ms};
 use endivedyke_lab::opaque::OpaqueSiteBuilder;
 
 #[test]
 fn the_old_flows_of_a_backend_server_restarted_under_its_id_are_reset() {
-    run(async {
-        let mut site = site(1).await;
-        site.call(&[site.plan(0, 6, 0)]).expect("callers");
-        sleep_ms(800).await;
-        let id = site.crash_backend(0).expect("runs");
-        site.start_backend_as(&id, 0, 0).await.expect("starts");
-        sleep_ms(1_500).await;
-        let tally = site.finish().await;
-        assert_promises(&site, &tally);
-        assert!(tally.reset > 0, "{}", summary(&tally));
-        assert_eq!(tally.failed, 0, "{}", summary(&tally));
-    });
+    run(assert_old_flows_are_reset(async |site, id| {
+        site.start_backend_as(id, 0, 0).await.expect("starts");
+    }));
 }
 
 #[test]
--- a/lab/tests/opaque_site.rs
+++ b/lab/tests/opaque_site.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use common::opaque::{assert_promises, assert_unnoticed, site, summary};
+use common::opaque::{
+    assert_old_flows_are_reset, assert_promises, assert_unnoticed, site, summary,
+};
 use common::{run, sleep_ms};
 use endivedyke_lab::opaque::{OpaqueSite, OpaqueSiteBuilder, StoreFault, run_soak};
 
@@ -137,19 +139,10 @@
 
 #[test]
 fn a_restarted_backend_server_s_old_flows_are_reset() {
-    run(async {
-        let mut site = site(1).await;
-        site.call(&[site.plan(0, 6, 0)]).expect("callers");
-        sleep_ms(800).await;
-        let id = site.crash_backend(0).expect("runs");
+    run(assert_old_flows_are_reset(async |site, id| {
         site.start_backend(0, 0).await.expect("starts");
-        site.expire_entry(&id);
-        sleep_ms(1_500).await;
-        let tally = site.finish().await;
-        assert_promises(&site, &tally);
-        assert!(tally.reset > 0, "{}", summary(&tally));
-        assert_eq!(tally.failed, 0, "{}", summary(&tally));
-    });
+        site.expire_entry(id);
+    }));
 }
 
 #[test]
--- a/tests/opaque/backend_life.rs
+++ b/tests/opaque/backend_life.rs
@@ -117,10 +117,7 @@
     request_that_ends(&mut agent, 1, true);
     agent.open(&flow(2), 500);
     agent.answer_from_backend(&flow(2));
-    agent.now_ms += 10;
-    agent.keeper.backend_breaks(agent.now_ms);
-    agent.keeper.backend_listens();
-    agent.now_ms += 10;
+    agent.reconnect();
     agent.open(&flow(3), 900);
     agent.answer_from_backend(&flow(3));
     let actions = publish_next_lifetime(&mut agent);
--- a/tests/opaque/builder.rs
+++ b/tests/opaque/builder.rs
@@ -406,6 +406,14 @@
             .expect("sound packet")
     }
 
+    /// Lets the connection to the backend server break and be made anew.
+    pub(crate) fn reconnect(&mut self) {
+        self.now_ms += 10;
+        self.keeper.backend_breaks(self.now_ms);
+        self.keeper.backend_listens();
+        self.now_ms += 10;
+    }
+
     /// Lets the agent note its load, as with each message that it sends.
     pub(crate) fn look_at_load(&mut self) {
         self.with(|keeper, scene| keeper.load_permille(scene));
--- a/tests/opaque/lifetimes.rs
+++ b/tests/opaque/lifetimes.rs
@@ -114,10 +114,7 @@
     publish_start(&mut agent, 100);
     agent.open(&flow(2), 500);
     agent.answer_from_backend(&flow(2));
-    agent.now_ms += 10;
-    agent.keeper.backend_breaks(agent.now_ms);
-    agent.keeper.backend_listens();
-    agent.now_ms += 10;
+    agent.reconnect();
     agent
 }
 
