Take availability zones that operators evacuate out of service

Ruled out: a delay of the relay; no line of any process names the key. Backend servers of the zone weigh nothing and agents there pass openers on; open flows stay. Where only such servers could take a flow, its first opener is refused at once (4015); later copies are not, since a first one may have been taken. Packets of open flows are forwarded where no server takes new flows, and flows are asked for in the order in which they were placed. Lines of the adapter were dropped by the filter of levels, and are written now.

--- a/lab/src/opaque/site.rs
+++ b/lab/src/opaque/site.rs
@@ -196,6 +196,11 @@
         self.ip(100 + index)
     }
 
+    /// Returns the availability zone of a backend server.
+    pub fn zone_of(&self, index: usize) -> &'static str {
+        zone(self.agent_host(index))
+    }
+
     /// Returns the platform's store.
     pub fn store(&self) -> &StoreHandle {
         &self.store
--- a/src/decisions/placement.rs
+++ b/src/decisions/placement.rs
@@ -45,8 +45,27 @@
 
 /// Returns all rows that `eligible` lets pass, best first.
 pub fn ranked(table: &Table, opener_hash: u64, eligible: impl Fn(&Row) -> bool) -> Vec<&Row> {
-    let rows = table.rows.iter().filter(|row| eligible(row));
-    let mut scored: Vec<(f64, &Row)> = rows.map(|row| (score(opener_hash, row), row)).collect();
+    ranked_by(table, |row| eligible(row).then(|| score(opener_hash, row)))
+}
+
+/// Returns all rows that `eligible` lets pass in the order in which they were ranked while each took flows
+/// by its slots, best first.
+///
+/// Open flows were placed in that order; one that takes no new flow now holds those of then.
+pub(crate) fn ranked_by_slots(
+    table: &Table,
+    opener_hash: u64,
+    eligible: impl Fn(&Row) -> bool,
+) -> Vec<&Row> {
+    ranked_by(table, |row| {
+        eligible(row).then(|| weighted_score(opener_hash, row, row.slots))
+    })
+}
+
+/// Returns the rows that have a score, best first.
+fn ranked_by(table: &Table, score: impl Fn(&Row) -> Option<f64>) -> Vec<&Row> {
+    let rows = table.rows.iter();
+    let mut scored: Vec<(f64, &Row)> = rows.filter_map(|row| Some((score(row)?, row))).collect();
     scored.sort_by(|(left, _), (right, _)| right.total_cmp(left));
     scored.into_iter().map(|(_, row)| row).collect()
 }
@@ -61,8 +80,12 @@
 
 /// Scores a row so that the greatest score wins with a probability proportional to its weight.
 fn score(opener_hash: u64, row: &Row) -> f64 {
+    weighted_score(opener_hash, row, row.weight)
+}
+
+fn weighted_score(opener_hash: u64, row: &Row, weight: u32) -> f64 {
     const SCALE: f64 = 1.0 / (1u64 << 53) as f64;
     let bits = hash::pair_hash(opener_hash, row.target_hash) >> 11;
     let uniform = (bits as f64 + 0.5) * SCALE;
-    -f64::from(row.weight) / uniform.ln()
+    -f64::from(weight) / uniform.ln()
 }
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -9,6 +9,7 @@
 use std::ops::RangeInclusive;
 
 use crate::code::Code;
+use crate::config::service_id::ServiceId;
 use crate::decisions::placement;
 use crate::decisions::suspicion::Suspicion;
 use crate::error::{Error, Result};
@@ -118,14 +119,20 @@
         let segment = (self.wire.decode)(&packet)?;
         let flow = segment.flow_from_caller();
         if directory.routes().get(flow.called).is_none() {
-            return self.refuse(&segment);
+            return self.refuse(&segment, Code::RouteUnknown);
         }
         if !segment.opens {
             let host = self.packet_host(directory, suspicion, &flow, now_ms)?;
             return Ok(self.deliver(host, packet, 0));
         }
         let attempt = segment.acknowledgement as usize;
-        let host = self.opener_host(directory, suspicion, &flow, attempt, now_ms)?;
+        let host = match self.opener_host(directory, suspicion, &flow, attempt, now_ms) {
+            // Copies come only from callers whose first one went to an agent, which may have taken it since.
+            Err(_) if attempt == 0 && is_evacuated(directory, &flow) => {
+                return self.refuse(&segment, Code::ServiceEvacuated);
+            }
+            host => host?,
+        };
         let waited_ms = self.retries.waited_ms(&flow, attempt > 0, now_ms);
         self.metrics
             .retries_known
@@ -146,8 +153,7 @@
     /// Returns the mean load of the backend servers among which a flow's agent was chosen, by which that agent
     /// knows whether it has more to do than others.
     fn mean_load(&mut self, directory: &Directory, flow: &FlowKey, now_ms: u64) -> u16 {
-        let route = directory.routes().get(flow.called);
-        let service = route.and_then(|route| route.service(flow.hash()));
+        let service = service_of(directory, flow);
         let table = service.and_then(|service| Some((service, directory.table(service)?)));
         table.map_or(UNKNOWN_LOAD, |(service, table)| {
             self.means
@@ -334,21 +340,18 @@
         self.hints.len()
     }
 
-    /// Ends a flow to an address that no route has, at once: its caller need not wait.
-    fn refuse(&self, segment: &Segment) -> Result<Action> {
+    /// Ends a flow that can't be served, at once: its caller need not wait.
+    fn refuse(&self, segment: &Segment, code: Code) -> Result<Action> {
         if segment.resets {
-            return Err(Error::new(
-                Code::RouteUnknown,
-                segment.destination.to_string(),
-            ));
+            return Err(Error::new(code, segment.destination.to_string()));
         }
         let flow = segment.flow_from_caller();
         log::info!(
             "event=flow_reset flow={flow} code={} opens={}",
-            Code::RouteUnknown.number(),
+            code.number(),
             segment.opens
         );
-        self.metrics.flows_reset.inc(Code::RouteUnknown);
+        self.metrics.flows_reset.inc(code);
         let reset = (self.wire.reset)(&flow, segment.acknowledgement);
         Ok(Action::ToCaller(flow.caller, reset))
     }
@@ -396,7 +399,12 @@
             self.metrics.hints_right.inc();
             return Ok(hint.host);
         }
-        Ok(self.order(directory, suspicion, flow, now_ms)?[0])
+        let order = self.order(directory, suspicion, flow, now_ms);
+        match order {
+            Ok(order) => Ok(order[0]),
+            // Those that take no new flow hold open ones: a drain or an evacuation of all must not stop them.
+            Err(error) => any_agent(directory, flow).ok_or(error),
+        }
     }
 
     /// Returns the agents that a flow may go to, in the order in which copies of its opener are sent to
@@ -412,8 +420,7 @@
         flow: &FlowKey,
         now_ms: u64,
     ) -> Result<Vec<Ipv4Addr>> {
-        let route = directory.routes().get(flow.called);
-        let service = route.and_then(|route| route.service(flow.hash()));
+        let service = service_of(directory, flow);
         let table = service.and_then(|service| directory.table(service));
         let none = || Error::new(Code::HostUnknown, flow.called.to_string());
         let table = table.ok_or_else(none)?;
@@ -457,6 +464,25 @@
     }
 }
 
+/// Returns the service that a new flow goes to.
+fn service_of(directory: &Directory, flow: &FlowKey) -> Option<ServiceId> {
+    let route = directory.routes().get(flow.called)?;
+    route.service(flow.hash())
+}
+
+/// Tells whether only evacuations keep a flow from being taken.
+fn is_evacuated(directory: &Directory, flow: &FlowKey) -> bool {
+    service_of(directory, flow).is_some_and(|service| directory.is_evacuated_service(service))
+}
+
+/// Returns the first agent by hash of a flow's service, whether it takes new flows or not: it can find out who
+/// holds the flow.
+fn any_agent(directory: &Directory, flow: &FlowKey) -> Option<Ipv4Addr> {
+    let table = directory.table(service_of(directory, flow)?)?;
+    let ranked = placement::ranked_by_slots(table, flow.hash(), |_| true);
+    ranked.first().map(|row| row.host)
+}
+
 /// Returns the load over a longer time that the payload of a [`MessageKind::Holds`] or [`MessageKind::Declined`]
 /// tells behind its flow.
 pub fn steady_load(payload: &[u8]) -> Option<u16> {
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -54,6 +54,7 @@
     BackendDown,
     OtherService,
     NotPublished,
+    Evacuated,
     Silent,
     Failing,
     Crowded,
@@ -210,6 +211,9 @@
         if !published.is_some_and(|own| own.takes_flows) {
             return Err(NotTaken::NotPublished);
         }
+        if published.is_some_and(|own| own.is_evacuated) {
+            return Err(NotTaken::Evacuated);
+        }
         if self.silent_since_ms.is_some() {
             return self.probe(scene, NotTaken::Silent);
         }
--- a/src/opaque/openers/opener_order.rs
+++ b/src/opaque/openers/opener_order.rs
@@ -46,6 +46,6 @@
     let Some(table) = service.and_then(|service| scene.directory.table(service)) else {
         return Vec::new();
     };
-    let order = placement::ranked(table, key.hash(), |row| row.host != own);
+    let order = placement::ranked_by_slots(table, key.hash(), |row| row.host != own);
     order.iter().take(count).map(|row| row.host).collect()
 }
--- a/src/opaque/processes/node.rs
+++ b/src/opaque/processes/node.rs
@@ -7,7 +7,8 @@
 use compio::BufResult;
 use compio::net::UdpSocket;
 
-use crate::config::backend_entry::BackendValue;
+use crate::config::backend_entry::{BackendValue, GONE_TEXT};
+use crate::config::evacuation::EVACUATED_PREFIX;
 use crate::config::route_table::RouteTable;
 use crate::config::service_names::{SERVICES_NAME, service_names};
 use crate::controllers::control::Control;
@@ -112,6 +113,11 @@
                 }
             } else if *name == SERVICES_NAME {
                 directory.set_services(service_names(&value.text));
+            } else if let Some(zone) = name.strip_prefix(EVACUATED_PREFIX) {
+                directory.set_evacuated(zone, value.text != GONE_TEXT, value.revision);
+                let evacuated = directory.evacuated_zones().len();
+                let gauge = &self.control.metrics.opaque.zones_evacuated;
+                gauge.set(evacuated as i64);
             } else if let Some(id) = name.strip_prefix(BACKEND_PREFIX)
                 && let Ok(backend) = BackendValue::parse(&value.text)
             {
--- a/src/opaque/processes/state.rs
+++ b/src/opaque/processes/state.rs
@@ -53,6 +53,7 @@
         "retries_known": opaque.retries_known.get(),
         "lookups_given_up": opaque.lookups_given_up.get(),
         "entries_unusable": opaque.entries_unusable.get(),
+        "zones_evacuated": opaque.zones_evacuated.get(),
         "values_age_ms": (opaque.values_age_seconds.get() * 1_000.0) as u64,
     });
     state
--- a/src/opaque/values/directory.rs
+++ b/src/opaque/values/directory.rs
@@ -107,8 +107,12 @@
 pub struct OwnBackend {
     /// The service under which it is published.
     pub service: ServiceId,
-    /// Whether it takes new flows.
+    /// Whether it takes new flows, as far as it is for itself to say.
     pub takes_flows: bool,
+    /// Whether operators evacuated its availability zone, so that it is to get no new flow.
+    ///
+    /// It goes on and holds its flows, so that this says nothing about its process.
+    pub is_evacuated: bool,
     /// Whether it is no longer published.
     pub is_gone: bool,
     /// Whether its entry can be used, so that other processes know of it.
@@ -138,6 +142,8 @@
     routes: RouteTable,
     /// The services that operators named, sorted; none where that is not known.
     services: Option<Vec<ServiceId>>,
+    /// The availability zones that operators evacuated, sorted.
+    evacuated_zones: Vec<String>,
     /// Ids whose values name no backend server to use, sorted.
     unusable: Vec<String>,
     current_hosts: Vec<Ipv4Addr>,
@@ -251,6 +257,58 @@
         self.rebuild();
     }
 
+    /// Takes whether an availability zone is evacuated: its backend servers get no new flow, and keep those
+    /// that they hold.
+    ///
+    /// Says so in the log where that changed. See docs/OPERATORS.md, "Empty a zone".
+    pub fn set_evacuated(&mut self, zone: &str, is_evacuated: bool, revision: u64) {
+        let found = self
+            .evacuated_zones
+            .binary_search_by(|known| known.as_str().cmp(zone));
+        match (found, is_evacuated) {
+            (Err(index), true) => self.evacuated_zones.insert(index, zone.to_owned()),
+            (Ok(index), false) => {
+                self.evacuated_zones.remove(index);
+            }
+            _ => return,
+        }
+        let event = if is_evacuated {
+            "zone_evacuated"
+        } else {
+            "zone_taken_back"
+        };
+        let is_in_zone = |entry: &&Entry| entry.backend.zone == zone;
+        let servers = self.entries.iter().filter(is_in_zone).count();
+        log::info!("event={event} zone={zone:?} servers={servers} revision={revision}");
+        self.rebuild();
+    }
+
+    /// Returns the availability zones that operators evacuated, in order of their names.
+    pub fn evacuated_zones(&self) -> &[String] {
+        &self.evacuated_zones
+    }
+
+    fn is_evacuated(&self, entry: &Entry) -> bool {
+        let zone = entry.backend.zone.as_str();
+        let found = self
+            .evacuated_zones
+            .binary_search_by(|known| known.as_str().cmp(zone));
+        found.is_ok()
+    }
+
+    /// Tells whether a service has no backend server for new flows because of evacuations: those that would take
+    /// some are all in evacuated zones.
+    ///
+    /// That lasts for minutes, and no copy of an opener finds room meanwhile.
+    pub fn is_evacuated_service(&self, service: ServiceId) -> bool {
+        let of_service = |entry: &&Entry| entry.backend.service == service && self.is_named(entry);
+        let entries = self.entries.iter().filter(of_service);
+        let mut would_take = entries
+            .filter(|entry| entry.takes_flows(self.clock_ms))
+            .peekable();
+        would_take.peek().is_some() && would_take.all(|entry| self.is_evacuated(entry))
+    }
+
     /// Tells whether operators named the service of an entry.
     ///
     /// One that they did not name was written by another program. Believed, its entry would take the address
@@ -315,6 +373,7 @@
         Some(OwnBackend {
             service: newest.backend.service,
             takes_flows: newest.takes_flows(self.clock_ms),
+            is_evacuated: self.is_evacuated(newest),
             is_gone: newest.gone.is_some(),
             is_usable: newest.unusable_since_ms.is_none(),
             first_revision: newest.first_revision,
@@ -410,7 +469,8 @@
                 tables.insert(index, (service, Table::unnamed()));
                 index
             });
-            tables[index].1.rows.push(row(entry, clock_ms));
+            let takes_flows = entry.takes_flows(clock_ms) && !self.is_evacuated(entry);
+            tables[index].1.rows.push(row(entry, takes_flows));
         }
         let mut hosts: Vec<Ipv4Addr> = newest
             .iter()
@@ -432,12 +492,8 @@
     }
 }
 
-fn row(entry: &Entry, clock_ms: u64) -> Row {
-    let weight = if entry.takes_flows(clock_ms) {
-        entry.backend.slots
-    } else {
-        0
-    };
+fn row(entry: &Entry, takes_flows: bool) -> Row {
+    let weight = if takes_flows { entry.backend.slots } else { 0 };
     Row {
         target_hash: hash::name_hash(&entry.id),
         target: entry.id.clone(),
--- a/src/opaque/values/published.rs
+++ b/src/opaque/values/published.rs
@@ -7,6 +7,7 @@
 
 use crate::code::Code;
 use crate::config::backend_entry::GONE_TEXT;
+use crate::config::evacuation::EVACUATED_PREFIX;
 use crate::config::hash;
 use crate::controllers::control::Control;
 use crate::controllers::relay;
@@ -270,7 +271,7 @@
         }
     }
 
-    /// Returns the backend servers that a whole read no longer names, which are gone.
+    /// Returns the backend servers and evacuations that a whole read no longer names, which are gone.
     fn missing(&self, batch: &Batch) -> Vec<String> {
         let store = self.control.store.borrow();
         let mut named: Vec<&str> = batch
@@ -281,7 +282,7 @@
         named.sort_unstable();
         let values = store.values().iter();
         values
-            .filter(|value| value.name.starts_with(BACKEND_PREFIX))
+            .filter(|value| may_vanish(&value.name))
             .filter(|value| value.text != GONE_TEXT && value.revision <= batch.revision)
             .filter(|value| named.binary_search(&value.name.as_str()).is_err())
             .map(|value| value.name.clone())
@@ -395,6 +396,11 @@
     }
 }
 
+/// Tells whether a value is withdrawn by no longer being published; the others are only replaced.
+fn may_vanish(name: &str) -> bool {
+    name.starts_with(BACKEND_PREFIX) || name.starts_with(EVACUATED_PREFIX)
+}
+
 /// Returns the error of a platform that no longer has the changes that were asked for.
 pub fn forgot(message: impl Into<String>) -> Error {
     Error::new(Code::PlatformForgot, message)
--- a/src/process/logging.rs
+++ b/src/process/logging.rs
@@ -18,6 +18,8 @@
     let dispatch = fern::Dispatch::new()
         .level(log::LevelFilter::Error)
         .level_for("endivedyke", level)
+        // What a platform's adapter says is a crate of its own.
+        .level_for("endivedyke_platform", level)
         .format(|out, message, record| {
             let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
             let time_ms = since_epoch.map_or(0, |time| time.as_millis());
--- a/src/process/opaque_metrics.rs
+++ b/src/process/opaque_metrics.rs
@@ -41,6 +41,7 @@
     pub(crate) pull_seconds: Histogram,
     pub(crate) hosts_suspected: Counter,
     pub(crate) entries_unusable: Gauge,
+    pub(crate) zones_evacuated: Gauge,
 }
 
 impl Default for OpaqueMetrics {
@@ -68,6 +69,7 @@
             hints_held: Gauge::default(),
             values_age_seconds: Gauge::default(),
             entries_unusable: Gauge::default(),
+            zones_evacuated: Gauge::default(),
             read_seconds: times(),
             pull_seconds: times(),
             hosts_suspected: Counter::default(),
@@ -188,7 +190,7 @@
         ]
     }
 
-    fn gauges(&self) -> [(&'static str, &'static str, &Gauge); 4] {
+    fn gauges(&self) -> [(&'static str, &'static str, &Gauge); 5] {
         [
             (
                 "opaque_flows_open",
@@ -210,6 +212,11 @@
                 "Published entries that name no backend server to use",
                 &self.entries_unusable,
             ),
+            (
+                "zones_evacuated",
+                "Availability zones whose backend servers get no new flow",
+                &self.zones_evacuated,
+            ),
         ]
     }
 }
--- /dev/null
+++ b/tests/opaque/evacuation.rs
@@ -0,0 +1,238 @@
+//! What balancers and agents do while operators evacuate availability zones.
+
+use std::net::Ipv4Addr;
+
+use endivedyke::opaque::{
+    Action, BackendState, Batch, Directory, Published, evacuation_name, news,
+};
+use endivedyke::{ClusterKey, Code, ConfigStore, ServiceId, Suspicion};
+
+use crate::builder::{
+    AgentUnderTest, FLOW_LIFETIME_MS, SERVICE, ZONE, directory, flow, forwarder, host, hosts_told,
+    opener, publish, reaches_backend, request, resets, state_text, state_text_in, vanish,
+};
+use endivedyke::opaque::MessageKind;
+
+/// The other availability zone of the sites of these tests.
+const OTHER_ZONE: &str = "zone-b";
+
+/// Returns a directory whose backend servers with odd indices stand in [`ZONE`], the others in [`OTHER_ZONE`].
+fn two_zones(count: u16) -> Directory {
+    let mut directory = directory(count);
+    for index in (2..=count).step_by(2) {
+        let text = state_text_in(OTHER_ZONE, index, BackendState::Ready);
+        publish(&mut directory, index, &text, 100 + u64::from(index), 0);
+    }
+    directory
+}
+
+fn takers(directory: &Directory) -> Vec<Ipv4Addr> {
+    let table = directory.table(ServiceId::of(SERVICE)).expect("a table");
+    let takers = table.rows.iter().filter(|row| row.weight > 0);
+    takers.map(|row| row.host).collect()
+}
+
+/// Sends a packet through a new balancer.
+fn send(directory: &Directory, packet: Vec<u8>) -> Result<Action, Code> {
+    let mut suspicion = Suspicion::default();
+    let sent = forwarder().handle(directory, &mut suspicion, packet, 1_000);
+    sent.map_err(|error| error.code)
+}
+
+fn receiver(action: &Action) -> Ipv4Addr {
+    match action {
+        Action::ToPeer(host, _, _) => *host,
+        other => panic!("not forwarded: {other:?}"),
+    }
+}
+
+#[test]
+fn an_evacuated_zone_takes_no_new_flow_until_it_is_taken_back() {
+    let mut directory = two_zones(4);
+    directory.set_evacuated(OTHER_ZONE, true, 200);
+    assert_eq!(takers(&directory), [host(1), host(3)]);
+    assert_eq!(directory.evacuated_zones(), [OTHER_ZONE]);
+    for port in 1..100 {
+        let action = send(&directory, opener(&flow(port), 0)).expect("sent");
+        assert!([host(1), host(3)].contains(&receiver(&action)), "{port}");
+    }
+    directory.set_evacuated(OTHER_ZONE, false, 201);
+    assert_eq!(takers(&directory).len(), 4);
+    assert!(directory.evacuated_zones().is_empty());
+}
+
+#[test]
+fn an_unknown_zone_and_a_repeat_change_nothing() {
+    let mut directory = two_zones(4);
+    directory.set_evacuated("elsewhere", true, 200);
+    directory.set_evacuated("elsewhere", true, 201);
+    directory.set_evacuated(ZONE, false, 202);
+    assert_eq!(takers(&directory).len(), 4);
+}
+
+#[test]
+fn servers_that_come_into_an_evacuated_zone_take_nothing_either() {
+    let mut directory = two_zones(2);
+    directory.set_evacuated(ZONE, true, 200);
+    publish(
+        &mut directory,
+        5,
+        &state_text(5, BackendState::Ready),
+        201,
+        10,
+    );
+    // One that lapses and returns is in its zone as before.
+    vanish(&mut directory, 1, 202, 20);
+    directory.expire(1_000, 1_000);
+    assert_eq!(takers(&directory), [host(2)]);
+    publish(
+        &mut directory,
+        1,
+        &state_text(1, BackendState::Ready),
+        203,
+        1_500,
+    );
+    assert_eq!(takers(&directory), [host(2)]);
+}
+
+#[test]
+fn an_agent_of_an_evacuated_zone_passes_openers_on_and_keeps_its_flows() {
+    let mut agent = AgentUnderTest::new(4, true);
+    agent.directory = two_zones(4);
+    agent.open(&flow(1), 500);
+    agent.directory.set_evacuated(ZONE, true, 200);
+    let actions = agent.deliver(&opener(&flow(2), 0));
+    assert!(!reaches_backend(&actions));
+    let next = hosts_told(&actions, MessageKind::HandOn);
+    assert!(next == [host(2)] || next == [host(4)], "{next:?}");
+    assert!(reaches_backend(&agent.deliver(&request(&flow(1), 501))));
+    // The caller's late copy of the opener of a flow that is open reaches its own backend server alone.
+    assert!(reaches_backend(&agent.deliver(&opener(&flow(1), 1))));
+}
+
+#[test]
+fn an_evacuation_says_nothing_of_a_backend_server_s_process() {
+    let mut agent = AgentUnderTest::new(4, true);
+    agent.open(&flow(1), 500);
+    agent.directory.set_evacuated(ZONE, true, 200);
+    // A drain would explain the silence; an evacuated server listens on, so that refusals prove its end.
+    agent.now_ms += 10_000;
+    agent.refuse();
+    agent.now_ms += 200;
+    assert_eq!(resets(&agent.refuse()), [flow(1)]);
+}
+
+#[test]
+fn callers_are_refused_at_once_where_only_evacuated_zones_could_take_them() {
+    let mut directory = two_zones(4);
+    directory.set_evacuated(ZONE, true, 200);
+    directory.set_evacuated(OTHER_ZONE, true, 201);
+    let action = send(&directory, opener(&flow(1), 0)).expect("an answer");
+    assert_eq!(resets(&[action]), [flow(1)]);
+    // A copy comes from a caller whose first one may have been taken: a reset could end an open flow.
+    let copy = send(&directory, opener(&flow(1), 1));
+    assert_eq!(copy.map_err(|code| code), Err(Code::HostUnknown));
+}
+
+#[test]
+fn callers_wait_where_servers_are_missing_for_another_reason() {
+    let mut directory = two_zones(2);
+    directory.set_evacuated(ZONE, true, 200);
+    let draining = state_text_in(OTHER_ZONE, 2, BackendState::Draining);
+    publish(&mut directory, 2, &draining, 201, 10);
+    // The only one that could take it stands in the evacuated zone.
+    assert!(matches!(
+        send(&directory, opener(&flow(1), 0)),
+        Ok(Action::ToCaller(..))
+    ));
+    publish(
+        &mut directory,
+        1,
+        &state_text(1, BackendState::Draining),
+        202,
+        10,
+    );
+    // None would take it, evacuated or not: its successor may be about to start.
+    assert_eq!(
+        send(&directory, opener(&flow(1), 0)).err(),
+        Some(Code::HostUnknown)
+    );
+}
+
+#[test]
+fn packets_of_open_flows_find_their_way_while_every_zone_is_evacuated() {
+    let mut directory = two_zones(6);
+    directory.set_evacuated(ZONE, true, 200);
+    directory.set_evacuated(OTHER_ZONE, true, 201);
+    let mut reached: Vec<Ipv4Addr> = (1..200)
+        .map(|port| receiver(&send(&directory, request(&flow(port), 501)).expect("sent")))
+        .collect();
+    reached.sort_unstable();
+    reached.dedup();
+    assert_eq!(reached.len(), 6, "the questions are spread over all agents");
+}
+
+#[test]
+fn a_flow_at_an_evacuated_server_is_asked_for_where_it_was_placed() {
+    // Above the number of agents that are all asked at once.
+    let count = 60;
+    let mut asked_first = 0;
+    for port in 1..=40 {
+        let mut site = directory(count);
+        let placed = receiver(&send(&site, opener(&flow(port), 0)).expect("sent"));
+        let index = crate::builder::index_of(placed);
+        if index == 1 {
+            asked_first += 1;
+            continue;
+        }
+        publish(
+            &mut site,
+            index,
+            &state_text_in(OTHER_ZONE, index, BackendState::Ready),
+            100,
+            0,
+        );
+        site.set_evacuated(OTHER_ZONE, true, 200);
+        let mut agent = AgentUnderTest::new(count, true);
+        agent.directory = site;
+        agent.now_ms = FLOW_LIFETIME_MS / 2;
+        let actions = agent.deliver(&request(&flow(port), 501));
+        let asked = hosts_told(&actions, MessageKind::Find);
+        asked_first += usize::from(asked.contains(&placed));
+    }
+    assert_eq!(asked_first, 40);
+}
+
+/// Returns a batch with one state of an evacuation.
+fn batch(revision: u64, is_evacuated: bool) -> Published {
+    Published {
+        name: evacuation_name(ZONE),
+        revision,
+        text: is_evacuated.then(|| "yes".to_owned()),
+    }
+}
+
+#[test]
+fn an_evacuation_that_is_removed_and_set_again_in_one_batch_is_in_force() {
+    let mut store = ConfigStore::new(&ClusterKey::new([1; 32]));
+    let values = vec![batch(5, true), batch(6, false), batch(7, true)];
+    let read = Batch {
+        revision: 7,
+        values,
+        is_whole: false,
+    };
+    let taken: Vec<(String, u64, String)> = news(&store, &read)
+        .into_iter()
+        .map(|(name, revision, text)| (name.to_owned(), revision, text.to_owned()))
+        .collect();
+    for (name, revision, text) in &taken {
+        store.accept(name, *revision, text).expect("sound");
+    }
+    let value = store.get(&evacuation_name(ZONE)).expect("in force");
+    assert_eq!((value.revision, value.text.as_str()), (7, "yes"));
+    // What comes late from a peer that lags does not take the zone back.
+    store
+        .accept(&evacuation_name(ZONE), 6, "gone")
+        .expect("sound");
+    assert_eq!(store.revision(&evacuation_name(ZONE)), 7);
+}
--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -4,6 +4,7 @@
 mod builder;
 mod declines;
 mod directory;
+mod evacuation;
 mod flow_search;
 mod forwarder;
 mod freshness;
