Hand a cold backend server no more new flows than operators say that it bears

Cause: only requests that run or wait bounded what a cold server was handed. An idle one of a zone that was taken back got 28 new flows in a second where operators say that it bears 12. Ruled out: that the published entry tells the cold start in time; it comes with the server's next sign of life, up to a heartbeat after the zone was taken back. The agent, through which all passes, fills a bucket at that rate while its server is cold, or may be: after its zone was taken back, and after it was seen to start. What is left goes to a warm server at once; the last copy of an opener is refused at once where there is none. Sites that tell no rate are as before.

--- a/src/config/config_store.rs
+++ b/src/config/config_store.rs
@@ -2,6 +2,7 @@
 
 use crate::code::Code;
 use crate::config::backend_entry::{BACKEND_PREFIX, BackendValue};
+use crate::config::cold_starts::{self, COLD_STARTS_NAME};
 use crate::config::delta::Delta;
 use crate::config::hash;
 use crate::config::hosts::HostList;
@@ -256,6 +257,10 @@
                 RouteTable::parse(text)?;
                 Ok(Parsed::Other)
             }
+            COLD_STARTS_NAME => {
+                cold_starts::cold_starts(text)?;
+                Ok(Parsed::Other)
+            }
             HOSTS_NAME => Ok(Parsed::Hosts(HostList::parse(text)?)),
             KEYS_NAME => Ok(Parsed::Keys(KeyRing::parse(&self.cluster, text)?)),
             _ => Ok(Parsed::Other),
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -6,6 +6,7 @@
 //! is used.
 
 pub(crate) mod backend_entry;
+pub(crate) mod cold_starts;
 pub(crate) mod config_store;
 pub(crate) mod delta;
 pub(crate) mod evacuation;
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -18,6 +18,7 @@
 use crate::error::Result;
 use crate::opaque::finding::flow_book::{Flow, FlowBook, Holding, Running};
 use crate::opaque::finding::lookup::Lookups;
+use crate::opaque::openers::cold_rate::ColdRate;
 use crate::opaque::openers::mean_load::{FAILING_LOAD, MeanLoad, RECENT_SPAN_MS, STEADY_SPAN_MS};
 use crate::opaque::openers::recent_outcomes::RecentOutcomes;
 use crate::opaque::packets::action::Action;
@@ -70,6 +71,11 @@
     steady_load: MeanLoad,
     outcomes: RecentOutcomes,
     failing: bool,
+    cold_rate: ColdRate,
+    /// Since when the backend server may be cold without its entry telling so yet.
+    maybe_cold_since_ms: Option<u64>,
+    /// Whether operators had evacuated its availability zone when that was last looked at.
+    was_evacuated: bool,
     lookups: Lookups,
     pending: Vec<FlowKey>,
     balancers: KnownBalancers,
@@ -107,6 +113,9 @@
             steady_load: MeanLoad::over(STEADY_SPAN_MS),
             outcomes: RecentOutcomes::default(),
             failing: false,
+            cold_rate: ColdRate::default(),
+            maybe_cold_since_ms: None,
+            was_evacuated: false,
             lookups: Lookups::new(metrics),
             pending: Vec::new(),
             balancers: KnownBalancers::default(),
--- a/src/opaque/keeper/backend_life.rs
+++ b/src/opaque/keeper/backend_life.rs
@@ -48,9 +48,12 @@
     }
 
     /// Notes that something listens at the backend server's address.
-    pub fn backend_listens(&mut self) {
+    pub fn backend_listens(&mut self, now_ms: u64) {
         self.backend_up = true;
-        self.refusing = false;
+        if std::mem::take(&mut self.refusing) {
+            // Nothing listened before, so that its process has just started; its entry tells that later.
+            self.maybe_cold_since_ms = Some(now_ms);
+        }
         self.listens = true;
         self.refused_since_ms = None;
     }
@@ -122,6 +125,10 @@
         let Some(own) = scene.directory.own(self.identity.backend) else {
             return Vec::new();
         };
+        if std::mem::replace(&mut self.was_evacuated, own.is_evacuated) && !own.is_evacuated {
+            // It may have become cold meanwhile, and its entry tells that only with its next sign of life.
+            self.maybe_cold_since_ms = Some(scene.now_ms);
+        }
         let before = self.lifetime.replace(own.first_revision);
         if before.is_none_or(|before| before >= own.first_revision) {
             return Vec::new();
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -1,9 +1,11 @@
 //! Openers: which the agent takes, and where the others go.
 
+use std::net::Ipv4Addr;
+
 use crate::code::Code;
 use crate::opaque::finding::flow_book::{Flow, Holding, Opening};
 use crate::opaque::keeper::{Keeper, Scene, say_holds, tell};
-use crate::opaque::openers::opener_order::next_host;
+use crate::opaque::openers::opener_order::{next_host, next_warm_host};
 use crate::opaque::packets::action::Action;
 use crate::opaque::packets::message::{Message, MessageKind};
 use crate::opaque::packets::segment::{FlowKey, Segment};
@@ -55,6 +57,8 @@
     OtherService,
     NotPublished,
     Evacuated,
+    /// It is cold, and was handed as many new flows as it bears.
+    ColdRate,
     Silent,
     Failing,
     Crowded,
@@ -68,6 +72,8 @@
     published: Option<OwnBackend>,
     /// Whether it is still slow after its start.
     is_cold: bool,
+    /// How many new flows it bears a second while it is cold; none where it is warm or operators told no rate.
+    cold_flows_per_s: Option<f64>,
     /// The number of requests from which the opener is not taken; none where no table has it.
     limit: Option<f64>,
 }
@@ -125,17 +131,17 @@
             Ok(()) if self.declines(scene, &opening, message) => {
                 self.decline(scene, &key, message, actions);
             }
-            Ok(()) => self.take_opener(scene, &key, opening, actions),
+            Ok(()) => {
+                self.cold_rate.take();
+                self.take_opener(scene, &key, opening, actions);
+            }
             Err(reason) => {
                 self.log_not_taken(scene, &key, &opening, &place, reason);
                 if message.kind == MessageKind::Deliver && !message.host.is_unspecified() {
                     tell(MessageKind::Absent, &key, message.host, actions);
                 }
-                let hops = match reason {
-                    NotTaken::Crowded => CROWDED_HOPS,
-                    _ => MAX_HOPS,
-                };
-                self.hand_on_within(scene, &key, opening, hops, actions);
+                let next = self.next_after(scene, &key, opening.hops, reason);
+                self.hand_on_to(scene, &key, opening, next, actions);
             }
         }
     }
@@ -214,6 +220,11 @@
         if published.is_some_and(|own| own.is_evacuated) {
             return Err(NotTaken::Evacuated);
         }
+        if let Some(flows_per_s) = place.cold_flows_per_s
+            && !self.cold_rate.has_room(flows_per_s, scene.now_ms)
+        {
+            return Err(NotTaken::ColdRate);
+        }
         if self.silent_since_ms.is_some() {
             return self.probe(scene, NotTaken::Silent);
         }
@@ -268,10 +279,20 @@
         OwnPlace {
             published,
             is_cold,
+            cold_flows_per_s: self.cold_flows_per_s(scene, is_cold),
             limit: row.map(|row| f64::from(row.slots) * per_slot),
         }
     }
 
+    /// Returns how many new flows the backend server bears a second, if it is cold or may be.
+    fn cold_flows_per_s(&self, scene: &Scene<'_>, is_cold: bool) -> Option<f64> {
+        let start = scene.directory.cold_start(self.identity.service)?;
+        let maybe_since_ms = self.maybe_cold_since_ms;
+        let may_be_cold =
+            maybe_since_ms.is_some_and(|since_ms| scene.now_ms < since_ms + start.cold_ms);
+        (is_cold || may_be_cold).then_some(start.flows_per_s)
+    }
+
     /// Passes an opener to the agent after this one in the flow's order, if there is one left.
     ///
     /// Otherwise its caller sends another copy, for which there may be room; only of the last copy is
@@ -283,18 +304,37 @@
         opening: Opening,
         actions: &mut Vec<Action>,
     ) {
-        self.hand_on_within(scene, key, opening, MAX_HOPS, actions);
+        let next = next_host(scene, self.identity.host, key, opening.hops, MAX_HOPS);
+        self.hand_on_to(scene, key, opening, next, actions);
+    }
+
+    /// Returns the agent that is offered an opener which is not taken here for a reason.
+    fn next_after(
+        &self,
+        scene: &Scene<'_>,
+        key: &FlowKey,
+        hops: u8,
+        reason: NotTaken,
+    ) -> Option<Ipv4Addr> {
+        let own = self.identity.host;
+        match reason {
+            NotTaken::Crowded => next_host(scene, own, key, hops, CROWDED_HOPS),
+            // A warm one takes it at once; where there is none, the others are as full as this one.
+            NotTaken::ColdRate => next_warm_host(scene, own, key, hops, MAX_HOPS)
+                .or_else(|| next_host(scene, own, key, hops, CROWDED_HOPS)),
+            _ => next_host(scene, own, key, hops, MAX_HOPS),
+        }
     }
 
-    fn hand_on_within(
+    fn hand_on_to(
         &self,
         scene: &Scene<'_>,
         key: &FlowKey,
         opening: Opening,
-        max_hops: usize,
+        next: Option<Ipv4Addr>,
         actions: &mut Vec<Action>,
     ) {
-        match next_host(scene, self.identity.host, key, opening.hops, max_hops) {
+        match next {
             Some(host) => {
                 let mut message = Message::new(MessageKind::HandOn);
                 message.host = opening.balancer;
--- a/src/opaque/openers/opener_order.rs
+++ b/src/opaque/openers/opener_order.rs
@@ -16,13 +16,36 @@
     key: &FlowKey,
     hops: u8,
     max_hops: usize,
+) -> Option<Ipv4Addr> {
+    next_of(scene, own, key, hops, max_hops, |_| true)
+}
+
+/// The same among the agents whose backend servers are not published as cold.
+pub(crate) fn next_warm_host(
+    scene: &Scene<'_>,
+    own: Ipv4Addr,
+    key: &FlowKey,
+    hops: u8,
+    max_hops: usize,
+) -> Option<Ipv4Addr> {
+    let is_warm = |host| !scene.directory.is_cold(host, scene.now_ms);
+    next_of(scene, own, key, hops, max_hops, is_warm)
+}
+
+fn next_of(
+    scene: &Scene<'_>,
+    own: Ipv4Addr,
+    key: &FlowKey,
+    hops: u8,
+    max_hops: usize,
+    may_be: impl Fn(Ipv4Addr) -> bool,
 ) -> Option<Ipv4Addr> {
     let route = scene.directory.routes().get(key.called)?;
     let service = route.service(key.hash())?;
     let table = scene.directory.table(service)?;
     let order = placement::ranked(table, key.hash(), |row| {
         let trusted = !scene.suspicion.is_suspected(row.host, scene.now_ms);
-        row.host == own || (row.weight > 0 && trusted)
+        row.host == own || (row.weight > 0 && trusted && may_be(row.host))
     });
     let others = order.iter().filter(|row| row.host != own).count();
     if usize::from(hops) >= others.min(max_hops) {
--- a/src/opaque/processes/node.rs
+++ b/src/opaque/processes/node.rs
@@ -8,6 +8,7 @@
 use compio::net::UdpSocket;
 
 use crate::config::backend_entry::{BackendValue, GONE_TEXT};
+use crate::config::cold_starts::{COLD_STARTS_NAME, cold_starts};
 use crate::config::evacuation::EVACUATED_PREFIX;
 use crate::config::route_table::RouteTable;
 use crate::config::service_names::{SERVICES_NAME, service_names};
@@ -113,6 +114,10 @@
                 }
             } else if *name == SERVICES_NAME {
                 directory.set_services(service_names(&value.text));
+            } else if *name == COLD_STARTS_NAME {
+                if let Ok(starts) = cold_starts(&value.text) {
+                    directory.set_cold_starts(starts);
+                }
             } else if let Some(zone) = name.strip_prefix(EVACUATED_PREFIX) {
                 directory.set_evacuated(zone, value.text != GONE_TEXT, value.revision);
                 let evacuated = directory.evacuated_zones().len();
--- a/src/opaque/processes/side.rs
+++ b/src/opaque/processes/side.rs
@@ -169,7 +169,10 @@
 
     fn backend_sign(self: &Rc<Self>, sign: BackendSign) {
         match sign {
-            BackendSign::Listens => self.keeper.borrow_mut().backend_listens(),
+            BackendSign::Listens => {
+                let now_ms = self.node.control.now_ms();
+                self.keeper.borrow_mut().backend_listens(now_ms);
+            }
             BackendSign::Breaks => {
                 let now_ms = self.node.control.now_ms();
                 self.keeper.borrow_mut().backend_breaks(now_ms);
--- a/src/opaque/values/directory.rs
+++ b/src/opaque/values/directory.rs
@@ -4,6 +4,7 @@
 
 use crate::code::Code;
 use crate::config::backend_entry::{Backend, BackendState, BackendValue};
+use crate::config::cold_starts::ColdStart;
 use crate::config::hash;
 use crate::config::hosts::{Host, HostList, HostRole, HostState};
 use crate::config::route_table::RouteTable;
@@ -144,6 +145,10 @@
     services: Option<Vec<ServiceId>>,
     /// The availability zones that operators evacuated, sorted.
     evacuated_zones: Vec<String>,
+    /// What operators told of cold starts, sorted by service.
+    cold_starts: Vec<ColdStart>,
+    /// Until when the backend server on a host is cold, for those that were published as cold, sorted by host.
+    cold_hosts: Vec<(Ipv4Addr, u64)>,
     /// Ids whose values name no backend server to use, sorted.
     unusable: Vec<String>,
     current_hosts: Vec<Ipv4Addr>,
@@ -296,6 +301,27 @@
         found.is_ok()
     }
 
+    /// Takes what operators told of cold starts.
+    pub fn set_cold_starts(&mut self, starts: Vec<ColdStart>) {
+        self.cold_starts = starts;
+    }
+
+    /// Returns what operators told of the cold starts of a service's backend servers.
+    pub fn cold_start(&self, service: ServiceId) -> Option<ColdStart> {
+        let found = self
+            .cold_starts
+            .binary_search_by_key(&service, |start| start.service);
+        found.ok().map(|index| self.cold_starts[index])
+    }
+
+    /// Tells whether the backend server on a host is published as cold.
+    pub(crate) fn is_cold(&self, host: Ipv4Addr, now_ms: u64) -> bool {
+        let found = self
+            .cold_hosts
+            .binary_search_by_key(&host, |(host, _)| *host);
+        found.is_ok_and(|index| now_ms < self.cold_hosts[index].1)
+    }
+
     /// Tells whether a service has no backend server for new flows because of evacuations: those that would take
     /// some are all in evacuated zones.
     ///
@@ -483,6 +509,11 @@
         self.zones = newest.iter().map(zone).collect();
         // One host may have two entries for a moment, of two ports; both stand in its zone.
         self.zones.dedup_by_key(|(host, _)| *host);
+        let cold = newest.iter().filter(|entry| entry.cold_until_ms > 0);
+        self.cold_hosts = cold
+            .map(|entry| (*entry.backend.address.ip(), entry.cold_until_ms))
+            .collect();
+        self.cold_hosts.dedup_by_key(|(host, _)| *host);
         for (_, table) in &mut tables {
             table.rows.sort_by(|a, b| a.target.cmp(&b.target));
         }
--- a/tests/opaque/builder.rs
+++ b/tests/opaque/builder.rs
@@ -410,7 +410,7 @@
     pub(crate) fn reconnect(&mut self) {
         self.now_ms += 10;
         self.keeper.backend_breaks(self.now_ms);
-        self.keeper.backend_listens();
+        self.keeper.backend_listens(self.now_ms);
         self.now_ms += 10;
     }
 
--- a/tests/opaque/evacuation.rs
+++ b/tests/opaque/evacuation.rs
@@ -131,7 +131,7 @@
     assert_eq!(resets(&[action]), [flow(1)]);
     // A copy comes from a caller whose first one may have been taken: a reset could end an open flow.
     let copy = send(&directory, opener(&flow(1), 1));
-    assert_eq!(copy.map_err(|code| code), Err(Code::HostUnknown));
+    assert_eq!(copy, Err(Code::HostUnknown));
 }
 
 #[test]
--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -2,6 +2,7 @@
 
 mod backend_life;
 mod builder;
+mod cold_starts;
 mod declines;
 mod directory;
 mod evacuation;
--- a/tests/opaque/unusable_entries.rs
+++ b/tests/opaque/unusable_entries.rs
@@ -95,7 +95,7 @@
 #[test]
 fn an_agent_whose_entry_was_overwritten_keeps_its_flows_and_makes_itself_known() {
     let mut agent = AgentUnderTest::new(2, true);
-    agent.keeper.backend_listens();
+    agent.keeper.backend_listens(agent.now_ms);
     agent.open(&flow(1), 500);
     agent.answer_from_backend(&flow(1));
     assert!(!agent.keeper.is_unlisted(&agent.directory));
