Show evacuated zones in status and state, and explain what they and cold rates decide

Cause: operators saw nowhere whether an evacuation is in force, and explain gave no cause for openers that an agent passed on for it. Change: state lists the evacuated zones, status has a row for each with how many of the processes know it, explain knows the two reasons, the code and the two events. Shown by: a test with processes and three cases of explain's table.

--- a/lab/tests/operator_client.rs
+++ b/lab/tests/operator_client.rs
@@ -248,3 +248,37 @@
         site.finish().await;
     });
 }
+
+#[test]
+fn status_and_state_show_an_evacuated_zone() {
+    run(async {
+        let builder = OpaqueSiteBuilder::new(2).service("panel-front", 3, 4, 5);
+        let site = builder.start().await.expect("the site starts");
+        let agent = site.settings_path(site.agent_host(0)).display().to_string();
+        let calm = text(&client(&["status", "--settings", &agent])).0;
+        assert!(!calm.contains("evacuated"), "{calm}");
+        let zone = site.zone_of(0);
+        let key = format!("op/evacuate/{zone}");
+        site.store().put(&key, &serde_json::json!({}));
+        let mut status = String::new();
+        for _ in 0..STATUS_TRIES {
+            sleep_ms(200).await;
+            status = text(&client(&["status", "--settings", &agent])).0;
+            if row_of(&status, zone) == ["5", "5"] {
+                break;
+            }
+        }
+        assert_eq!(row_of(&status, zone), ["5", "5"], "{status}");
+        let host = site.agent_host(1).to_string();
+        let state = text(&client(&["state", "--settings", &agent, &host])).0;
+        assert!(state.contains("evacuated_zones"), "{state}");
+    });
+}
+
+/// Returns the cells behind the one that begins the last row which begins so.
+fn row_of(status: &str, first: &str) -> Vec<String> {
+    let rows = status.lines().rev().map(str::split_whitespace);
+    let mut rows = rows.map(|cells| cells.map(str::to_owned).collect::<Vec<_>>());
+    let row = rows.find(|cells| cells.first().is_some_and(|cell| cell == first));
+    row.map_or_else(Vec::new, |cells| cells[1..].to_vec())
+}
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -27,7 +27,7 @@
 }
 
 /// What ends a request, the most telling first.
-const MEANINGS: [Meaning; 19] = [
+const MEANINGS: [Meaning; 22] = [
     meaning(
         "request_lost",
         "reason",
@@ -70,6 +70,12 @@
         "4013",
         "nobody took its opener, and its caller was told so; nothing ran",
     ),
+    meaning(
+        "flow_reset",
+        "code",
+        "4015",
+        "only backend servers of evacuated zones could have taken its flow; nothing ran",
+    ),
     meaning(
         "request_answered",
         "status",
@@ -130,6 +136,18 @@
         "",
         "an agent did not answer for its opener in time, and another got it",
     ),
+    meaning(
+        "opener_not_taken",
+        "reason",
+        "Evacuated",
+        "an agent passed its opener on, since its availability zone is evacuated",
+    ),
+    meaning(
+        "opener_not_taken",
+        "reason",
+        "ColdRate",
+        "an agent passed its opener on, since its backend server is cold and had as many as it bears",
+    ),
     meaning(
         "opener_not_taken",
         "",
@@ -145,7 +163,7 @@
 ];
 
 /// What changes of belief beside a story add to it.
-const CIRCUMSTANCES: [Meaning; 10] = [
+const CIRCUMSTANCES: [Meaning; 12] = [
     meaning(
         "lines_dropped",
         "",
@@ -184,6 +202,18 @@
         "",
         "a published entry named no backend server to use then, as when another program writes there",
     ),
+    meaning(
+        "zone_evacuated",
+        "",
+        "",
+        "it learnt then that an availability zone is evacuated",
+    ),
+    meaning(
+        "zone_taken_back",
+        "",
+        "",
+        "it learnt then that an evacuated availability zone is back in service",
+    ),
     meaning(
         "platform_fails",
         "",
--- a/src/opaque/processes/state.rs
+++ b/src/opaque/processes/state.rs
@@ -4,7 +4,8 @@
 
 use serde_json::{Value, json};
 
-use crate::config::backend_entry::{BACKEND_PREFIX, BackendFields};
+use crate::config::backend_entry::{BACKEND_PREFIX, BackendFields, GONE_TEXT};
+use crate::config::evacuation::EVACUATED_PREFIX;
 use crate::controllers::control::Control;
 use crate::controllers::node_server::{self, NodeHooks};
 
@@ -33,12 +34,25 @@
     records.collect()
 }
 
+/// Returns the availability zones that are evacuated as far as the process knows.
+fn evacuated_zones(control: &Control) -> Value {
+    let store = control.store.borrow();
+    let in_force = store
+        .values()
+        .iter()
+        .filter(|value| value.text != GONE_TEXT);
+    in_force
+        .filter_map(|value| value.name.strip_prefix(EVACUATED_PREFIX))
+        .collect()
+}
+
 fn state(control: &Control, role: &str) -> Value {
     let metrics = &control.metrics;
     let opaque = &metrics.opaque;
     let mut state = control.state(role);
     state["packets"] = metrics.packet_counts();
     state["backends"] = backends(control);
+    state["evacuated_zones"] = evacuated_zones(control);
     state["opaque"] = json!({
         "flows_open": opaque.flows_open.get(),
         "requests_busy": opaque.requests_busy.get(),
@@ -53,7 +67,6 @@
         "retries_known": opaque.retries_known.get(),
         "lookups_given_up": opaque.lookups_given_up.get(),
         "entries_unusable": opaque.entries_unusable.get(),
-        "zones_evacuated": opaque.zones_evacuated.get(),
         "values_age_ms": (opaque.values_age_seconds.get() * 1_000.0) as u64,
     });
     state
--- a/src/programs/operator/status.rs
+++ b/src/programs/operator/status.rs
@@ -43,6 +43,7 @@
     let mut tables = vec![processes];
     if opaque.len() > 1 {
         tables.extend([opaque, service_loads::rows(states)]);
+        tables.extend(evacuations(states));
     } else {
         tables.push(targets);
     }
@@ -50,6 +51,30 @@
     tables.join("\n")
 }
 
+/// Lays out a row for each evacuated availability zone with how many of the processes know of it; nothing where
+/// none is evacuated.
+fn evacuations(states: &HostStates) -> Option<Vec<Vec<String>>> {
+    let answered: Vec<&Value> = states
+        .iter()
+        .filter_map(|(_, state)| state.as_ref())
+        .collect();
+    let known = answered
+        .iter()
+        .flat_map(|state| list(&state["evacuated_zones"]));
+    let mut zones: Vec<String> = known.map(scalar).collect();
+    zones.sort_unstable();
+    let mut rows = vec![cells(&["evacuated zone", "known to", "of"])];
+    for of_zone in zones.chunk_by(|one, other| one == other) {
+        let known_to = of_zone.len().to_string();
+        rows.push(cells(&[
+            &of_zone[0],
+            &known_to,
+            &answered.len().to_string(),
+        ]));
+    }
+    (rows.len() > 1).then_some(rows)
+}
+
 fn list(value: &Value) -> &[Value] {
     value.as_array().map_or(&[], Vec::as_slice)
 }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -29,6 +29,9 @@
     let closed = format!("event=request_lost request=r-1 flow={FLOW} waited_ms=3 reason=closed");
     let gone = format!("event=flow_reset flow={FLOW} code=4011");
     let no_room = format!("event=flow_reset flow={FLOW} code=4013");
+    let evacuated = format!("event=flow_reset flow={FLOW} code=4015 opens=true");
+    let zone = format!("event=opener_not_taken flow={FLOW} reason=Evacuated copy=0");
+    let cold = format!("event=opener_not_taken flow={FLOW} reason=ColdRate copy=0");
     let overdue = format!("event=request_overdue request=r-1 flow={FLOW} waited_ms=1200");
     let given_up = format!("event=lookup_given_up flow={FLOW} unanswered=0 settled=false");
     let refused = format!("event=request_answered request=r-1 flow={FLOW} status=503 took_ms=4");
@@ -37,6 +40,9 @@
         (&closed, "closed the flow without an answer"),
         (&gone, "every agent said"),
         (&no_room, "nobody took its opener"),
+        (&evacuated, "evacuated zones could have taken"),
+        (&zone, "its availability zone is evacuated"),
+        (&cold, "had as many as it bears"),
         (&overdue, "took over a second"),
         (&given_up, "could not yet know"),
         (&refused, "an error of its own"),
