--- a/lab/src/opaque/site.rs
+++ b/lab/src/opaque/site.rs
@@ -39,6 +39,8 @@
 const POLL: Duration = Duration::from_millis(20);
 /// For how long a backend server says that it is slow after its start, in milliseconds.
 const COLD_MS: u64 = 400;
+/// For how long the configuration says that it may be cold, in seconds.
+const COLD_START_S: f64 = 2.0;
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
 const BALANCER_TEMPLATE: &str = include_str!("../../../deploy/balancer.ini");
@@ -62,6 +64,8 @@
 pub struct OpaqueSiteBuilder {
     balancers: usize,
     services: Vec<ServiceSpec>,
+    /// How many new flows a second a cold backend server bears, as operators tell; 0 where they do not.
+    cold_flows_per_s: f64,
     log_to_pipe: bool,
     log_folder: Option<PathBuf>,
 }
@@ -72,6 +76,7 @@
         Self {
             balancers,
             services: Vec::new(),
+            cold_flows_per_s: 0.0,
             log_to_pipe: false,
             log_folder: None,
         }
@@ -88,6 +93,12 @@
         self
     }
 
+    /// Tells how many new flows a second a cold backend server of any service bears.
+    pub fn cold_rate(mut self, flows_per_s: f64) -> Self {
+        self.cold_flows_per_s = flows_per_s;
+        self
+    }
+
     /// Lets processes write log lines to pipes that nobody reads.
     pub fn unread_logs(mut self) -> Self {
         self.log_to_pipe = true;
@@ -253,8 +264,16 @@
                 })
             })
             .collect();
+        let told = |service: &ServiceSpec| {
+            json!({
+                "name": service.name,
+                "coldStartS": COLD_START_S,
+                "coldPerS": self.spec.cold_flows_per_s,
+            })
+        };
+        let services: Vec<_> = self.spec.services.iter().map(told).collect();
         let config =
-            json!({"version": self.version, "routes": routes, "services": [], "limits": {}});
+            json!({"version": self.version, "routes": routes, "services": services, "limits": {}});
         self.store.put("op/config", &config);
     }
 
--- a/lab/src/opaque/site/faults.rs
+++ b/lab/src/opaque/site/faults.rs
@@ -32,6 +32,16 @@
         self.store.remove(&format!("servers/{id}"));
     }
 
+    /// Asks that an availability zone gets no new flow.
+    pub fn evacuate(&self, zone: &str) {
+        self.store.put(&format!("op/evacuate/{zone}"), &json!({}));
+    }
+
+    /// Takes an evacuated availability zone back.
+    pub fn take_back(&self, zone: &str) {
+        self.store.remove(&format!("op/evacuate/{zone}"));
+    }
+
     /// Takes a backend server's entry away while the server lives, as a store that was away does.
     pub fn lapse(&self, index: usize) {
         if let Some(backend) = &self.backends[index] {
--- a/lab/src/opaque/soak.rs
+++ b/lab/src/opaque/soak.rs
@@ -57,11 +57,20 @@
     RestartUnderId,
     OverwriteEntry,
     ForeignEntry,
+    Evacuate,
 }
 
+/// From which seed zones are evacuated, also at the end, when no process has an excuse.
+const EVACUATION_SEED: u64 = 3_000;
+/// How long an evacuation may take to be in force everywhere, in milliseconds: the bound of the users' sheet for the
+/// site that has evacuations.
+const EVACUATION_MS: u64 = 5_000;
+/// For how long an evacuated zone is watched at the end, in milliseconds.
+const WATCHED_MS: u64 = 1_000;
+
 /// From which seed how many of the faults are drawn, so that a kept seed goes on playing what it played.
-const DRAWN_FAULTS: [(u64, usize); 3] = [(2_000, 26), (1_000, 23), (0, 22)];
-const FAULTS: [Fault; 26] = [
+const DRAWN_FAULTS: [(u64, usize); 4] = [(EVACUATION_SEED, 27), (2_000, 26), (1_000, 23), (0, 22)];
+const FAULTS: [Fault; 27] = [
     Fault::KillBalancer,
     Fault::StopBalancer,
     Fault::FreezeBalancer,
@@ -88,6 +97,7 @@
     Fault::RestartUnderId,
     Fault::OverwriteEntry,
     Fault::ForeignEntry,
+    Fault::Evacuate,
 ];
 
 /// Returns the faults that a seed draws from.
@@ -107,6 +117,7 @@
     StartBackend { index: usize, old_id: String },
     StartUnderId { index: usize, id: String },
     EndDrain(usize),
+    TakeBack(&'static str),
     Register(usize),
     Store,
     Link,
@@ -154,8 +165,9 @@
     compio::time::sleep(RECOVERY).await;
     let before = soak.site.tally();
     compio::time::sleep(CALM).await;
+    let evacuated = soak.openers_in_an_evacuated_zone(seed).await;
     let tally = soak.site.finish().await;
-    soak.judge(seed, &before, &tally)
+    soak.judge(seed, &before, &tally, evacuated)
 }
 
 impl Soak {
@@ -222,6 +234,11 @@
             }
             // It stays, as nobody of the site knows it.
             Fault::ForeignEntry => self.site.write_foreign_entry(index),
+            Fault::Evacuate => {
+                let zone = self.site.zone_of(index);
+                self.site.evacuate(zone);
+                self.heals.push((due_ms, Heal::TakeBack(zone)));
+            }
             Fault::Link(fault) => {
                 self.site.proxy().set_fault(Some(fault));
                 self.heals.push((due_ms, Heal::Link));
@@ -320,6 +337,10 @@
                 }
                 Ok(())
             }
+            Heal::TakeBack(zone) => {
+                self.site.take_back(zone);
+                Ok(())
+            }
             Heal::Register(index) => {
                 self.site.register_again(index);
                 Ok(())
@@ -342,7 +363,34 @@
         }
     }
 
-    fn judge(&self, seed: u64, before: &CallTally, tally: &CallTally) -> Result<String> {
+    /// Evacuates a zone of the calm site; returns how many openers its servers got after that had to be in force.
+    async fn openers_in_an_evacuated_zone(&self, seed: u64) -> u64 {
+        if seed < EVACUATION_SEED {
+            return 0;
+        }
+        let zone = self.site.zone_of(seed as usize % BACKENDS);
+        let in_zone = (0..BACKENDS).filter(|index| self.site.zone_of(*index) == zone);
+        let in_zone: Vec<usize> = in_zone.collect();
+        let opened = || {
+            in_zone
+                .iter()
+                .map(|index| self.site.opened(*index))
+                .sum::<usize>()
+        };
+        self.site.evacuate(zone);
+        compio::time::sleep(Duration::from_millis(EVACUATION_MS)).await;
+        let before = opened();
+        compio::time::sleep(Duration::from_millis(WATCHED_MS)).await;
+        (opened() - before) as u64
+    }
+
+    fn judge(
+        &self,
+        seed: u64,
+        before: &CallTally,
+        tally: &CallTally,
+        evacuated: u64,
+    ) -> Result<String> {
         let ran = self.site.ran();
         let lost = tally
             .claims
@@ -362,6 +410,7 @@
                 self.site.strayed(),
             ),
             ("claims answered that did not run", lost.count() as u64),
+            ("openers at servers of an evacuated zone", evacuated),
             // Requests that began before the calm may end in it, so that more are answered than asked.
             (
                 "requests of the calm at the end not answered",
--- a/lab/tests/operator_client.rs
+++ b/lab/tests/operator_client.rs
@@ -258,8 +258,7 @@
         let calm = text(&client(&["status", "--settings", &agent])).0;
         assert!(!calm.contains("evacuated"), "{calm}");
         let zone = site.zone_of(0);
-        let key = format!("op/evacuate/{zone}");
-        site.store().put(&key, &serde_json::json!({}));
+        site.evacuate(zone);
         let mut status = String::new();
         for _ in 0..STATUS_TRIES {
             sleep_ms(200).await;
