Take backend servers before what is said of them

Cause: a process that starts logged zone_evacuated with servers=0, as seen in the operators' incident of this site, since the evacuation was taken before the entries that came with it; and one function did all in one chain of conditions. Change: entries first, then routes, services, cold starts and evacuations, each in a line of a match. Ruled out: an effect on decisions; all come into force within one call.

--- a/src/opaque/processes/node.rs
+++ b/src/opaque/processes/node.rs
@@ -9,6 +9,7 @@
 
 use crate::config::backend_entry::{BackendValue, GONE_TEXT};
 use crate::config::cold_starts::{COLD_STARTS_NAME, cold_starts};
+use crate::config::config_store::StoredValue;
 use crate::config::evacuation::EVACUATED_PREFIX;
 use crate::config::route_table::RouteTable;
 use crate::config::service_names::{SERVICES_NAME, service_names};
@@ -103,43 +104,21 @@
         let now_ms = self.control.now_ms();
         let mut directory = self.directory.borrow_mut();
         let store = self.control.store.borrow();
-        let mut changes = Vec::new();
-        for name in names {
-            let Some(value) = store.get(name) else {
-                continue;
-            };
-            // The store has parsed these texts already, when it took them.
-            if *name == ROUTES_NAME {
-                if let Ok(routes) = RouteTable::parse(&value.text) {
-                    directory.set_routes(routes);
-                }
-            } else if *name == SERVICES_NAME {
-                directory.set_services(service_names(&value.text));
-            } else if *name == COLD_STARTS_NAME {
-                if let Ok(starts) = cold_starts(&value.text) {
-                    directory.set_cold_starts(starts);
-                }
-            } else if let Some(zone) = name.strip_prefix(EVACUATED_PREFIX) {
-                directory.set_evacuated(zone, value.text != GONE_TEXT, value.revision);
-                let evacuated = directory.evacuated_zones().len();
-                let gauge = &self.control.metrics.opaque.zones_evacuated;
-                gauge.set(evacuated as i64);
-            } else if let Some(id) = name.strip_prefix(BACKEND_PREFIX)
-                && let Ok(backend) = BackendValue::parse(&value.text)
-            {
-                changes.push(BackendChange {
-                    id,
-                    value: backend,
-                    revision: value.revision,
-                });
-            }
+        let values: Vec<&StoredValue> = names.iter().filter_map(|name| store.get(name)).collect();
+        let backends: Vec<BackendChange<'_>> = values.iter().filter_map(backend_change).collect();
+        let has_backends = !backends.is_empty();
+        // The others say something of backend servers, which a process that starts learns with them.
+        directory.apply_all(backends, now_ms);
+        for value in values {
+            apply(&mut directory, value);
         }
-        if !changes.is_empty() {
-            directory.apply_all(changes, now_ms);
-            let unusable = &self.control.metrics.opaque.entries_unusable;
-            unusable.set(directory.unusable() as i64);
+        let metrics = &self.control.metrics.opaque;
+        metrics.entries_unusable.set(directory.unusable() as i64);
+        let evacuated = directory.evacuated_zones().len();
+        metrics.zones_evacuated.set(evacuated as i64);
+        drop(store);
+        if has_backends {
             let hosts = directory.host_list();
-            drop(store);
             self.control.store.borrow_mut().set_hosts(hosts);
         }
         drop(directory);
@@ -276,3 +255,38 @@
         log::debug!("event=packet_dropped error={error}");
     }
 }
+
+/// Returns the change of a backend server that a value in force tells; the store has parsed its text already, when
+/// it took it.
+fn backend_change<'a>(value: &&'a StoredValue) -> Option<BackendChange<'a>> {
+    let id = value.name.strip_prefix(BACKEND_PREFIX)?;
+    let backend = BackendValue::parse(&value.text).ok()?;
+    Some(BackendChange {
+        id,
+        value: backend,
+        revision: value.revision,
+    })
+}
+
+/// Lets a directory take a value in force that is not of one backend server.
+fn apply(directory: &mut Directory, value: &StoredValue) {
+    let text = value.text.as_str();
+    match value.name.as_str() {
+        ROUTES_NAME => {
+            if let Ok(routes) = RouteTable::parse(text) {
+                directory.set_routes(routes);
+            }
+        }
+        SERVICES_NAME => directory.set_services(service_names(text)),
+        COLD_STARTS_NAME => {
+            if let Ok(starts) = cold_starts(text) {
+                directory.set_cold_starts(starts);
+            }
+        }
+        name => {
+            if let Some(zone) = name.strip_prefix(EVACUATED_PREFIX) {
+                directory.set_evacuated(zone, text != GONE_TEXT, value.revision);
+            }
+        }
+    }
+}
--- a/src/opaque/values/directory.rs
+++ b/src/opaque/values/directory.rs
@@ -55,6 +55,9 @@
 
     /// Takes what is published of backend servers.
     pub fn apply_all(&mut self, changes: Vec<BackendChange<'_>>, now_ms: u64) {
+        if changes.is_empty() {
+            return;
+        }
         for change in changes {
             self.put(change, now_ms);
         }
