Let tests share what names who takes flows, and find rows of a status in one way

Change: takers and host_of stand in the builder of the tests, row_of serves services and zones, the counts are a constant. Ruled out: an easier test; every assertion and expected value is as it was, but that a forwarded packet must now be of the kind that balancers forward in both places, and a row of a zone is compared with its name.

--- a/lab/tests/opaque_evacuation.rs
+++ b/lab/tests/opaque_evacuation.rs
@@ -11,6 +11,9 @@
 /// How long a change may take that every process takes sooner or later; an idle machine needs a second.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How many balancers, and how many agents, the site of each test has.
+const PROCESSES: usize = 3;
+
 /// Returns how many openers the agent of a backend server has taken.
 async fn taken(site: &OpaqueSite, index: usize) -> f64 {
     let host = site.agent_host(index);
@@ -30,9 +33,9 @@
 }
 
 /// Waits until every process knows this many evacuated zones.
-async fn wait_evacuated(site: &OpaqueSite, zones: usize, balancers: usize, agents: usize) {
-    let balancers = (0..balancers).map(|index| site.balancer_host(index));
-    let hosts = balancers.chain((0..agents).map(|index| site.agent_host(index)));
+async fn wait_evacuated(site: &OpaqueSite, zones: usize) {
+    let balancers = (0..PROCESSES).map(|index| site.balancer_host(index));
+    let hosts = balancers.chain((0..PROCESSES).map(|index| site.agent_host(index)));
     let until = Instant::now() + CHANGE_TIMEOUT;
     for host in hosts {
         while site.metric(host, "zones_evacuated").await.ok() != Some(zones as f64) {
@@ -55,12 +58,12 @@
 #[test]
 fn an_evacuated_zone_gets_no_new_flow_and_keeps_its_open_ones() {
     run(async {
-        let mut site = site(3).await;
+        let mut site = site(PROCESSES).await;
         let zone = site.zone_of(0);
         site.call(&[site.plan(0, 9, 6)]).expect("callers");
         sleep_ms(800).await;
         site.evacuate(zone);
-        wait_evacuated(&site, 1, 3, 3).await;
+        wait_evacuated(&site, 1).await;
         assert_takes_nothing(&site, 0).await;
         site.take_back(zone);
         wait_taking(&site, 0).await;
@@ -72,18 +75,18 @@
 #[test]
 fn processes_that_start_while_the_store_is_silent_know_of_an_evacuation() {
     run(async {
-        let mut site = site(3).await;
+        let mut site = site(PROCESSES).await;
         let zone = site.zone_of(1);
         site.evacuate(zone);
         site.call(&[site.plan(0, 4, 6)]).expect("callers");
-        wait_evacuated(&site, 1, 3, 3).await;
+        wait_evacuated(&site, 1).await;
         site.store().set_fault(Some(StoreFault::Silent));
         for index in 0..2 {
             site.restart_balancer(index).expect("starts");
         }
         site.restart_agent(1).expect("starts");
         site.wait_ready().await.expect("ready");
-        wait_evacuated(&site, 1, 3, 3).await;
+        wait_evacuated(&site, 1).await;
         assert_takes_nothing(&site, 1).await;
         let tally = site.finish().await;
         assert_promises(&site, &tally);
@@ -93,11 +96,11 @@
 #[test]
 fn an_evacuation_that_ended_in_lost_history_is_seen_to_have_ended() {
     run(async {
-        let mut site = site(3).await;
+        let mut site = site(PROCESSES).await;
         let zone = site.zone_of(2);
         site.evacuate(zone);
         site.call(&[site.plan(0, 4, 6)]).expect("callers");
-        wait_evacuated(&site, 1, 3, 3).await;
+        wait_evacuated(&site, 1).await;
         assert_takes_nothing(&site, 2).await;
         site.store().set_fault(Some(StoreFault::Busy));
         site.take_back(zone);
@@ -112,13 +115,13 @@
 #[test]
 fn callers_are_told_at_once_while_every_zone_is_evacuated() {
     run(async {
-        let mut site = site(3).await;
+        let mut site = site(PROCESSES).await;
         site.call(&[site.plan(0, 4, 4)]).expect("callers");
         sleep_ms(500).await;
         for index in 0..3 {
             site.evacuate(site.zone_of(index));
         }
-        wait_evacuated(&site, 3, 3, 3).await;
+        wait_evacuated(&site, 3).await;
         for index in 0..3 {
             assert_takes_nothing(&site, index).await;
         }
@@ -136,7 +139,7 @@
 #[test]
 fn servers_of_a_zone_that_is_taken_back_get_new_flows_at_the_rate_of_cold_ones() {
     run(async {
-        let builder = OpaqueSiteBuilder::new(3).service("panel-front", 3, 4, 5);
+        let builder = OpaqueSiteBuilder::new(PROCESSES).service("panel-front", PROCESSES, 4, 5);
         let builder = builder.cold_rate(COLD_FLOWS_PER_S);
         let mut site = builder.start().await.expect("starts");
         let zone = site.zone_of(0);
@@ -144,7 +147,7 @@
         // Its entry says for less than this that it is cold.
         sleep_ms(1_000).await;
         site.evacuate(zone);
-        wait_evacuated(&site, 1, 3, 3).await;
+        wait_evacuated(&site, 1).await;
         let host = site.agent_host(0);
         let handed_on = site.metric(host, "openers_handed_on_total").await;
         let opened = site.opened(0);
--- a/lab/tests/operator_client.rs
+++ b/lab/tests/operator_client.rs
@@ -176,12 +176,11 @@
     });
 }
 
-/// Returns the cells of a service's row.
-fn service_row(status: &str, service: &str) -> Vec<String> {
+/// Returns the cells of the first row that begins so.
+fn row_of(status: &str, first: &str) -> Option<Vec<String>> {
     let rows = status.lines().map(str::split_whitespace);
     let mut rows = rows.map(|cells| cells.map(str::to_owned).collect::<Vec<_>>());
-    let row = rows.find(|cells| cells.first().is_some_and(|name| name == service));
-    row.expect("a row of the service")
+    rows.find(|cells| cells.first().is_some_and(|cell| cell == first))
 }
 
 /// Tells whether a service's row names a backend server with the most open flows.
@@ -204,7 +203,7 @@
         let mut agrees = false;
         for _ in 0..STATUS_TRIES {
             let status = text(&client(&["status", "--settings", &agent])).0;
-            row = service_row(&status, "panel-front");
+            row = row_of(&status, "panel-front").expect("a row of the service");
             agrees = row[1] == "3" && shows_busiest(&site, 3, &row);
             if agrees {
                 break;
@@ -259,25 +258,22 @@
         assert!(!calm.contains("evacuated"), "{calm}");
         let zone = site.zone_of(0);
         site.evacuate(zone);
+        let known_to_all = [zone, "5", "5"].map(str::to_owned);
         let mut status = String::new();
         for _ in 0..STATUS_TRIES {
             sleep_ms(200).await;
             status = text(&client(&["status", "--settings", &agent])).0;
-            if row_of(&status, zone) == ["5", "5"] {
+            if row_of(&status, zone).as_deref() == Some(&known_to_all[..]) {
                 break;
             }
         }
-        assert_eq!(row_of(&status, zone), ["5", "5"], "{status}");
+        assert_eq!(
+            row_of(&status, zone).as_deref(),
+            Some(&known_to_all[..]),
+            "{status}"
+        );
         let host = site.agent_host(1).to_string();
         let state = text(&client(&["state", "--settings", &agent, &host])).0;
         assert!(state.contains("evacuated_zones"), "{state}");
     });
 }
-
-/// Returns the cells behind the one that begins the last row which begins so.
-fn row_of(status: &str, first: &str) -> Vec<String> {
-    let rows = status.lines().rev().map(str::split_whitespace);
-    let mut rows = rows.map(|cells| cells.map(str::to_owned).collect::<Vec<_>>());
-    let row = rows.find(|cells| cells.first().is_some_and(|cell| cell == first));
-    row.map_or_else(Vec::new, |cells| cells[1..].to_vec())
-}
--- a/tests/opaque/builder.rs
+++ b/tests/opaque/builder.rs
@@ -470,3 +470,20 @@
     let mut actions = actions.iter();
     actions.any(|action| matches!(action, Action::ToBackend(_)))
 }
+
+/// Returns the hosts whose backend servers take new flows.
+pub(crate) fn takers(directory: &Directory) -> Vec<Ipv4Addr> {
+    let table = directory.table(ServiceId::of(SERVICE));
+    let rows = table.map_or(&[][..], |table| &table.rows);
+    let takers = rows.iter().filter(|row| row.weight > 0);
+    takers.map(|row| row.host).collect()
+}
+
+/// Returns the agent to which a balancer forwards a packet.
+pub(crate) fn host_of(action: &Action) -> Ipv4Addr {
+    let Action::ToPeer(host, message, _) = action else {
+        panic!("not forwarded: {action:?}");
+    };
+    assert_eq!(message.kind, MessageKind::Deliver);
+    *host
+}
--- a/tests/opaque/cold_starts.rs
+++ b/tests/opaque/cold_starts.rs
@@ -8,8 +8,8 @@
 use endivedyke::{Code, ServiceId};
 
 use crate::builder::{
-    AgentUnderTest, SERVICE, ZONE, acceptance, flow, hosts_told, opener, publish, reaches_backend,
-    request, resets, state_text,
+    ACK, AgentUnderTest, FIN, PacketSpec, SERVICE, ZONE, acceptance, flow, from_backend,
+    hosts_told, opener, publish, reaches_backend, request, resets, state_text,
 };
 
 /// How many new flows a cold backend server bears a second in these tests.
@@ -53,13 +53,13 @@
             taken.push(agent.now_ms);
             agent.backend(acceptance(&key, 500));
             agent.deliver(&request(&key, 501));
-            let spec = crate::builder::PacketSpec {
-                flags: crate::builder::ACK | crate::builder::FIN,
+            let spec = PacketSpec {
+                flags: ACK | FIN,
                 sequence: 501,
                 acknowledgement: 141,
                 data_bytes: 10,
             };
-            agent.backend(crate::builder::from_backend(&key, spec));
+            agent.backend(from_backend(&key, spec));
         } else {
             passed_on.push(hosts_told(&actions, MessageKind::HandOn));
         }
--- a/tests/opaque/directory.rs
+++ b/tests/opaque/directory.rs
@@ -1,18 +1,11 @@
 //! What a process makes of published backend servers.
 
 use endivedyke::ServiceId;
-use endivedyke::opaque::{Backend, BackendState, Directory};
+use endivedyke::opaque::{Backend, BackendState};
 
-use crate::builder::{SERVICE, backend_address, directory, host, publish, state_text, vanish};
-
-fn takers(directory: &Directory) -> Vec<std::net::Ipv4Addr> {
-    let table = directory.table(ServiceId::of(SERVICE));
-    let rows = table.map_or(&[][..], |table| &table.rows);
-    rows.iter()
-        .filter(|row| row.weight > 0)
-        .map(|row| row.host)
-        .collect()
-}
+use crate::builder::{
+    SERVICE, backend_address, directory, host, publish, state_text, takers, vanish,
+};
 
 #[test]
 fn one_that_vanished_without_draining_takes_flows_for_a_while() {
--- a/tests/opaque/evacuation.rs
+++ b/tests/opaque/evacuation.rs
@@ -3,15 +3,15 @@
 use std::net::Ipv4Addr;
 
 use endivedyke::opaque::{
-    Action, BackendState, Batch, Directory, Published, evacuation_name, news,
+    Action, BackendState, Batch, Directory, MessageKind, Published, evacuation_name, news,
 };
-use endivedyke::{ClusterKey, Code, ConfigStore, ServiceId, Suspicion};
+use endivedyke::{ClusterKey, Code, ConfigStore, Suspicion};
 
 use crate::builder::{
-    AgentUnderTest, FLOW_LIFETIME_MS, SERVICE, ZONE, directory, flow, forwarder, host, hosts_told,
-    opener, publish, reaches_backend, request, resets, state_text, state_text_in, vanish,
+    AgentUnderTest, FLOW_LIFETIME_MS, ZONE, directory, flow, forwarder, host, host_of, hosts_told,
+    index_of, opener, publish, reaches_backend, request, resets, state_text, state_text_in, takers,
+    vanish,
 };
-use endivedyke::opaque::MessageKind;
 
 /// The other availability zone of the sites of these tests.
 const OTHER_ZONE: &str = "zone-b";
@@ -26,12 +26,6 @@
     directory
 }
 
-fn takers(directory: &Directory) -> Vec<Ipv4Addr> {
-    let table = directory.table(ServiceId::of(SERVICE)).expect("a table");
-    let takers = table.rows.iter().filter(|row| row.weight > 0);
-    takers.map(|row| row.host).collect()
-}
-
 /// Sends a packet through a new balancer.
 fn send(directory: &Directory, packet: Vec<u8>) -> Result<Action, Code> {
     let mut suspicion = Suspicion::default();
@@ -39,13 +33,6 @@
     sent.map_err(|error| error.code)
 }
 
-fn receiver(action: &Action) -> Ipv4Addr {
-    match action {
-        Action::ToPeer(host, _, _) => *host,
-        other => panic!("not forwarded: {other:?}"),
-    }
-}
-
 #[test]
 fn an_evacuated_zone_takes_no_new_flow_until_it_is_taken_back() {
     let mut directory = two_zones(4);
@@ -54,7 +41,7 @@
     assert_eq!(directory.evacuated_zones(), [OTHER_ZONE]);
     for port in 1..100 {
         let action = send(&directory, opener(&flow(port), 0)).expect("sent");
-        assert!([host(1), host(3)].contains(&receiver(&action)), "{port}");
+        assert!([host(1), host(3)].contains(&host_of(&action)), "{port}");
     }
     directory.set_evacuated(OTHER_ZONE, false, 201);
     assert_eq!(takers(&directory).len(), 4);
@@ -165,7 +152,7 @@
     directory.set_evacuated(ZONE, true, 200);
     directory.set_evacuated(OTHER_ZONE, true, 201);
     let mut reached: Vec<Ipv4Addr> = (1..200)
-        .map(|port| receiver(&send(&directory, request(&flow(port), 501)).expect("sent")))
+        .map(|port| host_of(&send(&directory, request(&flow(port), 501)).expect("sent")))
         .collect();
     reached.sort_unstable();
     reached.dedup();
@@ -179,8 +166,8 @@
     let mut asked_first = 0;
     for port in 1..=40 {
         let mut site = directory(count);
-        let placed = receiver(&send(&site, opener(&flow(port), 0)).expect("sent"));
-        let index = crate::builder::index_of(placed);
+        let placed = host_of(&send(&site, opener(&flow(port), 0)).expect("sent"));
+        let index = index_of(placed);
         if index == 1 {
             asked_first += 1;
             continue;
@@ -203,8 +190,8 @@
     assert_eq!(asked_first, 40);
 }
 
-/// Returns a batch with one state of an evacuation.
-fn batch(revision: u64, is_evacuated: bool) -> Published {
+/// Returns one state of an evacuation as a read tells it.
+fn evacuation(revision: u64, is_evacuated: bool) -> Published {
     Published {
         name: evacuation_name(ZONE),
         revision,
@@ -215,7 +202,11 @@
 #[test]
 fn an_evacuation_that_is_removed_and_set_again_in_one_batch_is_in_force() {
     let mut store = ConfigStore::new(&ClusterKey::new([1; 32]));
-    let values = vec![batch(5, true), batch(6, false), batch(7, true)];
+    let values = vec![
+        evacuation(5, true),
+        evacuation(6, false),
+        evacuation(7, true),
+    ];
     let read = Batch {
         revision: 7,
         values,
--- a/tests/opaque/forwarder.rs
+++ b/tests/opaque/forwarder.rs
@@ -4,18 +4,10 @@
 use endivedyke::{Code, Suspicion};
 
 use crate::builder::{
-    PacketSpec, RST, directory, flow, flow_of, forwarder, from_caller, host, hosts_told, index_of,
-    opener, publish, request, resets, state_text, state_text_in,
+    PacketSpec, RST, directory, flow, flow_of, forwarder, from_caller, host, host_of, hosts_told,
+    index_of, opener, publish, request, resets, state_text, state_text_in,
 };
 
-fn host_of(action: &Action) -> std::net::Ipv4Addr {
-    let Action::ToPeer(host, message, _) = action else {
-        panic!("not forwarded: {action:?}");
-    };
-    assert_eq!(message.kind, MessageKind::Deliver);
-    *host
-}
-
 fn send(forwarder: &mut Forwarder, packet: Vec<u8>) -> Action {
     let mut suspicion = Suspicion::default();
     forwarder
--- a/tests/opaque/unusable_entries.rs
+++ b/tests/opaque/unusable_entries.rs
@@ -1,20 +1,13 @@
 //! Entries that another program wrote: they name no backend server to use, and the others hold.
 
 use endivedyke::ServiceId;
-use endivedyke::opaque::{Backend, BackendState, Directory};
+use endivedyke::opaque::{Backend, BackendState};
 
 use crate::builder::{
     AgentUnderTest, SERVICE, backend_address, directory, flow, host, opener, overwrite, publish,
-    reaches_backend, request, resets, state_text, vanish,
+    reaches_backend, request, resets, state_text, takers, vanish,
 };
 
-fn takers(directory: &Directory) -> Vec<std::net::Ipv4Addr> {
-    let table = directory.table(ServiceId::of(SERVICE));
-    let rows = table.map_or(&[][..], |table| &table.rows);
-    let takers = rows.iter().filter(|row| row.weight > 0);
-    takers.map(|row| row.host).collect()
-}
-
 #[test]
 fn an_overwritten_entry_takes_no_flow_and_is_asked_for_those_it_holds() {
     let mut directory = directory(2);
