Show when the platform's history changes and when what it tells is dropped as older

Three confirmed configurations were in force nowhere for five seconds, and no log line or metric told whether they were offered. Ruled out by none of the lines: that the changes never came, or that they came and were dropped. Change: readers say that the platform forgot the changes that they asked for, that it answers from another history (its answers carry an era, which rises when it comes back from an older copy), and how many values of a read differ from those in force and are older by their revision; metrics platform_era and values_dropped; explain tells them. No decision changes.

--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -163,7 +163,7 @@
 ];
 
 /// What changes of belief beside a story add to it.
-const CIRCUMSTANCES: [Meaning; 12] = [
+const CIRCUMSTANCES: [Meaning; 15] = [
     meaning(
         "lines_dropped",
         "",
@@ -214,6 +214,24 @@
         "",
         "it learnt then that an evacuated availability zone is back in service",
     ),
+    meaning(
+        "history_forgotten",
+        "",
+        "",
+        "the platform no longer had the changes that it asked for",
+    ),
+    meaning(
+        "platform_era",
+        "",
+        "",
+        "the platform had come back from an older copy",
+    ),
+    meaning(
+        "values_dropped",
+        "",
+        "",
+        "it was told other values than those in force and took them for older",
+    ),
     meaning(
         "platform_fails",
         "",
--- a/src/explain/story.rs
+++ b/src/explain/story.rs
@@ -9,7 +9,7 @@
 const AFTER_MS: u64 = 500;
 
 /// What changes what a process believes or can do; see docs/OPERATIONS.md, "Log lines".
-const CONTEXT: [&str; 22] = [
+const CONTEXT: [&str; 25] = [
     "backend_ended",
     "backend_fails",
     "backend_restarted",
@@ -18,10 +18,12 @@
     "configuration_from_peer",
     "entry_mended",
     "entry_unusable",
+    "history_forgotten",
     "host_suspected",
     "leaving",
     "lines_dropped",
     "platform_answers",
+    "platform_era",
     "platform_fails",
     "ready",
     "reload",
@@ -31,6 +33,7 @@
     "unlisted_backend",
     "unsettled",
     "value_rejected",
+    "values_dropped",
     "waiting_for_configuration",
 ];
 
--- a/src/opaque/mod.rs
+++ b/src/opaque/mod.rs
@@ -34,7 +34,7 @@
 pub use crate::opaque::values::backend_change::BackendChange;
 pub use crate::opaque::values::directory::Directory;
 pub use crate::opaque::values::freshness::{Asker, Freshness, READERS, Standing, standing};
-pub use crate::opaque::values::news::news;
+pub use crate::opaque::values::news::{Dropped, dropped, news};
 pub use crate::opaque::values::own_backend::OwnBackend;
 pub use crate::opaque::values::published::forgot;
 pub use crate::opaque::values::source::{Batch, Published, Read, Source};
--- a/src/opaque/values/news.rs
+++ b/src/opaque/values/news.rs
@@ -30,3 +30,32 @@
     }
     news
 }
+
+/// A value that a read told and that does not come into force, since a newer one is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Dropped<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// The revision that the read told.
+    pub revision: u64,
+    /// The revision in force.
+    pub held_revision: u64,
+}
+
+/// Returns the values of a batch that say something else than what is in force, and are older by their revision.
+///
+/// A read that may be old tells some after a change; where the platform's newest read does, the two differ in what
+/// they take for the order of changes.
+pub fn dropped<'a>(store: &ConfigStore, batch: &'a Batch) -> Vec<Dropped<'a>> {
+    let older = batch.values.iter().filter_map(|value| {
+        let held = store.get(&value.name)?;
+        let text = value.text.as_deref().unwrap_or(GONE_TEXT);
+        let is_older = value.revision <= held.revision && held.text != text;
+        is_older.then_some(Dropped {
+            name: &value.name,
+            revision: value.revision,
+            held_revision: held.revision,
+        })
+    });
+    older.collect()
+}
--- a/src/opaque/values/published.rs
+++ b/src/opaque/values/published.rs
@@ -15,7 +15,7 @@
 use crate::opaque::BACKEND_PREFIX;
 use crate::opaque::packets::message::{Message, UNKNOWN_AGE_MS, UNSETTLED_UNIT_MS};
 use crate::opaque::values::freshness::{self, Asker, Freshness, Standing, WATCH_WAIT_MS};
-use crate::opaque::values::news::news;
+use crate::opaque::values::news::{dropped, news};
 use crate::opaque::values::published_entry::LAPSE_MS;
 use crate::opaque::values::source::{Batch, Read, Source};
 
@@ -47,6 +47,8 @@
     source: Source,
     freshness: RefCell<Freshness>,
     seen_revision: Cell<u64>,
+    /// The era of the platform's last answer, once it gave one.
+    era: Cell<Option<u64>>,
     asked: Cell<Option<(Ipv4Addr, u32)>>,
     pulling: Rc<Cell<bool>>,
     /// Until when entries that lapsed before this process started may come back.
@@ -64,6 +66,7 @@
             source,
             freshness: RefCell::default(),
             seen_revision: Cell::new(0),
+            era: Cell::default(),
             asked: Cell::new(None),
             pulling: Rc::default(),
             unsettled_until_ms: Cell::new(0),
@@ -220,6 +223,7 @@
                 true
             }
             Err(error) if error.code == Code::PlatformForgot => {
+                log::warn!("event=history_forgotten after={after} error={error}");
                 self.seen_revision.set(0);
                 true
             }
@@ -251,7 +255,42 @@
         result
     }
 
+    /// Says so where the platform answers from another history than before.
+    fn note_era(&self, batch: &Batch) {
+        self.control
+            .metrics
+            .opaque
+            .platform_era
+            .set(batch.era as i64);
+        let before = self.era.replace(Some(batch.era));
+        if let Some(before) = before.filter(|before| *before != batch.era) {
+            let (era, revision) = (batch.era, batch.revision);
+            log::warn!("event=platform_era era={era} before={before} revision={revision}");
+        }
+    }
+
+    /// Says so where values are dropped since others are in force with a higher revision.
+    fn note_dropped(&self, batch: &Batch) {
+        let store = self.control.store.borrow();
+        let dropped = dropped(&store, batch);
+        let metrics = &self.control.metrics.opaque;
+        metrics.values_dropped.inc_by(dropped.len() as u64);
+        let Some(first) = dropped.first() else {
+            return;
+        };
+        log::warn!(
+            "event=values_dropped count={} first={} revision={} held_revision={} era={}",
+            dropped.len(),
+            first.name,
+            first.revision,
+            first.held_revision,
+            batch.era
+        );
+    }
+
     fn take(&self, batch: &Batch) {
+        self.note_era(batch);
+        self.note_dropped(batch);
         let missing = if batch.is_whole {
             self.missing(batch)
         } else {
--- a/src/opaque/values/source.rs
+++ b/src/opaque/values/source.rs
@@ -24,6 +24,8 @@
     pub values: Vec<Published>,
     /// Whether these are all values that are published.
     pub is_whole: bool,
+    /// Which history of the platform this belongs to: it rises when the platform comes back from an older copy.
+    pub era: u64,
 }
 
 /// A read of the platform.
--- a/src/process/opaque_metrics.rs
+++ b/src/process/opaque_metrics.rs
@@ -42,6 +42,8 @@
     pub(crate) hosts_suspected: Counter,
     pub(crate) entries_unusable: Gauge,
     pub(crate) zones_evacuated: Gauge,
+    pub(crate) platform_era: Gauge,
+    pub(crate) values_dropped: Counter,
 }
 
 impl Default for OpaqueMetrics {
@@ -70,6 +72,8 @@
             values_age_seconds: Gauge::default(),
             entries_unusable: Gauge::default(),
             zones_evacuated: Gauge::default(),
+            platform_era: Gauge::default(),
+            values_dropped: Counter::default(),
             read_seconds: times(),
             pull_seconds: times(),
             hosts_suspected: Counter::default(),
@@ -110,7 +114,7 @@
         );
     }
 
-    fn counters(&self) -> [(&'static str, &'static str, &Counter); 15] {
+    fn counters(&self) -> [(&'static str, &'static str, &Counter); 16] {
         [
             (
                 "packets_shown",
@@ -187,10 +191,15 @@
                 "Hosts suspected for missed answers",
                 &self.hosts_suspected,
             ),
+            (
+                "values_dropped",
+                "Values read from the platform that differ from those in force and are older",
+                &self.values_dropped,
+            ),
         ]
     }
 
-    fn gauges(&self) -> [(&'static str, &'static str, &Gauge); 5] {
+    fn gauges(&self) -> [(&'static str, &'static str, &Gauge); 6] {
         [
             (
                 "opaque_flows_open",
@@ -217,6 +226,11 @@
                 "Availability zones whose backend servers get no new flow",
                 &self.zones_evacuated,
             ),
+            (
+                "platform_era",
+                "How often the platform has come back from an older copy, by its last answer",
+                &self.platform_era,
+            ),
         ]
     }
 }
--- a/tests/opaque/evacuation.rs
+++ b/tests/opaque/evacuation.rs
@@ -211,6 +211,7 @@
         revision: 7,
         values,
         is_whole: false,
+        era: 0,
     };
     let taken: Vec<(String, u64, String)> = news(&store, &read)
         .into_iter()
--- a/tests/opaque/news.rs
+++ b/tests/opaque/news.rs
@@ -1,6 +1,6 @@
 //! What a read of the platform tells that is new.
 
-use endivedyke::opaque::{BackendState, Batch, GONE_TEXT, Published, news};
+use endivedyke::opaque::{BackendState, Batch, Dropped, GONE_TEXT, Published, dropped, news};
 use endivedyke::{ClusterKey, ConfigStore};
 
 use crate::builder::state_text;
@@ -28,6 +28,7 @@
         revision: 30,
         values: states.iter().map(value).collect(),
         is_whole,
+        era: 0,
     }
 }
 
@@ -63,3 +64,18 @@
     let (revision, text) = taken(store(), &batch(true, &[(25, true)]));
     assert_eq!((revision, text), (25, ready()));
 }
+
+#[test]
+fn values_that_differ_and_are_older_are_told_as_dropped() {
+    let same = batch(true, &[(5, true)]);
+    assert_eq!(dropped(&store(), &same), []);
+    let newer = batch(true, &[(8, false)]);
+    assert_eq!(dropped(&store(), &newer), []);
+    let older = batch(true, &[(6, false)]);
+    let expected = Dropped {
+        name: NAME,
+        revision: 6,
+        held_revision: 7,
+    };
+    assert_eq!(dropped(&store(), &older), [expected]);
+}
