Bring about configurations that are dropped after the store came back older (red)

Operators saw requests handled by an older configuration for five seconds after newer ones were confirmed. Change: the stand-in for the store can be copied and come back from the copy: revisions go back, a watch from one that it does not have gets 410, each answer carries its era. Two tests bring the symptom about with real processes: a route that was taken away after the return is served for 30 s (as long as the test waits), with a refused watch and without one, where the store has passed the revision again. Three more hold today and guard the mend: what is in force does not go back with the store, no caller notices, what leaves or is evacuated stays so. No logic of the product changes.

--- a/lab/src/opaque/mod.rs
+++ b/lab/src/opaque/mod.rs
@@ -20,4 +20,4 @@
 pub use crate::opaque::quickstart::run_opaque_quickstart;
 pub use crate::opaque::site::{OpaqueSite, OpaqueSiteBuilder};
 pub use crate::opaque::soak::run_soak;
-pub use crate::opaque::store::{StoreFault, StoreHandle};
+pub use crate::opaque::store::{StoreCopy, StoreFault, StoreHandle};
--- a/lab/src/opaque/site.rs
+++ b/lab/src/opaque/site.rs
@@ -4,6 +4,7 @@
 mod control_proxy;
 mod faults;
 mod processes;
+mod restored_store;
 mod seen;
 mod settings;
 
@@ -35,6 +36,8 @@
 const PEER_PORT: u16 = 7_720;
 const METRICS_PORT: u16 = 9_102;
 const FIRST_CALLED_PORT: u16 = 443;
+/// The first of the called addresses that nobody calls.
+const FIRST_IDLE_CALLED: usize = 100;
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 const ADDRESS_TIMEOUT: Duration = Duration::from_secs(5);
 const POLL: Duration = Duration::from_millis(20);
@@ -157,6 +160,8 @@
             service_of: Vec::new(),
             routed: (0..self.services.len()).collect(),
             version: 0,
+            idle_addresses: 0,
+            evacuated: RefCell::default(),
             callers: None,
             spec: self,
         };
@@ -190,6 +195,10 @@
     /// The service behind each called address.
     routed: Vec<usize>,
     version: u64,
+    /// How many addresses are routed that nobody calls.
+    idle_addresses: usize,
+    /// The availability zones that operators evacuated.
+    evacuated: RefCell<Vec<String>>,
     callers: Option<CallersHandle>,
 }
 
@@ -248,19 +257,30 @@
         self.publish_routes();
     }
 
+    /// Routes one more address that nobody calls.
+    pub fn route_idle_address(&mut self) {
+        self.idle_addresses += 1;
+        self.publish_routes();
+    }
+
     fn publish_routes(&mut self) {
         self.version += 3;
-        let routes: Vec<_> = self
-            .routed
-            .iter()
-            .enumerate()
+        self.write_config();
+    }
+
+    /// Writes the newest configuration to the store, as a new one or once more.
+    fn write_config(&self) {
+        let routed = self.routed.iter().copied().enumerate();
+        let idle = (0..self.idle_addresses).map(|index| (FIRST_IDLE_CALLED + index, 0));
+        let routes: Vec<_> = routed
+            .chain(idle)
             .map(|(called, service)| {
                 let address = self.called(called);
                 json!({
                     "name": format!("r-{called}"),
                     "host": address.ip().to_string(),
                     "prefix": format!("/{}/", address.port()),
-                    "service": self.spec.services[*service].name,
+                    "service": self.spec.services[service].name,
                     "kind": "safe",
                 })
             })
--- a/lab/src/opaque/site/faults.rs
+++ b/lab/src/opaque/site/faults.rs
@@ -5,6 +5,9 @@
 use crate::opaque::backend::BackendHandle;
 use crate::opaque::site::{APP_PORT, OpaqueSite};
 
+/// What the keys start with by which operators evacuate zones.
+pub(super) const EVACUATE_PREFIX: &str = "op/evacuate/";
+
 impl OpaqueSite {
     /// Lets a backend server report that it leaves, and close flows after their next answer.
     pub fn drain_backend(&self, index: usize) {
@@ -34,12 +37,15 @@
 
     /// Asks that an availability zone gets no new flow.
     pub fn evacuate(&self, zone: &str) {
-        self.store.put(&format!("op/evacuate/{zone}"), &json!({}));
+        self.evacuated.borrow_mut().push(zone.to_owned());
+        self.store
+            .put(&format!("{EVACUATE_PREFIX}{zone}"), &json!({}));
     }
 
     /// Takes an evacuated availability zone back.
     pub fn take_back(&self, zone: &str) {
-        self.store.remove(&format!("op/evacuate/{zone}"));
+        self.evacuated.borrow_mut().retain(|known| known != zone);
+        self.store.remove(&format!("{EVACUATE_PREFIX}{zone}"));
     }
 
     /// Takes a backend server's entry away while the server lives, as a store that was away does.
--- a/lab/src/opaque/store.rs
+++ b/lab/src/opaque/store.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use compio::net::TcpListener;
 use endivedyke::Result;
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use percent_encoding::percent_decode_str;
@@ -18,6 +18,8 @@
 
 use crate::http_text::text;
 
+/// The header of all answers that tells how often the store came back from an older copy.
+const ERA_HEADER: &str = "store-era";
 const WATCH_POLL: Duration = Duration::from_millis(10);
 /// How many items a page holds; fewer than the platform's, so that tests meet several pages.
 const PAGE_ITEMS: usize = 8;
@@ -54,6 +56,15 @@
     turned_away: Vec<Ipv4Addr>,
     stale: Option<(Vec<Item>, u64)>,
     calls: u64,
+    /// How often it has come back from an older copy.
+    era: u64,
+}
+
+/// What a store held at some time, from which it can come back.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    items: Vec<Item>,
+    revision: u64,
 }
 
 /// A running store, for whoever plays the operator.
@@ -133,6 +144,33 @@
         store.events.clear();
     }
 
+    /// Copies what the store holds.
+    pub fn copy(&self) -> StoreCopy {
+        let store = self.store.borrow();
+        StoreCopy {
+            items: store.items.clone(),
+            revision: store.revision,
+        }
+    }
+
+    /// Lets the store come back from an older copy: what was written since is gone, and revisions are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut store = self.store.borrow_mut();
+        store.items = copy.items.clone();
+        store.revision = copy.revision;
+        store.events.retain(|item| item.revision <= copy.revision);
+        store.forgotten_revision = store.forgotten_revision.min(copy.revision);
+        store.stale = None;
+        store.era += 1;
+    }
+
+    /// Returns the keys of all items that start with a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let store = self.store.borrow();
+        let keys = store.items.iter().map(|item| item.key.clone());
+        keys.filter(|key| key.starts_with(prefix)).collect()
+    }
+
     /// Lets stale reads show the present state from now on, or the newest again.
     pub fn freeze_stale_reads(&self, frozen: bool) {
         let mut store = self.store.borrow_mut();
@@ -145,6 +183,13 @@
     }
 
     async fn answer(self, from: IpAddr, request: Request<Incoming>) -> Answer {
+        let mut answer = self.clone().answer_without_era(from, request).await;
+        let era = HeaderValue::from(self.store.borrow().era);
+        answer.headers_mut().insert(ERA_HEADER, era);
+        answer
+    }
+
+    async fn answer_without_era(self, from: IpAddr, request: Request<Incoming>) -> Answer {
         self.store.borrow_mut().calls += 1;
         let query = request.uri().query().unwrap_or("").to_owned();
         loop {
@@ -208,7 +253,7 @@
         loop {
             {
                 let store = self.store.borrow();
-                if after < store.forgotten_revision {
+                if after < store.forgotten_revision || after > store.revision {
                     return text(StatusCode::GONE, "{}");
                 }
                 let newer = store.events.iter();
--- /dev/null
+++ b/lab/tests/opaque_restored_store.rs
@@ -0,0 +1,182 @@
+//! Opaque flows while the platform's store comes back from an older copy, with real processes.
+//!
+//! Operators found three confirmed configurations in force nowhere for five seconds. The store had come back from a copy
+//! some seconds old and gave out revisions again that it had given out before. Processes order values by revision alone,
+//! so that they took the new configurations for older ones and dropped them without a word, until the store had passed
+//! the revision that was in force. What settled it: after routes had been in force at 18, entries came
+//! into force at 14 and 15 and the next routes at 22.
+//!
+//! ```text
+//! 13.0328 event=value_in_force name=routes revision=18
+//! 16.0030 event=platform_fails read=Changes { after: 18, wait_ms: 1500 }
+//! 18.7094 event=value_in_force name=services revision=14
+//! 22.8125 event=value_in_force name=backend/i-3bd4b4b94d revision=15
+//! 26.0148 event=value_in_force name=backend/i-e124e80ab3 revision=19
+//! 31.0316 event=value_in_force name=routes revision=22
+//! ```
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::opaque::{assert_promises, assert_unnoticed};
+use common::{run, sleep_ms};
+use endivedyke_lab::opaque::{OpaqueSite, OpaqueSiteBuilder, StoreFault};
+
+/// How long a change may take that every process takes sooner or later; an idle machine needs a second.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(30);
+/// For how long nothing must happen that is to happen no more, in milliseconds.
+const STILL_MS: u64 = 1_500;
+
+/// The service whose address is taken away, and the index of its one backend server.
+const INTAKE: usize = 1;
+const INTAKE_SERVER: usize = 2;
+
+async fn site() -> OpaqueSite {
+    let builder = OpaqueSiteBuilder::new(2).service("panel-front", 2, 4, 5);
+    let builder = builder.service("study-intake", 1, 4, 5);
+    builder.start().await.expect("the site starts")
+}
+
+/// Publishes idle changes of the configuration, and waits until they are in force.
+async fn change_idly(site: &mut OpaqueSite, changes: usize) {
+    for _ in 0..changes {
+        site.route_idle_address();
+        sleep_ms(250).await;
+    }
+    sleep_ms(1_000).await;
+}
+
+/// Waits until openers no longer reach a backend server.
+async fn wait_still(site: &OpaqueSite, index: usize) {
+    let until = Instant::now() + CHANGE_TIMEOUT;
+    loop {
+        let before = site.opened(index);
+        sleep_ms(STILL_MS).await;
+        if site.opened(index) == before {
+            return;
+        }
+        assert!(
+            Instant::now() < until,
+            "openers go on to a service whose route is gone"
+        );
+    }
+}
+
+#[test]
+fn a_configuration_confirmed_after_an_older_copy_is_in_force() {
+    run(async {
+        let mut site = site().await;
+        let copy = site.store().copy();
+        change_idly(&mut site, 8).await;
+        site.call(&[site.plan(INTAKE, 0, 4)]).expect("callers");
+        site.store().restore(&copy);
+        site.write_again();
+        sleep_ms(1_000).await;
+        assert!(site.opened(INTAKE_SERVER) > 0, "no opener came");
+        site.unroute_last();
+        wait_still(&site, INTAKE_SERVER).await;
+        let tally = site.finish().await;
+        assert_promises(&site, &tally);
+    });
+}
+
+#[test]
+fn changes_below_a_revision_that_the_store_has_passed_again_are_in_force() {
+    run(async {
+        let mut site = site().await;
+        let copy = site.store().copy();
+        change_idly(&mut site, 2).await;
+        site.call(&[site.plan(INTAKE, 0, 4)]).expect("callers");
+        site.store().set_fault(Some(StoreFault::Busy));
+        sleep_ms(500).await;
+        // A watch from the revision before is not refused: the store has passed it when it answers again.
+        site.store().restore(&copy);
+        site.unroute_last();
+        for index in 0..3 {
+            site.register_again(index);
+        }
+        site.store().set_fault(None);
+        wait_still(&site, INTAKE_SERVER).await;
+        let tally = site.finish().await;
+        assert_promises(&site, &tally);
+    });
+}
+
+#[test]
+fn a_configuration_does_not_go_back_with_the_store() {
+    run(async {
+        let mut site = site().await;
+        site.call(&[site.plan(INTAKE, 0, 4)]).expect("callers");
+        let copy = site.store().copy();
+        sleep_ms(500).await;
+        site.unroute_last();
+        wait_still(&site, INTAKE_SERVER).await;
+        site.store().restore(&copy);
+        // The operators take their time; processes that start meanwhile learn from the others.
+        site.restart_agent(0).expect("starts");
+        site.restart_balancer(1).expect("starts");
+        site.wait_ready().await.expect("ready");
+        let before = site.opened(INTAKE_SERVER);
+        sleep_ms(STILL_MS).await;
+        assert_eq!(site.opened(INTAKE_SERVER), before, "the route came back");
+        site.write_again();
+        wait_still(&site, INTAKE_SERVER).await;
+    });
+}
+
+#[test]
+fn no_caller_notices_that_the_store_is_older() {
+    run(async {
+        let builder = OpaqueSiteBuilder::new(2).service("panel-front", 3, 4, 5);
+        let mut site = builder.start().await.expect("the site starts");
+        let copy = site.store().copy();
+        let joined = site.add_backend(0).await.expect("starts");
+        site.start_agent(joined).expect("starts");
+        sleep_ms(500).await;
+        site.call(&[site.plan(0, 12, 4)]).expect("callers");
+        sleep_ms(1_000).await;
+        site.store().set_fault(Some(StoreFault::Busy));
+        sleep_ms(700).await;
+        // The copy does not know the server that joined, which writes its entry again a second later.
+        site.store().restore(&copy);
+        site.store().set_fault(None);
+        sleep_ms(1_000).await;
+        site.write_again();
+        sleep_ms(2_500).await;
+        let tally = site.finish().await;
+        assert_unnoticed(&site, &tally);
+    });
+}
+
+#[test]
+fn what_leaves_and_what_is_evacuated_stays_so_while_the_store_is_older() {
+    run(async {
+        let builder = OpaqueSiteBuilder::new(2).service("panel-front", 3, 4, 5);
+        let mut site = builder.start().await.expect("the site starts");
+        let copy = site.store().copy();
+        site.call(&[site.plan(0, 0, 6)]).expect("callers");
+        site.evacuate(site.zone_of(0));
+        site.drain_backend(1);
+        wait_still(&site, 0).await;
+        wait_still(&site, 1).await;
+        site.store().set_fault(Some(StoreFault::Busy));
+        sleep_ms(700).await;
+        let before = [site.opened(0), site.opened(1)];
+        site.store().restore(&copy);
+        site.store().set_fault(None);
+        sleep_ms(1_000).await;
+        site.write_again();
+        sleep_ms(STILL_MS).await;
+        assert_eq!([site.opened(0), site.opened(1)], before);
+        // Nothing was lost by it: the zone is taken back as ever.
+        site.take_back(site.zone_of(0));
+        let until = Instant::now() + CHANGE_TIMEOUT;
+        while site.opened(0) == before[0] {
+            assert!(Instant::now() < until, "the zone was not taken back");
+            sleep_ms(50).await;
+        }
+        let tally = site.finish().await;
+        assert_promises(&site, &tally);
+    });
+}
