--- a/benches/hot_paths.rs
+++ b/benches/hot_paths.rs
@@ -60,7 +60,7 @@
         service,
         caller: SocketAddr::from(([198, 51, 100, 1], 4_433)),
         balancer: host(9),
-        revision: 1,
+        revision: 1.into(),
     };
     let mut short = vec![0x40];
     short.extend_from_slice(&token(store.ring()));
--- a/lab/src/opaque/site/restored_store.rs
+++ b/lab/src/opaque/site/restored_store.rs
@@ -6,6 +6,11 @@
 use crate::opaque::site::faults::EVACUATE_PREFIX;
 
 impl OpaqueSite {
+    /// Returns the version of the newest configuration.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Writes again what operators and backend servers wrote, as far as the store no longer has it.
     pub fn write_again(&self) {
         self.write_config();
--- a/lab/tests/hostile_peers.rs
+++ b/lab/tests/hostile_peers.rs
@@ -36,7 +36,7 @@
                     service: ServiceId::of("queue-desk"),
                     caller: port,
                     balancer: "127.0.0.1".parse().expect("an address"),
-                    revision: u64::MAX,
+                    revision: u64::MAX.into(),
                 };
                 foreign.append(&mut datagram, &envelope);
             }
--- a/lab/tests/opaque_restored_store.rs
+++ b/lab/tests/opaque_restored_store.rs
@@ -17,10 +17,13 @@
 
 mod common;
 
+use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
 use common::opaque::{assert_promises, assert_unnoticed};
 use common::{run, sleep_ms};
+use endivedyke::Result;
+use endivedyke_lab::Process;
 use endivedyke_lab::opaque::{OpaqueSite, OpaqueSiteBuilder, StoreFault};
 
 /// How long a change may take that every process takes sooner or later; an idle machine needs a second.
@@ -63,6 +66,17 @@
     }
 }
 
+/// Waits until processes have a version of the configuration in force.
+async fn wait_version(site: &OpaqueSite, version: u64, hosts: &[Ipv4Addr]) {
+    let until = Instant::now() + CHANGE_TIMEOUT;
+    for host in hosts {
+        while site.metric(*host, "config_version").await.ok() != Some(version as f64) {
+            assert!(Instant::now() < until, "{host} has another configuration");
+            sleep_ms(50).await;
+        }
+    }
+}
+
 #[test]
 fn a_configuration_confirmed_after_an_older_copy_is_in_force() {
     run(async {
@@ -117,6 +131,8 @@
         site.restart_agent(0).expect("starts");
         site.restart_balancer(1).expect("starts");
         site.wait_ready().await.expect("ready");
+        let restarted = [site.agent_host(0), site.balancer_host(1)];
+        wait_version(&site, site.version(), &restarted).await;
         let before = site.opened(INTAKE_SERVER);
         sleep_ms(STILL_MS).await;
         assert_eq!(site.opened(INTAKE_SERVER), before, "the route came back");
@@ -125,6 +141,54 @@
     });
 }
 
+#[test]
+fn a_process_that_started_on_an_older_copy_hears_of_the_newer_configuration() {
+    run(async {
+        let mut site = site().await;
+        let hosts: Vec<Ipv4Addr> = (0..2)
+            .map(|index| site.balancer_host(index))
+            .chain((0..3).map(|index| site.agent_host(index)))
+            .collect();
+        // One of them is first among those that read, and asks nobody.
+        for agent in 0..3 {
+            let older = site.version();
+            let copy = site.store().copy();
+            change_idly(&mut site, 2).await;
+            wait_version(&site, site.version(), &hosts).await;
+            for_all_but_one_agent(&mut site, agent, Process::freeze);
+            site.store()
+                .turn_away(&others_than(&hosts, site.agent_host(agent)));
+            site.store().restore(&copy);
+            site.restart_agent(agent).expect("starts");
+            wait_version(&site, older, &[site.agent_host(agent)]).await;
+            for_all_but_one_agent(&mut site, agent, Process::thaw);
+            wait_version(&site, site.version(), &hosts).await;
+            site.store().turn_away(&[]);
+            site.write_again();
+            wait_version(&site, site.version(), &hosts).await;
+        }
+    });
+}
+
+fn others_than(hosts: &[Ipv4Addr], spared: Ipv4Addr) -> Vec<Ipv4Addr> {
+    let others = hosts.iter().copied();
+    others.filter(|host| *host != spared).collect()
+}
+
+/// Does something to every process of the site but one agent.
+fn for_all_but_one_agent(
+    site: &mut OpaqueSite,
+    spared: usize,
+    act: impl Fn(&Process) -> Result<()>,
+) {
+    for index in 0..2 {
+        act(site.balancer(index).expect("runs")).expect("runs");
+    }
+    for index in (0..3).filter(|index| *index != spared) {
+        act(site.agent(index).expect("runs")).expect("runs");
+    }
+}
+
 #[test]
 fn no_caller_notices_that_the_store_is_older() {
     run(async {
--- a/schema/node.capnp
+++ b/schema/node.capnp
@@ -2,8 +2,10 @@
 # Control protocol between the processes of endivedyke; see docs/DESIGN.md, "Control links".
 
 struct Entry {
+  # A name and the state of its value; `version` is its writer's, 0 where there is none.
   name @0 :Text;
   revision @1 :UInt64;
+  version @2 :UInt64;
 }
 
 struct Value {
@@ -15,6 +17,7 @@
   removedLines @4 :UInt32;
   text @5 :Text;
   digest @6 :UInt64;
+  version @7 :UInt64;
 }
 
 struct Digest {
--- a/src/config/backend_entry.rs
+++ b/src/config/backend_entry.rs
@@ -232,6 +232,19 @@
     format!("{text},{STARTED_PREFIX}{started_unix_ms}")
 }
 
+/// Tells whether one published text says of a backend server what was so before the other.
+///
+/// Who has announced to leave does not return within its lifetime, and a lifetime does not come back.
+pub(crate) fn goes_back(from: &str, to: &str) -> bool {
+    let (Ok(Some(from)), Ok(Some(to))) = (Backend::parse(from), Backend::parse(to)) else {
+        return false;
+    };
+    if from.started_unix_ms != to.started_unix_ms {
+        return to.started_unix_ms.is_some() && to.started_unix_ms < from.started_unix_ms;
+    }
+    from.state == BackendState::Draining && to.state == BackendState::Ready
+}
+
 /// Returns the published text of an entry that names no backend server to use.
 pub fn unusable_text(reason: UnusableReason) -> String {
     format!("{UNUSABLE_PREFIX}{}", reason.word())
--- a/src/config/config_store.rs
+++ b/src/config/config_store.rs
@@ -1,14 +1,16 @@
 //! The published values that a process holds, whose revisions only rise.
 
 use crate::code::Code;
-use crate::config::backend_entry::{BACKEND_PREFIX, BackendValue};
+use crate::config::backend_entry::{self, BACKEND_PREFIX, BackendValue, GONE_TEXT};
 use crate::config::cold_starts::{self, COLD_STARTS_NAME};
 use crate::config::delta::Delta;
 use crate::config::hash;
 use crate::config::hosts::HostList;
 use crate::config::keys::{ClusterKey, KeyRing};
+use crate::config::revision::Revision;
 use crate::config::route_table::{ROUTES_NAME, RouteTable};
 use crate::config::service_id::ServiceId;
+use crate::config::stamp::Stamp;
 use crate::config::table::Table;
 use crate::error::{Error, Result};
 
@@ -27,11 +29,13 @@
     /// Its name.
     pub name: String,
     /// Its revision; 0 before the first accepted one.
-    pub revision: u64,
+    pub revision: Revision,
+    /// The version that its writer gave it, or 0.
+    pub version: u64,
     /// Its text.
     pub text: String,
     /// The revision before, from which most peers can be brought up by a delta.
-    pub previous_revision: u64,
+    pub previous_revision: Revision,
     previous_text: String,
     rejected: Option<Rejection>,
 }
@@ -40,7 +44,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Rejection {
     /// The revision that is not in force.
-    pub revision: u64,
+    pub revision: Revision,
     /// Why.
     pub error: Error,
 }
@@ -50,10 +54,10 @@
 pub struct ValueUpdate {
     /// The value's name.
     pub name: String,
-    /// The revision that it brings.
-    pub revision: u64,
+    /// Which state it brings.
+    pub stamp: Stamp,
     /// The revision against which the delta was made; 0 where it makes the whole text of nothing.
-    pub base: u64,
+    pub base: Revision,
     /// The change.
     pub delta: Delta,
 }
@@ -62,7 +66,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Digest {
     /// The highest revision in force.
-    pub highest: u64,
+    pub highest: Revision,
     /// A hash over all names and revisions.
     pub hash: u64,
 }
@@ -72,7 +76,7 @@
 pub enum Acceptance {
     /// It is in force now.
     Accepted,
-    /// An equal or newer revision is in force; nothing changed.
+    /// An equal or newer state is in force; nothing changed.
     Old,
 }
 
@@ -88,6 +92,8 @@
     hosts: HostList,
     ring: KeyRing,
     digest: Digest,
+    /// Whether the platform may still show states from before it came back from an older copy.
+    is_settling: bool,
 }
 
 enum Parsed {
@@ -107,28 +113,38 @@
             hosts: HostList::default(),
             ring: KeyRing::initial(cluster),
             digest: Digest::default(),
+            is_settling: false,
         }
     }
 
-    /// Takes a value if its revision is above the one in force and its text is sound.
+    /// Takes a value if its state is after the one in force and its text is sound.
     ///
     /// # Errors
     ///
     /// Returns the code of the first fault of the text; the value in force stays.
-    pub fn accept(&mut self, name: &str, revision: u64, text: &str) -> Result<Acceptance> {
+    pub fn accept(
+        &mut self,
+        name: &str,
+        stamp: impl Into<Stamp>,
+        text: &str,
+    ) -> Result<Acceptance> {
+        let stamp = stamp.into();
         let index = self.index_or_insert(name);
-        if !self.values[index].is_news(revision) {
+        if !self.values[index].is_news(stamp) {
+            return Ok(Acceptance::Old);
+        }
+        if self.is_settling && self.values[index].is_older_entry(stamp, text) {
             return Ok(Acceptance::Old);
         }
         match self.parse(name, text) {
             Ok(parsed) => {
-                self.put(index, revision, text);
+                self.put(index, stamp, text);
                 self.apply(parsed);
                 Ok(Acceptance::Accepted)
             }
             Err(error) => {
                 self.values[index].rejected = Some(Rejection {
-                    revision,
+                    revision: stamp.revision,
                     error: error.clone(),
                 });
                 Err(error)
@@ -143,24 +159,26 @@
     /// Returns code 2302 where the change does not fit, else as [`ConfigStore::accept`].
     pub fn accept_update(&mut self, update: &ValueUpdate) -> Result<Acceptance> {
         let held = self.get(&update.name);
-        if held.is_some_and(|value| !value.is_news(update.revision)) {
+        if held.is_some_and(|value| !value.is_news(update.stamp)) {
             return Ok(Acceptance::Old);
         }
-        let held_revision = held.map_or(0, |value| value.revision);
+        let held_revision = held.map_or(Revision::ZERO, |value| value.revision);
         let text = match update.base {
-            0 => update.delta.apply("")?,
+            Revision::ZERO => update.delta.apply("")?,
             base if base == held_revision => {
                 update.delta.apply(held.map_or("", |value| &value.text))?
             }
             _ => return Err(Error::new(Code::DeltaMismatch, update.name.clone())),
         };
-        self.accept(&update.name, update.revision, &text)
+        self.accept(&update.name, update.stamp, &text)
     }
 
     /// Returns the update that brings a peer that holds revision `have` to the one in force.
-    pub fn update_for(&self, name: &str, have: u64) -> Option<ValueUpdate> {
-        let value = self.get(name).filter(|value| value.revision > 0)?;
-        let known = have > 0 && have == value.previous_revision;
+    pub fn update_for(&self, name: &str, have: Revision) -> Option<ValueUpdate> {
+        let value = self
+            .get(name)
+            .filter(|value| value.revision > Revision::ZERO)?;
+        let known = have > Revision::ZERO && have == value.previous_revision;
         let old = if known {
             value.previous_text.as_str()
         } else {
@@ -168,28 +186,30 @@
         };
         Some(ValueUpdate {
             name: value.name.clone(),
-            revision: value.revision,
-            base: if known { have } else { 0 },
+            stamp: value.stamp(),
+            base: if known { have } else { Revision::ZERO },
             delta: Delta::between(old, &value.text),
         })
     }
 
-    /// Returns names and revisions in force above `floor`.
-    pub fn changes_since(&self, floor: u64) -> Vec<(&str, u64)> {
+    /// Returns the names of values in force above `floor`, and their states.
+    pub fn changes_since(&self, floor: Revision) -> Vec<(&str, Stamp)> {
         let newer = self.values.iter().filter(|value| value.revision > floor);
         newer
-            .map(|value| (value.name.as_str(), value.revision))
+            .map(|value| (value.name.as_str(), value.stamp()))
             .collect()
     }
 
-    /// Tells whether a revision would be news: neither in force, nor older, nor rejected before.
-    pub fn wants(&self, name: &str, revision: u64) -> bool {
-        self.get(name).is_none_or(|value| value.is_news(revision))
+    /// Tells whether a state would be news: neither in force, nor older, nor rejected before.
+    pub fn wants(&self, name: &str, stamp: impl Into<Stamp>) -> bool {
+        let stamp = stamp.into();
+        self.get(name).is_none_or(|value| value.is_news(stamp))
     }
 
     /// Returns the revision of a value in force, or 0.
-    pub fn revision(&self, name: &str) -> u64 {
-        self.get(name).map_or(0, |value| value.revision)
+    pub fn revision(&self, name: &str) -> Revision {
+        self.get(name)
+            .map_or(Revision::ZERO, |value| value.revision)
     }
 
     /// Returns all values in order of their names.
@@ -236,6 +256,16 @@
         self.digest
     }
 
+    /// Tells whether the platform came back from an older copy, and [`ConfigStore::settle`] was not called since.
+    pub fn is_settling(&self) -> bool {
+        self.is_settling
+    }
+
+    /// Notes that what the platform shows from now on was written, or left as it is, since it came back.
+    pub fn settle(&mut self) {
+        self.is_settling = false;
+    }
+
     fn parse(&self, name: &str, text: &str) -> Result<Parsed> {
         if text.len() > MAX_VALUE_BYTES {
             return Err(Error::new(Code::ValueTooLarge, name));
@@ -277,15 +307,18 @@
         })
     }
 
-    fn put(&mut self, index: usize, revision: u64, text: &str) {
+    fn put(&mut self, index: usize, stamp: Stamp, text: &str) {
+        let Stamp { revision, version } = stamp;
         let value = &mut self.values[index];
         let name_hash = hash::name_hash(&value.name);
-        if value.revision > 0 {
-            self.digest.hash ^= hash::pair_hash(name_hash, value.revision);
+        if value.revision > Revision::ZERO {
+            self.digest.hash ^= hash::pair_hash(name_hash, value.revision.bits());
         }
-        self.digest.hash ^= hash::pair_hash(name_hash, revision);
+        self.digest.hash ^= hash::pair_hash(name_hash, revision.bits());
+        self.is_settling |= revision.era() > self.digest.highest.era();
         self.digest.highest = self.digest.highest.max(revision);
         value.previous_revision = std::mem::replace(&mut value.revision, revision);
+        value.version = version;
         value.previous_text = std::mem::replace(&mut value.text, text.to_owned());
         let rejected = value.rejected.take();
         value.rejected = rejected.filter(|rejection| rejection.revision > revision);
@@ -313,25 +346,48 @@
     fn empty(name: &str) -> Self {
         Self {
             name: name.to_owned(),
-            revision: 0,
+            revision: Revision::ZERO,
+            version: 0,
             text: String::new(),
-            previous_revision: 0,
+            previous_revision: Revision::ZERO,
             previous_text: String::new(),
             rejected: None,
         }
     }
 
+    /// Tells whether a text is that of an entry from before the platform came back, of which newer things are known.
+    ///
+    /// A backend server that has announced to leave would get new flows again by it.
+    fn is_older_entry(&self, stamp: Stamp, text: &str) -> bool {
+        let last = if self.text == GONE_TEXT {
+            &self.previous_text
+        } else {
+            &self.text
+        };
+        let is_entry = self.name.starts_with(BACKEND_PREFIX);
+        let is_across_eras = stamp.revision.era() > self.revision.era();
+        is_entry && is_across_eras && backend_entry::goes_back(last, text)
+    }
+
+    /// Returns where the state in force stands.
+    pub fn stamp(&self) -> Stamp {
+        Stamp {
+            revision: self.revision,
+            version: self.version,
+        }
+    }
+
     /// Returns the newest rejected revision, if it is newer than the one in force.
     pub fn rejected(&self) -> Option<&Rejection> {
         self.rejected.as_ref()
     }
 
-    /// Tells whether a revision is above the one in force and was not rejected already.
+    /// Tells whether a state is after the one in force and was not rejected already.
     ///
     /// One below a rejected revision is news all the same: where the rejected one came first, the
     /// sound one before it is what the other hosts have in force.
-    fn is_news(&self, revision: u64) -> bool {
+    fn is_news(&self, stamp: Stamp) -> bool {
         let rejected = self.rejected.as_ref().map(|rejection| rejection.revision);
-        revision > self.revision && rejected != Some(revision)
+        stamp.is_after(self.stamp()) && rejected != Some(stamp.revision)
     }
 }
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -6,6 +6,7 @@
 use http::Response;
 
 use crate::code::Code;
+use crate::config::revision::Revision;
 use crate::error::{Error, Result};
 use crate::process::http_client;
 
@@ -18,9 +19,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlatformChanges {
     /// The highest revision.
-    pub highest: u64,
+    pub highest: Revision,
     /// Each changed value's name and revision.
-    pub entries: Vec<(String, u64)>,
+    pub entries: Vec<(String, Revision)>,
 }
 
 /// Reads one value and its revision.
@@ -28,7 +29,7 @@
 /// # Errors
 ///
 /// Returns code 5002 where the service does not answer as documented.
-pub async fn read_value(address: SocketAddr, name: &str) -> Result<(u64, String)> {
+pub async fn read_value(address: SocketAddr, name: &str) -> Result<(Revision, String)> {
     let path = format!("/values/{name}");
     let response = ask(address, &path, READ_TIMEOUT_MS).await?;
     let revision = revision(&response)?;
@@ -42,12 +43,14 @@
 /// # Errors
 ///
 /// Returns code 5002 where the service does not answer as documented.
-pub async fn watch(address: SocketAddr, since: u64, wait_ms: u64) -> Result<PlatformChanges> {
+pub async fn watch(address: SocketAddr, since: Revision, wait_ms: u64) -> Result<PlatformChanges> {
+    let since = since.number();
     let path = format!("/changes?since={since}&wait_ms={wait_ms}");
     let response = ask(address, &path, wait_ms + READ_TIMEOUT_MS).await?;
     let highest = revision(&response)?;
     let body = String::from_utf8_lossy(response.body()).into_owned();
-    let entries = body.lines().map(parse_entry).collect::<Result<_>>()?;
+    let entries = body.lines().map(|line| parse_entry(line, highest.era()));
+    let entries = entries.collect::<Result<_>>()?;
     Ok(PlatformChanges { highest, entries })
 }
 
@@ -60,15 +63,18 @@
     Ok(response)
 }
 
-fn revision(response: &Response<Bytes>) -> Result<u64> {
-    let header = response.headers().get(REVISION_HEADER);
-    let revision = header.and_then(|value| value.to_str().ok()?.parse().ok());
-    revision.ok_or_else(|| silent("no revision header"))
+fn revision(response: &Response<Bytes>) -> Result<Revision> {
+    let header = |name: &str| response.headers().get(name);
+    let number = |name: &str| header(name)?.to_str().ok()?.parse().ok();
+    let revision = number(REVISION_HEADER).and_then(|number| Revision::new(0, number));
+    revision.ok_or_else(|| silent("no revision header, or one that is no number"))
 }
 
-fn parse_entry(line: &str) -> Result<(String, u64)> {
-    let entry = line.rsplit_once(' ');
-    let entry = entry.and_then(|(name, revision)| Some((name.to_owned(), revision.parse().ok()?)));
+fn parse_entry(line: &str, era: u64) -> Result<(String, Revision)> {
+    let entry = line.rsplit_once(' ').and_then(|(name, number)| {
+        let revision = Revision::new(era, number.parse().ok()?)?;
+        Some((name.to_owned(), revision))
+    });
     entry.ok_or_else(|| silent(&format!("line {line:?}")))
 }
 
--- a/src/controllers/control.rs
+++ b/src/controllers/control.rs
@@ -8,7 +8,11 @@
 
 use crate::config::config_store::{Acceptance, ConfigStore, HOSTS_NAME, ValueUpdate};
 use crate::config::hosts::HostRole;
+use crate::config::revision::Revision;
+use crate::config::route_table::ROUTES_NAME;
 use crate::config::settings::Settings;
+use crate::config::stamp::Stamp;
+use crate::config::value_state::ValueState;
 use crate::decisions::suspicion::Suspicion;
 use crate::error::Result;
 use crate::links::peers::Peers;
@@ -79,27 +83,33 @@
     }
 
     /// Takes a value that the platform published.
-    pub(crate) fn accept(&self, name: &str, revision: u64, text: &str) -> Result<Acceptance> {
-        let result = self.store.borrow_mut().accept(name, revision, text);
-        if self.judge(name, revision, &result) {
-            self.in_force(&[(name, revision)]);
+    pub(crate) fn accept(
+        &self,
+        name: &str,
+        stamp: impl Into<Stamp>,
+        text: &str,
+    ) -> Result<Acceptance> {
+        let stamp = stamp.into();
+        let result = self.store.borrow_mut().accept(name, stamp, text);
+        if self.judge(name, stamp.revision, &result) {
+            self.in_force(&[(name, stamp)]);
         }
         result
     }
 
     /// Takes values that the platform published together; a rejected one is counted and logged.
-    pub(crate) fn accept_all(&self, values: &[(&str, u64, &str)]) {
-        self.conclude(values.iter().map(|&(name, revision, text)| {
-            let result = self.store.borrow_mut().accept(name, revision, text);
-            (name, revision, result)
+    pub(crate) fn accept_all(&self, values: &[ValueState<'_>]) {
+        self.conclude(values.iter().map(|&ValueState { name, stamp, text }| {
+            let result = self.store.borrow_mut().accept(name, stamp, text);
+            (name, stamp, result)
         }));
     }
 
     /// Takes a value that a peer sent.
     pub(crate) fn accept_update(&self, update: &ValueUpdate) -> Result<Acceptance> {
         let result = self.store.borrow_mut().accept_update(update);
-        if self.judge(&update.name, update.revision, &result) {
-            self.in_force(&[(&update.name, update.revision)]);
+        if self.judge(&update.name, update.stamp.revision, &result) {
+            self.in_force(&[(&update.name, update.stamp)]);
         }
         result
     }
@@ -108,18 +118,18 @@
     pub(crate) fn accept_updates<'a>(&self, updates: &'a [ValueUpdate]) -> Vec<&'a str> {
         self.conclude(updates.iter().map(|update| {
             let result = self.store.borrow_mut().accept_update(update);
-            (update.name.as_str(), update.revision, result)
+            (update.name.as_str(), update.stamp, result)
         }))
     }
 
     /// Judges what became of values that came together, tells of those in force, and returns their names.
     fn conclude<'a>(
         &self,
-        results: impl Iterator<Item = (&'a str, u64, Result<Acceptance>)>,
+        results: impl Iterator<Item = (&'a str, Stamp, Result<Acceptance>)>,
     ) -> Vec<&'a str> {
-        let judged = results.filter(|(name, revision, result)| self.judge(name, *revision, result));
-        let accepted: Vec<(&str, u64)> =
-            judged.map(|(name, revision, _)| (name, revision)).collect();
+        let judged =
+            results.filter(|(name, stamp, result)| self.judge(name, stamp.revision, result));
+        let accepted: Vec<(&str, Stamp)> = judged.map(|(name, stamp, _)| (name, stamp)).collect();
         self.in_force(&accepted);
         accepted.into_iter().map(|(name, _)| name).collect()
     }
@@ -144,7 +154,7 @@
     }
 
     /// Counts what became of a value; tells whether it came into force.
-    fn judge(&self, name: &str, revision: u64, result: &Result<Acceptance>) -> bool {
+    fn judge(&self, name: &str, revision: Revision, result: &Result<Acceptance>) -> bool {
         match result {
             Ok(Acceptance::Old) => false,
             Ok(Acceptance::Accepted) => {
@@ -161,20 +171,26 @@
     }
 
     /// Tells of values that came into force together, each with its revision.
-    fn in_force(&self, values: &[(&str, u64)]) {
+    fn in_force(&self, values: &[(&str, Stamp)]) {
         if values.is_empty() {
             return;
         }
         let highest = self.store.borrow().digest().highest;
-        self.metrics.config_revision.set(highest as i64);
+        self.metrics.config_revision.set(highest.number() as i64);
+        self.metrics.opaque.platform_era.set(highest.era() as i64);
         if values.len() > LOGGED_VALUES {
             let count = values.len();
             log::info!("event=values_in_force count={count} revision={highest}");
         } else {
-            for (name, revision) in values {
-                log::info!("event=value_in_force name={name} revision={revision}");
+            for (name, Stamp { revision, version }) in values {
+                log::info!(
+                    "event=value_in_force name={name} revision={revision} version={version}"
+                );
             }
         }
+        if let Some((_, stamp)) = values.iter().find(|(name, _)| *name == ROUTES_NAME) {
+            self.metrics.config_version.set(stamp.version as i64);
+        }
         let names: Vec<&str> = values.iter().map(|(name, _)| *name).collect();
         if names.contains(&HOSTS_NAME) {
             self.keep_entry_hosts();
@@ -202,9 +218,11 @@
         let values = store.values().iter().map(|value| {
             json!({
                 "name": value.name,
-                "revision": value.revision,
+                "revision": value.revision.number(),
+                "era": value.revision.era(),
+                "version": value.version,
                 "bytes": value.text.len(),
-                "rejected_revision": value.rejected().map(|rejected| rejected.revision),
+                "rejected_revision": value.rejected().map(|rejected| rejected.revision.number()),
                 "rejected_because": value.rejected().map(|rejected| rejected.error.to_string()),
             })
         });
@@ -216,7 +234,8 @@
             "zone": self.settings.zone,
             "incarnation": self.incarnation,
             "uptime_ms": now_ms,
-            "revision": store.digest().highest,
+            "revision": store.digest().highest.number(),
+            "era": store.digest().highest.era(),
             "platform_answers": self.platform_answers.get(),
             "values": values.collect::<Vec<_>>(),
             "tables": tables,
--- a/src/controllers/node_server.rs
+++ b/src/controllers/node_server.rs
@@ -116,7 +116,7 @@
         params: node::ChangesParams,
         mut results: node::ChangesResults,
     ) -> Capnp {
-        let floor = params.get()?.get_floor();
+        let floor = params.get()?.get_floor().into();
         let store = self.control.store.borrow();
         let changes = store.changes_since(floor);
         let entries = results.get().init_entries(changes.len() as u32);
@@ -136,7 +136,7 @@
             if bytes >= MAX_FETCH_BYTES {
                 break;
             }
-            let update = store.update_for(entry.get_name()?.to_str()?, entry.get_revision());
+            let update = store.update_for(entry.get_name()?.to_str()?, entry.get_revision().into());
             bytes += update.as_ref().map_or(0, |update| update.delta.text.len());
             updates.extend(update);
             handled += 1;
@@ -163,11 +163,10 @@
         }
         // A rejected value is answered as known, so that the peer does not send it again whole.
         let store = self.control.store.borrow();
-        let wanted = store.wants(&update.name, update.revision);
+        let wanted = store.wants(&update.name, update.stamp);
         let held = store.revision(&update.name);
-        results
-            .get()
-            .set_revision(if wanted { held } else { update.revision });
+        let known = if wanted { held } else { update.stamp.revision };
+        results.get().set_revision(known.bits());
         Ok(())
     }
 
--- a/src/controllers/platform_reader.rs
+++ b/src/controllers/platform_reader.rs
@@ -8,6 +8,7 @@
 use crate::config::config_store::{Acceptance, HOSTS_NAME};
 use crate::config::membership;
 use crate::config::platform;
+use crate::config::revision::Revision;
 use crate::controllers::control::Control;
 use crate::controllers::relay;
 use crate::error::{Error, Result};
@@ -67,7 +68,7 @@
             duty.peer_answered(control.now_ms());
         }
         let read = match hosts {
-            Ok(()) => read_changes(control, 0, 0).await.map(|_| ()),
+            Ok(()) => read_changes(control, Revision::ZERO, 0).await.map(|_| ()),
             Err(error) => Err(error),
         };
         if answered > 0 || read.is_ok() {
@@ -81,7 +82,7 @@
 
 /// Watches the platform forever, while this process is a reader.
 pub(crate) async fn run(control: Rc<Control>, duty: Rc<ReaderDuty>) {
-    let mut since = 0;
+    let mut since = Revision::ZERO;
     let mut backoff_ms = MIN_BACKOFF_MS;
     loop {
         if !duty.is_reader(&control) {
@@ -103,7 +104,7 @@
 }
 
 /// Waits for changes above `since`, takes them and returns up to where they were seen.
-async fn read_changes(control: &Rc<Control>, since: u64, wait_ms: u64) -> Result<u64> {
+async fn read_changes(control: &Rc<Control>, since: Revision, wait_ms: u64) -> Result<Revision> {
     control.metrics.platform_calls.inc();
     let changes = platform::watch(control.settings.platform, since, wait_ms).await;
     let changes = changes.inspect_err(|error| failed(control, error))?;
--- a/src/controllers/relay.rs
+++ b/src/controllers/relay.rs
@@ -11,6 +11,7 @@
 
 use crate::config::config_store::ValueUpdate;
 use crate::config::membership;
+use crate::config::revision::Revision;
 use crate::controllers::control::Control;
 use crate::error::Result;
 
@@ -62,12 +63,12 @@
 }
 
 /// Tells one peer, and once more against its own revision where the first change did not fit.
-async fn tell(control: &Control, host: Ipv4Addr, name: &str, base: u64) -> Result<()> {
+async fn tell(control: &Control, host: Ipv4Addr, name: &str, base: Revision) -> Result<()> {
     let Some(update) = update_for(control, name, base) else {
         return Ok(());
     };
     let held = control.peers.tell(host, &update).await?;
-    if held >= update.revision {
+    if held >= update.stamp.revision {
         return Ok(());
     }
     if let Some(update) = update_for(control, name, held) {
@@ -76,7 +77,7 @@
     Ok(())
 }
 
-fn update_for(control: &Control, name: &str, have: u64) -> Option<ValueUpdate> {
+fn update_for(control: &Control, name: &str, have: Revision) -> Option<ValueUpdate> {
     control.store.borrow().update_for(name, have)
 }
 
@@ -112,22 +113,22 @@
             return Ok(());
         }
     }
-    pull(control, host, mine.highest.saturating_sub(RECENT_REVISIONS)).await?;
+    pull(control, host, mine.highest.back(RECENT_REVISIONS)).await?;
     let mine = control.store.borrow().digest();
     if theirs.hash != mine.hash && theirs.highest >= mine.highest {
-        pull(control, host, 0).await?;
+        pull(control, host, Revision::ZERO).await?;
     }
     Ok(())
 }
 
 /// Takes from a peer what has a revision above `floor` and is news here.
-pub(crate) async fn pull(control: &Rc<Control>, host: Ipv4Addr, floor: u64) -> Result<()> {
+pub(crate) async fn pull(control: &Rc<Control>, host: Ipv4Addr, floor: Revision) -> Result<()> {
     let started_ms = control.now_ms();
-    let changes = control.peers.changes(host, floor).await?;
-    let mut wanted: Vec<(String, u64)> = {
+    let states = control.peers.changes(host, floor).await?;
+    let mut wanted: Vec<(String, Revision)> = {
         let store = control.store.borrow();
-        let news = changes.into_iter();
-        let news = news.filter(|(name, revision)| store.wants(name, *revision));
+        let news = states.into_iter();
+        let news = news.filter(|(name, stamp)| store.wants(name, *stamp));
         news.map(|(name, _)| {
             let have = store.revision(&name);
             (name, have)
@@ -156,7 +157,7 @@
 pub(crate) async fn pull_at_start(control: &Rc<Control>) -> usize {
     let mut answered = 0;
     for host in links(control).into_iter().take(START_PEERS) {
-        match pull(control, host, 0).await {
+        match pull(control, host, Revision::ZERO).await {
             Ok(()) => answered += 1,
             Err(error) => suspect(control, host, &error),
         }
@@ -179,7 +180,7 @@
     }
 
     /// Notes the revision on a packet from `host`.
-    pub(crate) fn saw(&self, host: Ipv4Addr, revision: u64) {
+    pub(crate) fn saw(&self, host: Ipv4Addr, revision: Revision) {
         let mine = self.control.store.borrow().digest().highest;
         if revision <= mine || self.asking.replace(true) {
             return;
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -163,7 +163,7 @@
 ];
 
 /// What changes of belief beside a story add to it.
-const CIRCUMSTANCES: [Meaning; 15] = [
+const CIRCUMSTANCES: [Meaning; 16] = [
     meaning(
         "lines_dropped",
         "",
@@ -221,11 +221,17 @@
         "the platform no longer had the changes that it asked for",
     ),
     meaning(
-        "platform_era",
+        "platform_restored",
         "",
         "",
         "the platform had come back from an older copy",
     ),
+    meaning(
+        "platform_settled",
+        "",
+        "",
+        "it took then that what the platform lost was written again",
+    ),
     meaning(
         "values_dropped",
         "",
--- a/src/explain/story.rs
+++ b/src/explain/story.rs
@@ -9,7 +9,7 @@
 const AFTER_MS: u64 = 500;
 
 /// What changes what a process believes or can do; see docs/OPERATIONS.md, "Log lines".
-const CONTEXT: [&str; 25] = [
+const CONTEXT: [&str; 26] = [
     "backend_ended",
     "backend_fails",
     "backend_restarted",
@@ -23,8 +23,9 @@
     "leaving",
     "lines_dropped",
     "platform_answers",
-    "platform_era",
     "platform_fails",
+    "platform_restored",
+    "platform_settled",
     "ready",
     "reload",
     "resumed",
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,11 +39,14 @@
 pub use crate::config::keys::{CLUSTER_KEY_BYTES, ClusterKey, KEYS_HEADER, KeyRing};
 pub use crate::config::membership::{PEER_LINKS, READERS_PER_ZONE, links, readers};
 pub use crate::config::platform::{PlatformChanges, read_value, watch};
+pub use crate::config::revision::Revision;
 pub use crate::config::sealed_id::{Purpose, SEALED_ID_BYTES, SealedBytes, SealedId};
 pub use crate::config::service_id::ServiceId;
 pub use crate::config::settings::Settings;
+pub use crate::config::stamp::Stamp;
 pub use crate::config::table::{Row, TABLE_HEADER, Table, parse_tables};
 pub use crate::config::table_diff::{RowChange, TableDiff};
+pub use crate::config::value_state::ValueState;
 pub use crate::decisions::admission::{Admission, Decision, Handed, Opener, RAMP_MS};
 pub use crate::decisions::ledger::{
     Begin, KeptAnswer, Ledger, MAX_KEPT_ANSWER_BYTES, MAX_KEPT_BYTES,
--- a/src/links/node_codec.rs
+++ b/src/links/node_codec.rs
@@ -8,6 +8,7 @@
 use crate::code::Code;
 use crate::config::config_store::{Digest, ValueUpdate};
 use crate::config::delta::Delta;
+use crate::config::stamp::Stamp;
 use crate::decisions::load_board::LoadReport;
 use crate::error::{Error, Result};
 use crate::node_capnp::{digest, entry, header, load_report, value};
@@ -16,33 +17,43 @@
 const MAX_REPORTS: u32 = 4_096;
 
 pub(crate) fn write_digest(mut builder: digest::Builder<'_>, digest: Digest) {
-    builder.set_highest(digest.highest);
+    builder.set_highest(digest.highest.bits());
     builder.set_hash(digest.hash);
 }
 
 pub(crate) fn read_digest(reader: digest::Reader<'_>) -> Digest {
     Digest {
-        highest: reader.get_highest(),
+        highest: reader.get_highest().into(),
         hash: reader.get_hash(),
     }
 }
 
-/// Writes names of values with a revision each.
+/// Writes names of values and their states.
 pub(crate) fn write_entries<'a>(
     mut builder: capnp::struct_list::Builder<'_, entry::Owned>,
-    entries: impl Iterator<Item = (&'a str, u64)>,
+    entries: impl Iterator<Item = (&'a str, Stamp)>,
 ) {
-    for (index, (name, revision)) in entries.enumerate() {
+    for (index, (name, stamp)) in entries.enumerate() {
         let mut entry = builder.reborrow().get(index as u32);
         entry.set_name(name);
-        entry.set_revision(revision);
+        entry.set_revision(stamp.revision.bits());
+        entry.set_version(stamp.version);
     }
 }
 
+pub(crate) fn read_entry(reader: entry::Reader<'_>) -> Result<(String, Stamp)> {
+    let stamp = Stamp {
+        revision: reader.get_revision().into(),
+        version: reader.get_version(),
+    };
+    Ok((text(reader.get_name())?, stamp))
+}
+
 pub(crate) fn write_value(mut builder: value::Builder<'_>, update: &ValueUpdate) {
     builder.set_name(&update.name);
-    builder.set_revision(update.revision);
-    builder.set_base(update.base);
+    builder.set_revision(update.stamp.revision.bits());
+    builder.set_version(update.stamp.version);
+    builder.set_base(update.base.bits());
     builder.set_kept_lines(update.delta.kept_lines);
     builder.set_removed_lines(update.delta.removed_lines);
     builder.set_text(&update.delta.text);
@@ -52,8 +63,11 @@
 pub(crate) fn read_value(reader: value::Reader<'_>) -> Result<ValueUpdate> {
     Ok(ValueUpdate {
         name: text(reader.get_name())?,
-        revision: reader.get_revision(),
-        base: reader.get_base(),
+        stamp: Stamp {
+            revision: reader.get_revision().into(),
+            version: reader.get_version(),
+        },
+        base: reader.get_base().into(),
         delta: Delta {
             kept_lines: reader.get_kept_lines(),
             removed_lines: reader.get_removed_lines(),
--- a/src/links/peers.rs
+++ b/src/links/peers.rs
@@ -9,8 +9,10 @@
 use crate::code::Code;
 use crate::config::config_store::{Digest, ValueUpdate};
 use crate::config::keys::ClusterKey;
+use crate::config::revision::Revision;
 use crate::config::sealed_id::{SEALED_ID_BYTES, SealedBytes};
 use crate::config::service_id::ServiceId;
+use crate::config::stamp::Stamp;
 use crate::decisions::load_board::LoadReport;
 use crate::decisions::slots::Refusal;
 use crate::error::{Error, Result};
@@ -85,14 +87,18 @@
         .await
     }
 
-    pub(crate) async fn changes(&self, host: Ipv4Addr, floor: u64) -> Result<Vec<(String, u64)>> {
+    pub(crate) async fn changes(
+        &self,
+        host: Ipv4Addr,
+        floor: Revision,
+    ) -> Result<Vec<(String, Stamp)>> {
         self.call(host, CALL_TIMEOUT_MS, |client| async move {
             let mut request = client.changes_request();
-            request.get().set_floor(floor);
+            request.get().set_floor(floor.bits());
             let response = request.send().promise.await?;
             let mut changes = Vec::new();
             for entry in response.get()?.get_entries()? {
-                changes.push((entry.get_name()?.to_string()?, entry.get_revision()));
+                changes.push(node_codec::read_entry(entry).map_err(node_codec::to_capnp)?);
             }
             Ok(changes)
         })
@@ -105,13 +111,15 @@
     pub(crate) async fn fetch(
         &self,
         host: Ipv4Addr,
-        wanted: &[(String, u64)],
+        wanted: &[(String, Revision)],
     ) -> Result<(Vec<ValueUpdate>, usize)> {
         let wanted = wanted.to_vec();
         self.call(host, CALL_TIMEOUT_MS, |client| async move {
             let mut request = client.fetch_request();
             let entries = request.get().init_wanted(wanted.len() as u32);
-            node_codec::write_entries(entries, wanted.iter().map(|(name, have)| (&**name, *have)));
+            let wanted = wanted.iter();
+            let wanted = wanted.map(|(name, have)| (&**name, Stamp::from(*have)));
+            node_codec::write_entries(entries, wanted);
             let response = request.send().promise.await?;
             let answer = response.get()?;
             let values = answer.get_values()?.iter();
@@ -123,12 +131,12 @@
     }
 
     /// Tells a value and returns the revision that the peer holds then.
-    pub(crate) async fn tell(&self, host: Ipv4Addr, update: &ValueUpdate) -> Result<u64> {
+    pub(crate) async fn tell(&self, host: Ipv4Addr, update: &ValueUpdate) -> Result<Revision> {
         self.call(host, CALL_TIMEOUT_MS, |client| async move {
             let mut request = client.tell_request();
             node_codec::write_value(request.get().init_value(), update);
             let response = request.send().promise.await?;
-            Ok(response.get()?.get_revision())
+            Ok(response.get()?.get_revision().into())
         })
         .await
     }
--- a/src/node_capnp.rs
+++ b/src/node_capnp.rs
@@ -78,11 +78,15 @@
         pub fn get_revision(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -156,6 +160,14 @@
         pub fn set_revision(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -167,38 +179,45 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(192, 223, 136, 188, 237, 29, 118, 146),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(97, 73, 226, 183, 240, 197, 161, 211),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 69, 110, 116, 114, 121),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -216,11 +235,20 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -234,9 +262,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
         pub(crate) const TYPE_ID: u64 = 0x9276_1ded_bc88_dfc0;
     }
 }
@@ -338,11 +366,15 @@
         pub fn get_digest(self) -> u64 {
             self.reader.get_data_field::<u64>(3)
         }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -464,6 +496,14 @@
         pub fn set_digest(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(3, value);
         }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -475,73 +515,80 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 125] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 140] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(68, 116, 101, 159, 145, 220, 26, 255),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(97, 73, 226, 183, 240, 197, 161, 211),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 86, 97, 108, 117, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -601,6 +648,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -611,6 +666,7 @@
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -624,9 +680,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,6,3,0,4,1,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,6,3,0,4,1,5,7];
         pub(crate) const TYPE_ID: u64 = 0xff1a_dc91_9f65_7444;
     }
 }
--- a/src/opaque/finding/lookup.rs
+++ b/src/opaque/finding/lookup.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 
+use crate::config::revision::Revision;
 use crate::opaque::packets::segment::{FlowKey, Segment};
 use crate::opaque::values::directory::Directory;
 use crate::process::opaque_metrics::OpaqueMetrics;
@@ -42,7 +43,7 @@
     pub(crate) balancer: Ipv4Addr,
     packet: Vec<u8>,
     absent_at: Vec<Ipv4Addr>,
-    newest_revision: u64,
+    newest_revision: Revision,
     started_ms: u64,
     ask_ms: u64,
 }
@@ -65,7 +66,7 @@
     /// Who did not answer.
     pub(crate) unanswered: Vec<Ipv4Addr>,
     /// The highest revision that an answer told.
-    pub(crate) newest_revision: u64,
+    pub(crate) newest_revision: Revision,
 }
 
 /// The questions of one agent, sorted by flow.
@@ -117,7 +118,7 @@
                     balancer: question.balancer,
                     packet: question.packet.to_vec(),
                     absent_at: Vec::new(),
-                    newest_revision: 0,
+                    newest_revision: Revision::ZERO,
                     started_ms: now_ms,
                     ask_ms: now_ms + ASK_AGAIN_MS,
                 };
@@ -134,12 +135,12 @@
     }
 
     /// Notes that an agent does not hold the flow, and the highest revision that it knows.
-    pub fn absent(&mut self, flow: &FlowKey, host: Ipv4Addr, revision: u64) {
+    pub fn absent(&mut self, flow: &FlowKey, host: Ipv4Addr, revision: impl Into<Revision>) {
         let Ok(index) = self.position(flow) else {
             return;
         };
         let lookup = &mut self.open[index];
-        lookup.newest_revision = lookup.newest_revision.max(revision);
+        lookup.newest_revision = lookup.newest_revision.max(revision.into());
         if let Err(at) = lookup.absent_at.binary_search(&host) {
             lookup.absent_at.insert(at, host);
         }
@@ -175,13 +176,18 @@
     /// Judges the answers: only the word of every agent proves that a flow is nowhere.
     ///
     /// An agent that knows a higher revision may know of a backend server that this one does not.
-    pub fn verdict(&self, flow: &FlowKey, directory: &Directory, revision: u64) -> Verdict {
+    pub fn verdict(
+        &self,
+        flow: &FlowKey,
+        directory: &Directory,
+        revision: impl Into<Revision>,
+    ) -> Verdict {
         let (Ok(index), Some(own_host)) = (self.position(flow), self.own_host) else {
             return Verdict::Open;
         };
         let lookup = &self.open[index];
         let all_answered = unanswered(lookup, directory, own_host).is_empty();
-        if all_answered && lookup.newest_revision <= revision {
+        if all_answered && lookup.newest_revision <= revision.into() {
             return Verdict::Nowhere {
                 acknowledgement: lookup.acknowledgement,
             };
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -13,6 +13,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use crate::code::Code;
+use crate::config::revision::Revision;
 use crate::config::service_id::ServiceId;
 use crate::decisions::suspicion::Suspicion;
 use crate::error::Result;
@@ -38,7 +39,7 @@
     /// Who is believed to be dead.
     pub suspicion: &'a Suspicion,
     /// The highest revision in force here.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether a backend server that is not published may be taken for gone.
     pub settled: bool,
     /// The time, in milliseconds.
@@ -91,7 +92,7 @@
     /// When the connection to the backend server first broke in the lifetime that is published.
     broke_ms: Option<u64>,
     /// The revision at which the published lifetime of the backend server began.
-    lifetime: Option<u64>,
+    lifetime: Option<Revision>,
     last_heard_ms: u64,
     last_probe_ms: u64,
 }
--- a/src/opaque/packets/message.rs
+++ b/src/opaque/packets/message.rs
@@ -128,7 +128,7 @@
             self.unsettled_units(),
         ]);
         payload.extend_from_slice(&self.host.octets());
-        payload.extend_from_slice(&self.digest.highest.to_be_bytes());
+        payload.extend_from_slice(&self.digest.highest.bits().to_be_bytes());
         payload.extend_from_slice(&self.digest.hash.to_be_bytes());
         payload.extend_from_slice(&self.age_ms.to_be_bytes());
         payload.extend_from_slice(&self.load_permille.to_be_bytes());
@@ -153,7 +153,7 @@
                 hops: trailer[2],
                 host: Ipv4Addr::new(trailer[4], trailer[5], trailer[6], trailer[7]),
                 digest: Digest {
-                    highest: word(8),
+                    highest: word(8).into(),
                     hash: word(16),
                 },
                 age_ms: (u32::from(half(24)) << 16) | u32::from(half(26)),
--- a/src/opaque/values/backend_change.rs
+++ b/src/opaque/values/backend_change.rs
@@ -1,6 +1,7 @@
 //! A change of what is published of one backend server.
 
 use crate::config::backend_entry::BackendValue;
+use crate::config::revision::Revision;
 
 /// What is published anew of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -10,5 +11,5 @@
     /// What its value says.
     pub value: BackendValue,
     /// The revision of the change.
-    pub revision: u64,
+    pub revision: Revision,
 }
--- a/src/opaque/values/directory.rs
+++ b/src/opaque/values/directory.rs
@@ -7,6 +7,7 @@
 use crate::config::cold_starts::ColdStart;
 use crate::config::hash;
 use crate::config::hosts::{Host, HostList, HostRole, HostState};
+use crate::config::revision::Revision;
 use crate::config::route_table::RouteTable;
 use crate::config::service_id::ServiceId;
 use crate::config::table::{Row, Table};
@@ -44,11 +45,17 @@
 
 impl Directory {
     /// Takes what is published of one backend server.
-    pub fn apply(&mut self, id: &str, backend: Option<Backend>, revision: u64, now_ms: u64) {
+    pub fn apply(
+        &mut self,
+        id: &str,
+        backend: Option<Backend>,
+        revision: impl Into<Revision>,
+        now_ms: u64,
+    ) {
         let change = BackendChange {
             id,
             value: backend.into(),
-            revision,
+            revision: revision.into(),
         };
         self.apply_all(vec![change], now_ms);
     }
@@ -145,7 +152,8 @@
     /// that they hold.
     ///
     /// Says so in the log where that changed. See docs/OPERATORS.md, "Empty a zone".
-    pub fn set_evacuated(&mut self, zone: &str, is_evacuated: bool, revision: u64) {
+    pub fn set_evacuated(&mut self, zone: &str, is_evacuated: bool, revision: impl Into<Revision>) {
+        let revision = revision.into();
         let found = self
             .evacuated_zones
             .binary_search_by(|known| known.as_str().cmp(zone));
--- a/src/opaque/values/mod.rs
+++ b/src/opaque/values/mod.rs
@@ -10,4 +10,5 @@
 pub(crate) mod own_backend;
 pub(crate) mod published;
 pub(crate) mod published_entry;
+pub(crate) mod restoration;
 pub(crate) mod source;
--- a/src/opaque/values/news.rs
+++ b/src/opaque/values/news.rs
@@ -1,20 +1,22 @@
-//! What a read of the platform tells that is new here.
+//! What a read of the platform tells that is new here, and what it tells that is older.
 
 use std::collections::BTreeMap;
 
 use crate::config::config_store::ConfigStore;
+use crate::config::revision::Revision;
+use crate::config::value_state::ValueState;
 use crate::opaque::GONE_TEXT;
 use crate::opaque::values::source::Batch;
 
-/// Returns the values of a batch that are news: name, revision and text, in the order of their revisions.
+/// Returns the values of a batch that are news, in the order of their revisions.
 ///
 /// A change to the text that a value has already, by its own batch or else by the store, is none: entries
 /// are written anew for signs of life in fields that the product does not use. Two cases are news though
 /// the text is known, since an older end of the entry would be believed without them, here or from a peer
 /// that lags, and flows of a backend server that serves be reset: the return of an entry that vanished within
 /// the batch, and every newer revision of a whole read, which follows lost history.
-pub fn news<'a>(store: &ConfigStore, batch: &'a Batch) -> Vec<(&'a str, u64, &'a str)> {
-    let mut news: Vec<(&str, u64, &str)> = Vec::new();
+pub fn news<'a>(store: &ConfigStore, batch: &'a Batch) -> Vec<ValueState<'a>> {
+    let mut news: Vec<ValueState<'_>> = Vec::new();
     // What each value holds once the batch was taken up to here, where that changed.
     let mut taken: BTreeMap<&str, &str> = BTreeMap::new();
     for value in &batch.values {
@@ -23,8 +25,9 @@
         let held = || store.get(name).map(|value| value.text.as_str());
         let known = taken.get(name).copied().or_else(held);
         let is_new = batch.is_whole || known != Some(text);
-        if is_new && store.wants(name, value.revision) {
-            news.push((name, value.revision, text));
+        let stamp = value.stamp;
+        if is_new && store.wants(name, stamp) {
+            news.push(ValueState { name, stamp, text });
             taken.insert(name, text);
         }
     }
@@ -37,12 +40,12 @@
     /// Its name.
     pub name: &'a str,
     /// The revision that the read told.
-    pub revision: u64,
+    pub revision: Revision,
     /// The revision in force.
-    pub held_revision: u64,
+    pub held_revision: Revision,
 }
 
-/// Returns the values of a batch that say something else than what is in force, and are older by their revision.
+/// Returns the values of a batch that say something else than what is in force, and are older.
 ///
 /// A read that may be old tells some after a change; where the platform's newest read does, the two differ in what
 /// they take for the order of changes.
@@ -50,10 +53,10 @@
     let older = batch.values.iter().filter_map(|value| {
         let held = store.get(&value.name)?;
         let text = value.text.as_deref().unwrap_or(GONE_TEXT);
-        let is_older = value.revision <= held.revision && held.text != text;
+        let is_older = !value.stamp.is_after(held.stamp()) && held.text != text;
         is_older.then_some(Dropped {
             name: &value.name,
-            revision: value.revision,
+            revision: value.stamp.revision,
             held_revision: held.revision,
         })
     });
--- a/src/opaque/values/own_backend.rs
+++ b/src/opaque/values/own_backend.rs
@@ -1,5 +1,6 @@
 //! What an agent finds published of its own backend server.
 
+use crate::config::revision::Revision;
 use crate::config::service_id::ServiceId;
 
 /// The backend server that an agent finds published at its own address.
@@ -18,7 +19,7 @@
     /// Whether its entry can be used, so that other processes know of it.
     pub is_usable: bool,
     /// The revision at which it was published first, which tells its lifetime from those before.
-    pub first_revision: u64,
+    pub first_revision: Revision,
     /// Until when it is slow after its start, in milliseconds of this process.
     pub cold_until_ms: u64,
 }
--- a/src/opaque/values/published.rs
+++ b/src/opaque/values/published.rs
@@ -9,6 +9,8 @@
 use crate::config::backend_entry::GONE_TEXT;
 use crate::config::evacuation::EVACUATED_PREFIX;
 use crate::config::hash;
+use crate::config::revision::Revision;
+use crate::config::value_state::ValueState;
 use crate::controllers::control::Control;
 use crate::controllers::relay;
 use crate::error::{Error, Result};
@@ -17,6 +19,7 @@
 use crate::opaque::values::freshness::{self, Asker, Freshness, Standing, WATCH_WAIT_MS};
 use crate::opaque::values::news::{dropped, news};
 use crate::opaque::values::published_entry::LAPSE_MS;
+use crate::opaque::values::restoration::{Restoration, RestorationStep};
 use crate::opaque::values::source::{Batch, Read, Source};
 
 /// How long a process waits after a failed read before the next one, at first, in milliseconds.
@@ -46,9 +49,8 @@
     control: Rc<Control>,
     source: Source,
     freshness: RefCell<Freshness>,
-    seen_revision: Cell<u64>,
-    /// The era of the platform's last answer, once it gave one.
-    era: Cell<Option<u64>>,
+    seen_revision: Cell<Revision>,
+    restoration: RefCell<Restoration>,
     asked: Cell<Option<(Ipv4Addr, u32)>>,
     pulling: Rc<Cell<bool>>,
     /// Until when entries that lapsed before this process started may come back.
@@ -65,8 +67,8 @@
             control: control.clone(),
             source,
             freshness: RefCell::default(),
-            seen_revision: Cell::new(0),
-            era: Cell::default(),
+            seen_revision: Cell::default(),
+            restoration: RefCell::default(),
             asked: Cell::new(None),
             pulling: Rc::default(),
             unsettled_until_ms: Cell::new(0),
@@ -173,13 +175,14 @@
             .store
             .borrow()
             .revision(crate::opaque::ROUTES_NAME)
-            > 0
+            > Revision::ZERO
     }
 
     /// Reads the platform forever, while this process should.
     pub(crate) async fn run(self: Rc<Self>) {
         let mut backoff_ms = MIN_BACKOFF_MS;
         loop {
+            self.look_at_era();
             let now_ms = self.control.now_ms();
             let standing = self.standing();
             if !self.freshness.borrow().should_read(standing, now_ms) {
@@ -201,14 +204,15 @@
         let after = self.seen_revision.get();
         let stale = self.freshness.borrow().age_ms(now_ms) > WATCH_WAIT_MS;
         let read = match after {
-            0 => Read::Whole,
+            Revision::ZERO => Read::Whole,
             after => Read::Changes {
                 after,
                 // What may be old already is confirmed at once.
                 wait_ms: if stale { 0 } else { WATCH_WAIT_MS },
             },
         };
-        match self.read(read).await {
+        let batch = self.read(read).await;
+        match batch.and_then(|batch| of_one_history(read, batch)) {
             Ok(batch) => {
                 self.take(&batch);
                 let read_ms = match read {
@@ -224,7 +228,7 @@
             }
             Err(error) if error.code == Code::PlatformForgot => {
                 log::warn!("event=history_forgotten after={after} error={error}");
-                self.seen_revision.set(0);
+                self.seen_revision.set(Revision::ZERO);
                 true
             }
             Err(_) => false,
@@ -255,17 +259,26 @@
         result
     }
 
-    /// Says so where the platform answers from another history than before.
-    fn note_era(&self, batch: &Batch) {
-        self.control
-            .metrics
-            .opaque
-            .platform_era
-            .set(batch.era as i64);
-        let before = self.era.replace(Some(batch.era));
-        if let Some(before) = before.filter(|before| *before != batch.era) {
-            let (era, revision) = (batch.era, batch.revision);
-            log::warn!("event=platform_era era={era} before={before} revision={revision}");
+    /// Notes where the platform came back from an older copy, and where it has settled again.
+    fn look_at_era(&self) {
+        let highest = self.control.store.borrow().digest().highest;
+        let clock_ms = self.lapse_clock_ms();
+        let step = self.restoration.borrow_mut().look(highest.era(), clock_ms);
+        match step {
+            None => {}
+            Some(RestorationStep::Restored) => {
+                log::warn!("event=platform_restored revision={highest}");
+                // A process that starts now finds an older copy, and has nothing to compare it with.
+                if self.in_force_since_ms.get().is_some() {
+                    self.unsettle(LAPSE_MS);
+                }
+            }
+            Some(RestorationStep::Settled) => {
+                log::info!("event=platform_settled revision={highest}");
+                self.control.store.borrow_mut().settle();
+                // What was not believed until now is read again.
+                self.seen_revision.set(Revision::ZERO);
+            }
         }
     }
 
@@ -279,17 +292,15 @@
             return;
         };
         log::warn!(
-            "event=values_dropped count={} first={} revision={} held_revision={} era={}",
+            "event=values_dropped count={} first={} revision={} held_revision={}",
             dropped.len(),
             first.name,
             first.revision,
-            first.held_revision,
-            batch.era
+            first.held_revision
         );
     }
 
     fn take(&self, batch: &Batch) {
-        self.note_era(batch);
         self.note_dropped(batch);
         let missing = if batch.is_whole {
             self.missing(batch)
@@ -300,11 +311,14 @@
             let store = self.control.store.borrow();
             news(&store, batch)
         };
-        let gone = missing
-            .iter()
-            .map(|name| (name.as_str(), batch.revision, GONE_TEXT));
+        let gone = missing.iter().map(|name| ValueState {
+            name,
+            stamp: batch.revision.into(),
+            text: GONE_TEXT,
+        });
         news.extend(gone);
         self.control.accept_all(&news);
+        self.look_at_era();
         if batch.revision > self.seen_revision.get() {
             self.seen_revision.set(batch.revision);
         }
@@ -320,8 +334,10 @@
             .collect();
         named.sort_unstable();
         let values = store.values().iter();
+        let is_settling =
+            store.is_settling() || batch.revision.era() > store.digest().highest.era();
         values
-            .filter(|value| may_vanish(&value.name))
+            .filter(|value| may_vanish(&value.name, is_settling))
             .filter(|value| value.text != GONE_TEXT && value.revision <= batch.revision)
             .filter(|value| named.binary_search(&value.name.as_str()).is_err())
             .map(|value| value.name.clone())
@@ -436,8 +452,27 @@
 }
 
 /// Tells whether a value is withdrawn by no longer being published; the others are only replaced.
-fn may_vanish(name: &str) -> bool {
-    name.starts_with(BACKEND_PREFIX) || name.starts_with(EVACUATED_PREFIX)
+///
+/// An older copy of the platform lacks evacuations that operators have to ask for again, and what was
+/// drawn off a zone must not go back there meanwhile. A backend server that it lacks takes flows for as long as one whose
+/// entry lapsed.
+fn may_vanish(name: &str, is_settling: bool) -> bool {
+    name.starts_with(BACKEND_PREFIX) || (name.starts_with(EVACUATED_PREFIX) && !is_settling)
+}
+
+/// Passes a batch that belongs to the history of the platform which was asked for.
+///
+/// # Errors
+///
+/// Returns code 5005 for changes after a revision of another history: what the platform took since it came back from an
+/// older copy may have lower numbers, which a watch from there passes over.
+fn of_one_history(read: Read, batch: Batch) -> Result<Batch> {
+    match read {
+        Read::Changes { after, .. } if after.era() != batch.revision.era() => {
+            Err(forgot(format!("after {after} comes {}", batch.revision)))
+        }
+        _ => Ok(batch),
+    }
 }
 
 /// Returns the error of a platform that no longer has the changes that were asked for.
--- a/src/opaque/values/published_entry.rs
+++ b/src/opaque/values/published_entry.rs
@@ -1,6 +1,7 @@
 //! One published backend server, as a process remembers it.
 
 use crate::config::backend_entry::{Backend, BackendState};
+use crate::config::revision::Revision;
 
 /// How long a backend server that vanished without draining still takes flows, in milliseconds.
 ///
@@ -29,9 +30,9 @@
 pub(crate) struct PublishedEntry {
     pub(crate) id: String,
     pub(crate) backend: Backend,
-    pub(crate) revision: u64,
+    pub(crate) revision: Revision,
     /// The revision at which this lifetime was published first.
-    pub(crate) first_revision: u64,
+    pub(crate) first_revision: Revision,
     /// The latest start that was published for this id.
     pub(crate) latest_start_unix_ms: Option<u64>,
     /// Since when its entry can't be used; its backend server may live and hold flows.
@@ -42,7 +43,7 @@
 }
 
 impl PublishedEntry {
-    pub(crate) fn new(id: &str, backend: Backend, revision: u64, now_ms: u64) -> Self {
+    pub(crate) fn new(id: &str, backend: Backend, revision: Revision, now_ms: u64) -> Self {
         Self {
             id: id.to_owned(),
             latest_start_unix_ms: backend.started_unix_ms,
@@ -60,7 +61,7 @@
     /// Only a start after all that were published is a new lifetime for certain. An earlier one may be a
     /// write of the lifetime before that arrived late, as well as that of a clock that went back: taken
     /// for a restart, the first would reset flows that the backend server holds.
-    pub(crate) fn take(&mut self, backend: Backend, revision: u64, now_ms: u64) {
+    pub(crate) fn take(&mut self, backend: Backend, revision: Revision, now_ms: u64) {
         let started = backend.started_unix_ms;
         if self.latest_start_unix_ms.is_some() && started > self.latest_start_unix_ms {
             self.first_revision = revision;
--- /dev/null
+++ b/src/opaque/values/restoration.rs
@@ -0,0 +1,43 @@
+//! Follows the returns of the platform from older copies, and when what it shows can be believed again.
+
+use crate::opaque::values::published_entry::LAPSE_MS;
+
+/// What a look at the era of the values in force showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RestorationStep {
+    /// The platform came back from an older copy: operators and backend servers write there again what it lost.
+    Restored,
+    /// What they had to write again is written.
+    Settled,
+}
+
+/// The returns of the platform, as far as one process knows them.
+///
+/// Until they have written again, the platform lacks what operators and backend servers told it last. It promises that
+/// entries are back within about two seconds, as after a time in which it was away.
+#[derive(Debug, Default)]
+pub struct Restoration {
+    era: u64,
+    /// Until when the platform may show what was replaced before it came back.
+    until_ms: Option<u64>,
+}
+
+impl Restoration {
+    /// Looks at the era of the values in force.
+    ///
+    /// `clock_ms` is the time up to which values are known to be the newest, so that the wait stands still while the
+    /// platform is away once more.
+    pub fn look(&mut self, era: u64, clock_ms: u64) -> Option<RestorationStep> {
+        if era > self.era {
+            self.era = era;
+            self.until_ms = Some(clock_ms + LAPSE_MS);
+            return Some(RestorationStep::Restored);
+        }
+        let is_over = self.until_ms.is_some_and(|until_ms| clock_ms >= until_ms);
+        if is_over {
+            self.until_ms = None;
+            return Some(RestorationStep::Settled);
+        }
+        None
+    }
+}
--- a/src/opaque/values/source.rs
+++ b/src/opaque/values/source.rs
@@ -2,6 +2,8 @@
 
 use futures_util::future::LocalBoxFuture;
 
+use crate::config::revision::Revision;
+use crate::config::stamp::Stamp;
 use crate::error::Result;
 
 /// One published value; without a text it is no longer published.
@@ -9,23 +11,30 @@
 pub struct Published {
     /// Its name among the values of the product.
     pub name: String,
-    /// The revision of this state.
-    pub revision: u64,
+    /// Where this state stands among all that the value had.
+    pub stamp: Stamp,
     /// Its text in the product's format.
     pub text: Option<String>,
 }
 
+impl Published {
+    /// Returns this state as one of an era, where its platform tells the era beside what was read.
+    pub fn in_era(mut self, era: u64) -> Self {
+        let number = self.stamp.revision.number();
+        self.stamp.revision = Revision::new(era, number).unwrap_or_default();
+        self
+    }
+}
+
 /// What one read brought.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Batch {
     /// The revision up to which this tells everything.
-    pub revision: u64,
+    pub revision: Revision,
     /// The values.
     pub values: Vec<Published>,
     /// Whether these are all values that are published.
     pub is_whole: bool,
-    /// Which history of the platform this belongs to: it rises when the platform comes back from an older copy.
-    pub era: u64,
 }
 
 /// A read of the platform.
@@ -38,7 +47,7 @@
     /// What changes after a revision, after at most this long.
     Changes {
         /// The revision after which changes count.
-        after: u64,
+        after: Revision,
         /// How long to wait for one, in milliseconds.
         wait_ms: u64,
     },
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -32,6 +32,7 @@
     pub(crate) values_accepted: Counter,
     pub(crate) values_rejected: CodeCounter,
     pub(crate) config_revision: Gauge,
+    pub(crate) config_version: Gauge,
     pub(crate) pauses: Counter,
     pub(crate) services_open: Gauge,
     pub(crate) log_lines_dropped: Counter,
@@ -159,6 +160,11 @@
             "Highest revision in force",
             self.config_revision.clone(),
         );
+        registry.register(
+            "config_version",
+            "Version of the routes in force, as their operators count; 0 where they give none",
+            self.config_version.clone(),
+        );
         registry.register(
             "services_open",
             "Services whose packets this process takes",
--- a/src/process/opaque_metrics.rs
+++ b/src/process/opaque_metrics.rs
@@ -228,7 +228,7 @@
             ),
             (
                 "platform_era",
-                "How often the platform has come back from an older copy, by its last answer",
+                "How often the platform has come back from an older copy, by the values in force",
                 &self.platform_era,
             ),
         ]
--- a/src/quic/balancer.rs
+++ b/src/quic/balancer.rs
@@ -12,6 +12,7 @@
 
 use crate::code::Code;
 use crate::config::config_store::TABLE_PREFIX;
+use crate::config::revision::Revision;
 use crate::config::service_id::ServiceId;
 use crate::controllers::control::Control;
 use crate::controllers::node_server;
@@ -265,7 +266,7 @@
         buffer
     }
 
-    fn note_agent(&self, host: Ipv4Addr, revision: u64) {
+    fn note_agent(&self, host: Ipv4Addr, revision: Revision) {
         self.control.suspicion.borrow_mut().answered(host);
         self.chaser.saw(host, revision);
         let mut agents = self.agents.borrow_mut();
--- a/src/quic/envelope.rs
+++ b/src/quic/envelope.rs
@@ -11,6 +11,7 @@
 
 use crate::code::Code;
 use crate::config::keys::ClusterKey;
+use crate::config::revision::Revision;
 use crate::config::service_id::ServiceId;
 use crate::error::{Error, Result};
 use crate::process::udp::MAX_TRAILER_BYTES;
@@ -52,7 +53,7 @@
     /// The balancer's host, to which answers go.
     pub balancer: Ipv4Addr,
     /// The highest revision that the sender holds.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// The key under which envelopes are authenticated.
@@ -91,7 +92,7 @@
         buffer.extend_from_slice(&port.to_le_bytes());
         buffer.extend_from_slice(&envelope.balancer.octets());
         buffer.extend_from_slice(&envelope.service.0.to_le_bytes());
-        buffer.extend_from_slice(&envelope.revision.to_le_bytes());
+        buffer.extend_from_slice(&envelope.revision.bits().to_le_bytes());
         buffer.extend_from_slice(&[envelope.kind as u8, VERSION, 0, 0]);
         let (packet, fields) = buffer.split_at(packet_bytes);
         let tag = self.tag(packet, fields);
@@ -138,6 +139,6 @@
         service: ServiceId(u32::from_le_bytes(fields[22..26].try_into().ok()?)),
         caller: SocketAddr::new(ip, port),
         balancer: balancer.into(),
-        revision: u64::from_le_bytes(fields[26..34].try_into().ok()?),
+        revision: u64::from_le_bytes(fields[26..34].try_into().ok()?).into(),
     })
 }
--- a/src/quic/flow_socket.rs
+++ b/src/quic/flow_socket.rs
@@ -11,6 +11,7 @@
 use compio::net::UdpSocket;
 use compio::runtime::JoinHandle;
 
+use crate::config::revision::Revision;
 use crate::config::service_id::ServiceId;
 use crate::error::Result;
 use crate::quic::envelope::{Envelope, EnvelopeKind};
@@ -68,7 +69,7 @@
     }
 
     /// Returns the envelope of an answer to the caller.
-    pub(crate) fn envelope(&self, balancer: Ipv4Addr, revision: u64) -> Envelope {
+    pub(crate) fn envelope(&self, balancer: Ipv4Addr, revision: Revision) -> Envelope {
         Envelope {
             kind: EnvelopeKind::Outbound,
             service: self.key.1,
--- a/tests/allocations.rs
+++ b/tests/allocations.rs
@@ -31,7 +31,7 @@
         service,
         caller: SocketAddr::from(([198, 51, 100, 1], 4_433)),
         balancer: host(9),
-        revision: 1,
+        revision: 1.into(),
     };
     let suspicion = Suspicion::default();
     let mut buffer = Vec::with_capacity(2_048);
--- a/tests/hostile_input.rs
+++ b/tests/hostile_input.rs
@@ -17,7 +17,7 @@
         service: ServiceId::of("panel-front"),
         caller: SocketAddr::from((Ipv4Addr::new(198, 51, 100, 7), 4433)),
         balancer: Ipv4Addr::new(10, 1, 0, 1),
-        revision: 42,
+        revision: 42.into(),
     }
 }
 
--- a/tests/opaque/builder.rs
+++ b/tests/opaque/builder.rs
@@ -7,7 +7,7 @@
     GONE_TEXT, Keeper, KeeperIdentity, Message, MessageKind, OpaqueMetrics, ROUTES_HEADER,
     RouteTable, Scene, Segment, UnusableReason, WireFormat, backend_text, started_backend_text,
 };
-use endivedyke::{Code, Error, Result, ServiceId, Suspicion};
+use endivedyke::{Code, Error, Result, Revision, ServiceId, Suspicion};
 
 /// The service of the site.
 pub(crate) const SERVICE: &str = "queue-desk";
@@ -204,7 +204,7 @@
     let change = BackendChange {
         id: &id,
         value: BackendValue::Unusable(UnusableReason::Malformed),
-        revision,
+        revision: revision.into(),
     };
     directory.apply_all(vec![change], now_ms);
 }
@@ -213,14 +213,19 @@
     directory: &mut Directory,
     index: u16,
     text: &str,
-    revision: u64,
+    revision: impl Into<Revision>,
     now_ms: u64,
 ) {
     let backend: Option<Backend> = Backend::parse(text).expect("sound text");
     directory.apply(&format!("i-{index}"), backend, revision, now_ms);
 }
 
-pub(crate) fn vanish(directory: &mut Directory, index: u16, revision: u64, now_ms: u64) {
+pub(crate) fn vanish(
+    directory: &mut Directory,
+    index: u16,
+    revision: impl Into<Revision>,
+    now_ms: u64,
+) {
     publish(directory, index, GONE_TEXT, revision, now_ms);
 }
 
@@ -291,7 +296,7 @@
         let scene = Scene {
             directory: &self.directory,
             suspicion: &self.suspicion,
-            revision: u64::MAX,
+            revision: u64::MAX.into(),
             settled: true,
             now_ms,
         };
@@ -344,7 +349,7 @@
         let scene = Scene {
             directory: &self.directory,
             suspicion: &self.suspicion,
-            revision: self.revision,
+            revision: self.revision.into(),
             settled: self.settled,
             now_ms: self.now_ms,
         };
@@ -391,7 +396,7 @@
         revision: u64,
     ) -> Vec<Action> {
         let mut message = Message::new(kind);
-        message.digest.highest = revision;
+        message.digest.highest = revision.into();
         let mut payload = Vec::new();
         for end in [key.caller, key.called] {
             payload.extend_from_slice(&end.ip().octets());
--- a/tests/opaque/evacuation.rs
+++ b/tests/opaque/evacuation.rs
@@ -194,7 +194,7 @@
 fn evacuation(revision: u64, is_evacuated: bool) -> Published {
     Published {
         name: evacuation_name(ZONE),
-        revision,
+        stamp: revision.into(),
         text: is_evacuated.then(|| "yes".to_owned()),
     }
 }
@@ -208,23 +208,20 @@
         evacuation(7, true),
     ];
     let read = Batch {
-        revision: 7,
+        revision: 7.into(),
         values,
         is_whole: false,
-        era: 0,
     };
-    let taken: Vec<(String, u64, String)> = news(&store, &read)
-        .into_iter()
-        .map(|(name, revision, text)| (name.to_owned(), revision, text.to_owned()))
-        .collect();
-    for (name, revision, text) in &taken {
-        store.accept(name, *revision, text).expect("sound");
+    for state in news(&store, &read) {
+        store
+            .accept(state.name, state.stamp, state.text)
+            .expect("sound");
     }
     let value = store.get(&evacuation_name(ZONE)).expect("in force");
-    assert_eq!((value.revision, value.text.as_str()), (7, "yes"));
+    assert_eq!((value.revision, value.text.as_str()), (7.into(), "yes"));
     // What comes late from a peer that lags does not take the zone back.
     store
         .accept(&evacuation_name(ZONE), 6, "gone")
         .expect("sound");
-    assert_eq!(store.revision(&evacuation_name(ZONE)), 7);
+    assert_eq!(store.revision(&evacuation_name(ZONE)), 7.into());
 }
--- a/tests/opaque/keeper.rs
+++ b/tests/opaque/keeper.rs
@@ -322,7 +322,7 @@
     for (newer, handed_on) in [(0, 1), (1, 0)] {
         let mut message = Message::new(MessageKind::Deliver);
         message.host = BALANCER;
-        message.digest.highest = agent.revision + newer;
+        message.digest.highest = (agent.revision + newer).into();
         let actions = agent.hear(BALANCER, message, &opener(&flow(1), 0));
         assert!(!reaches_backend(&actions));
         assert_eq!(hosts_told(&actions, MessageKind::HandOn).len(), handed_on);
--- a/tests/opaque/lifetimes.rs
+++ b/tests/opaque/lifetimes.rs
@@ -1,5 +1,6 @@
 //! A backend server is its id and its start: one that starts again under its id holds nothing of before.
 
+use endivedyke::Revision;
 use endivedyke::opaque::{Backend, BackendState, Directory};
 
 use crate::builder::{
@@ -8,7 +9,7 @@
 };
 
 /// Returns the revision at which the lifetime began that is published on host 1.
-fn lifetime(directory: &Directory) -> u64 {
+fn lifetime(directory: &Directory) -> Revision {
     let own = directory.own(backend_address(1));
     own.expect("published").first_revision
 }
@@ -17,7 +18,7 @@
 fn lifetimes_seen(starts: &[Option<u64>]) -> usize {
     let mut directory = Directory::default();
     let mut seen = Vec::new();
-    for (revision, start) in (10..).zip(starts) {
+    for (revision, start) in (10_u64..).zip(starts) {
         let text = match start {
             Some(start) => started_text(1, *start),
             None => state_text(1, BackendState::Ready),
@@ -59,7 +60,7 @@
     publish(&mut directory, 1, &started_text(1, 100), 5, 0);
     vanish(&mut directory, 1, 9, 1_000);
     publish(&mut directory, 1, &started_text(1, 200), 11, 2_000);
-    assert_eq!(lifetime(&directory), 11);
+    assert_eq!(lifetime(&directory), 11.into());
     assert!(
         directory
             .own(backend_address(1))
@@ -74,7 +75,7 @@
     publish(&mut directory, 1, &started_text(1, 100), 5, 0);
     vanish(&mut directory, 1, 9, 1_000);
     publish(&mut directory, 1, &started_text(1, 100), 11, 2_000);
-    assert_eq!(lifetime(&directory), 5);
+    assert_eq!(lifetime(&directory), 5.into());
 }
 
 #[test]
@@ -97,7 +98,7 @@
     publish(&mut directory, 1, &started_text(1, 200), 7, 200);
     let own = directory.own(backend_address(1)).expect("published");
     assert!(own.takes_flows, "the other one stood there before");
-    assert_eq!(own.first_revision, 7);
+    assert_eq!(own.first_revision, 7.into());
 }
 
 /// Publishes a start of the backend server beside the agent.
--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -21,5 +21,6 @@
 mod policies;
 mod queue_model;
 mod queue_plan;
+mod restored_platform;
 mod route_table;
 mod unusable_entries;
--- a/tests/opaque/message.rs
+++ b/tests/opaque/message.rs
@@ -8,7 +8,7 @@
     #[test]
     fn what_is_sent_is_read(payload: Vec<u8>, highest: u64, hash: u64, age_ms: u32, hops: u8, load_permille: u16, wait_units in 0_u16..16) {
         let mut message = Message::new(MessageKind::Find);
-        message.digest = Digest { highest, hash };
+        message.digest = Digest { highest: highest.into(), hash };
         message.age_ms = age_ms;
         message.hops = hops;
         message.unsettled_ms = 2_480;
--- a/tests/opaque/model.rs
+++ b/tests/opaque/model.rs
@@ -317,7 +317,7 @@
         let scene = Scene {
             directory: &self.directory,
             suspicion: &agent.suspicion,
-            revision: REVISION,
+            revision: REVISION.into(),
             settled: true,
             now_ms: self.now_ms,
         };
@@ -331,7 +331,7 @@
                 Action::ToBackend(packet) => self.backend_takes(index_of(from), packet),
                 Action::ToCaller(_, packet) => self.caller_takes(&packet),
                 Action::ToPeer(to, mut message, payload) => {
-                    message.digest.highest = REVISION;
+                    message.digest.highest = REVISION.into();
                     self.in_flight.push(InFlight {
                         from,
                         to,
--- a/tests/opaque/news.rs
+++ b/tests/opaque/news.rs
@@ -21,28 +21,25 @@
 fn batch(is_whole: bool, states: &[(u64, bool)]) -> Batch {
     let value = |&(revision, is_there): &(u64, bool)| Published {
         name: NAME.to_owned(),
-        revision,
+        stamp: revision.into(),
         text: is_there.then(ready),
     };
     Batch {
-        revision: 30,
+        revision: 30.into(),
         values: states.iter().map(value).collect(),
         is_whole,
-        era: 0,
     }
 }
 
 /// Returns revision and text of what a store holds once it took the news of a batch.
 fn taken(mut store: ConfigStore, batch: &Batch) -> (u64, String) {
-    let found: Vec<(String, u64, String)> = news(&store, batch)
-        .into_iter()
-        .map(|(name, revision, text)| (name.to_owned(), revision, text.to_owned()))
-        .collect();
-    for (name, revision, text) in found {
-        store.accept(&name, revision, &text).expect("sound");
+    for state in news(&store, batch) {
+        store
+            .accept(state.name, state.stamp, state.text)
+            .expect("sound");
     }
     let value = store.get(NAME).expect("held");
-    (value.revision, value.text.clone())
+    (value.revision.number(), value.text.clone())
 }
 
 #[test]
@@ -74,8 +71,8 @@
     let older = batch(true, &[(6, false)]);
     let expected = Dropped {
         name: NAME,
-        revision: 6,
-        held_revision: 7,
+        revision: 6.into(),
+        held_revision: 7.into(),
     };
     assert_eq!(dropped(&store(), &older), [expected]);
 }
--- a/tests/revisions.rs
+++ b/tests/revisions.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::{cluster_key, host, table_text};
-use endivedyke::{Acceptance, Code, ConfigStore, Delta, HOSTS_HEADER, HostList, links, readers};
+use endivedyke::{
+    Acceptance, Code, ConfigStore, Delta, HOSTS_HEADER, HostList, Revision, links, readers,
+};
 use proptest::prelude::*;
 
 const NAME: &str = "table/panel-front";
@@ -38,7 +40,7 @@
     );
     let error = store.accept(NAME, 5, &published(5)).expect_err("unsound");
     assert_eq!(error.code, Code::TableAddress);
-    assert_eq!(store.revision(NAME), 4);
+    assert_eq!(store.revision(NAME), 4.into());
     assert_eq!(
         store.tables().next().map(|table| table.rows[0].weight),
         Some(4)
@@ -100,13 +102,13 @@
     #[test]
     fn revisions_only_rise_in_any_order(order in proptest::collection::vec(1u64..40, 1..60)) {
         let mut store = ConfigStore::new(&cluster_key());
-        let mut highest = 0;
+        let mut highest = Revision::ZERO;
         for (index, revision) in order.iter().enumerate() {
             let _ = store.accept(NAME, *revision, &published(*revision));
             let held = store.revision(NAME);
             prop_assert!(held >= highest, "went back from {} to {}", highest, held);
             highest = held;
-            prop_assert_eq!(held, naive_in_force(&order[..=index]));
+            prop_assert_eq!(held, naive_in_force(&order[..=index]).into());
         }
     }
 
@@ -128,12 +130,12 @@
         let round = (0..4).flat_map(|from| (0..4).map(move |to| (from, to)));
         let rounds: Vec<(usize, usize)> = tells.into_iter().chain(round.clone()).chain(round).collect();
         for (from, to) in rounds {
-            let changes: Vec<(String, u64)> = stores[from]
-                .changes_since(0)
+            let changes: Vec<String> = stores[from]
+                .changes_since(Revision::ZERO)
                 .into_iter()
-                .map(|(name, revision)| (name.to_owned(), revision))
+                .map(|(name, _)| name.to_owned())
                 .collect();
-            for (name, _) in changes {
+            for name in changes {
                 let have = stores[to].revision(&name);
                 let update = stores[from].update_for(&name, have).expect("held");
                 let before = stores[to].revision(&name);
