Bring about an address that an entry of the platform's older copy takes over (red)

The same cause as of the configurations that were dropped: lifetimes at one address are ordered by the revision at which each was published first, and an entry of the copy that a process did not know has one of the new era, however old it is. Symptoms in three tests: the agent takes it for its backend server's, which gets no new flow for a minute after that entry has gone, and flows of before a break of the connection are reset while the server holds them. No logic changes.

--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -22,5 +22,6 @@
 mod queue_model;
 mod queue_plan;
 mod restored_platform;
+mod reused_addresses;
 mod route_table;
 mod unusable_entries;
