Let no entry of the platform's older copy take an address from the server there

Callers saw (brought about by tests, not reported): their flows reset while the server held them, and a backend server without new flows for a minute. Cause: as of the dropped configurations, an order within one history was taken for one across its returns; here the revision at which a lifetime was published first. Ruled out: judging by the revision at which an entry was written last, which a late write of the server before would win. Change: across eras the starts tell which of two lifetimes took the address later; where they are not told, one that is no longer published has lost it. An end is proved across eras by a later start alone. Why it holds: a start is its server's own word and comes with the entry, whatever copy shows it; within an era nothing changes.

--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -27,6 +27,7 @@
 use crate::opaque::packets::segment::{FlowKey, Segment, WireFormat};
 use crate::opaque::values::directory::Directory;
 use crate::opaque::values::known_balancers::KnownBalancers;
+use crate::opaque::values::own_backend::OwnBackend;
 use crate::process::opaque_metrics::OpaqueMetrics;
 
 /// How long a backend server may take to answer an opener or to return a packet, in milliseconds:
@@ -91,8 +92,8 @@
     doubted: bool,
     /// When the connection to the backend server first broke in the lifetime that is published.
     broke_ms: Option<u64>,
-    /// The revision at which the published lifetime of the backend server began.
-    lifetime: Option<Revision>,
+    /// The lifetime of the backend server that was published last.
+    lifetime: Option<OwnBackend>,
     last_heard_ms: u64,
     last_probe_ms: u64,
 }
--- a/src/opaque/keeper/backend_life.rs
+++ b/src/opaque/keeper/backend_life.rs
@@ -129,8 +129,8 @@
             // It may have become cold meanwhile, and its entry tells that only with its next sign of life.
             self.maybe_cold_since_ms = Some(scene.now_ms);
         }
-        let before = self.lifetime.replace(own.first_revision);
-        if before.is_none_or(|before| before >= own.first_revision) {
+        let before = self.lifetime.replace(own);
+        if before.is_none_or(|before| !own.has_replaced(&before)) {
             return Vec::new();
         }
         self.forget_outcomes();
--- a/src/opaque/values/directory.rs
+++ b/src/opaque/values/directory.rs
@@ -294,7 +294,10 @@
             .entries
             .iter()
             .filter(|entry| entry.backend.address == address && self.is_named(entry));
-        let newest = here.max_by_key(|entry| entry.first_revision)?;
+        let newest = here.reduce(|newest, entry| match entry.replaces(newest) {
+            true => entry,
+            false => newest,
+        })?;
         Some(OwnBackend {
             service: newest.backend.service,
             takes_flows: newest.takes_flows(self.clock_ms),
@@ -302,6 +305,7 @@
             is_gone: newest.gone.is_some(),
             is_usable: newest.unusable_since_ms.is_none(),
             first_revision: newest.first_revision,
+            started_unix_ms: newest.backend.started_unix_ms,
             cold_until_ms: newest.cold_until_ms,
         })
     }
@@ -331,7 +335,7 @@
             other.gone.is_none()
                 && self.is_named(other)
                 && other.backend.address == entry.backend.address
-                && other.first_revision > entry.first_revision
+                && other.replaces(entry)
         };
         entry.gone.is_some() && self.entries.iter().any(newer)
     }
@@ -380,7 +384,7 @@
         {
             let address = entry.backend.address;
             match newest.binary_search_by_key(&address, |known| known.backend.address) {
-                Ok(index) if newest[index].first_revision < entry.first_revision => {
+                Ok(index) if entry.replaces(newest[index]) => {
                     newest[index] = entry;
                 }
                 Ok(_) => {}
--- a/src/opaque/values/own_backend.rs
+++ b/src/opaque/values/own_backend.rs
@@ -20,6 +20,22 @@
     pub is_usable: bool,
     /// The revision at which it was published first, which tells its lifetime from those before.
     pub first_revision: Revision,
+    /// When its process started, where it tells that.
+    pub started_unix_ms: Option<u64>,
     /// Until when it is slow after its start, in milliseconds of this process.
     pub cold_until_ms: u64,
 }
+
+impl OwnBackend {
+    /// Tells whether this lifetime began after another one, so that the other one has ended.
+    ///
+    /// Where the platform came back from an older copy between the two, only their starts tell: this one may be of the
+    /// copy, and flows would be reset that the server holds.
+    pub(crate) fn has_replaced(&self, before: &Self) -> bool {
+        if self.first_revision.era() == before.first_revision.era() {
+            return self.first_revision > before.first_revision;
+        }
+        let starts = self.started_unix_ms.zip(before.started_unix_ms);
+        starts.is_some_and(|(own, others)| own > others)
+    }
+}
--- a/src/opaque/values/published_entry.rs
+++ b/src/opaque/values/published_entry.rs
@@ -74,6 +74,24 @@
         self.gone = None;
     }
 
+    /// Tells whether this lifetime took its address after another one, which it has replaced there then.
+    ///
+    /// Where the platform came back from an older copy between the two, its order says nothing: the entry may be of that
+    /// copy, and the lifetime long over. The starts tell then, or else which of the two is still published.
+    pub(crate) fn replaces(&self, other: &Self) -> bool {
+        let by_revision = self.first_revision > other.first_revision;
+        if self.first_revision.era() == other.first_revision.era() {
+            return by_revision;
+        }
+        let starts = (self.backend.started_unix_ms, other.backend.started_unix_ms);
+        match (starts, self.gone.is_some(), other.gone.is_some()) {
+            ((Some(own), Some(others)), _, _) if own != others => own > others,
+            (_, true, false) => false,
+            (_, false, true) => true,
+            _ => by_revision,
+        }
+    }
+
     pub(crate) fn takes_flows(&self, clock_ms: u64) -> bool {
         match self.gone {
             None => self.unusable_since_ms.is_none() && self.backend.state == BackendState::Ready,
