Bring about edits that are refused after the own service came back older (red)

The same cause in the product's own form: its readers refuse answers of a configuration service whose highest revision is below theirs, as stale, and drop values by number alone. The stand-in learns such a return and tells an era. No logic changes.

--- a/lab/src/config_service.rs
+++ b/lab/src/config_service.rs
@@ -22,6 +22,8 @@
 struct Published {
     values: Vec<(String, u64, String)>,
     highest: u64,
+    /// How often the service has come back from an older copy.
+    era: u64,
 }
 
 /// How the service answers.
@@ -99,6 +101,17 @@
         }
     }
 
+    /// Comes back from a copy of before the last changes, and says so.
+    fn restore(&mut self, changes: usize) {
+        let at = self.history.len().saturating_sub(changes);
+        let Some(copy) = self.history.get(at).cloned() else {
+            return;
+        };
+        self.history.truncate(at);
+        let era = self.published.era + 1;
+        self.published = Published { era, ..copy };
+    }
+
     fn put(&mut self, name: &str, value: &str) -> u64 {
         self.history.push(self.published.clone());
         self.published.highest += 1;
@@ -110,19 +123,20 @@
     }
 }
 
-fn with_revision(mut response: Answer, revision: u64) -> Answer {
+fn with_revision(mut response: Answer, revision: u64, era: u64) -> Answer {
     response.headers_mut().insert("revision", revision.into());
+    response.headers_mut().insert("era", era.into());
     response
 }
 
 fn read(service: &Service, name: &str) -> Answer {
-    let found = service
-        .shown()
-        .values
-        .iter()
-        .find(|(known, _, _)| known == name);
+    let shown = service.shown();
+    let mut values = shown.values.iter();
+    let found = values.find(|(known, _, _)| known == name);
     match found {
-        Some((_, revision, value)) => with_revision(text(StatusCode::OK, value.clone()), *revision),
+        Some((_, revision, value)) => {
+            with_revision(text(StatusCode::OK, value.clone()), *revision, shown.era)
+        }
         None => text(StatusCode::NOT_FOUND, "no such value\n"),
     }
 }
@@ -140,7 +154,7 @@
             .collect();
         let silent = service.borrow().mode == Mode::Silent;
         if !silent && (!lines.is_empty() || Instant::now() >= until) {
-            return with_revision(text(StatusCode::OK, lines), shown.highest);
+            return with_revision(text(StatusCode::OK, lines), shown.highest, shown.era);
         }
         compio::time::sleep(WATCH_POLL).await;
     }
@@ -158,6 +172,11 @@
         let revision = service.put(name, &String::from_utf8_lossy(body));
         return text(StatusCode::OK, revision.to_string());
     }
+    if path == "restore" {
+        let changes = String::from_utf8_lossy(body).parse().unwrap_or(0);
+        service.restore(changes);
+        return text(StatusCode::OK, "done\n");
+    }
     let mode = match path {
         "mode/normal" => Mode::Normal,
         "mode/silent" => Mode::Silent,
--- a/lab/tests/platform_failures.rs
+++ b/lab/tests/platform_failures.rs
@@ -50,6 +50,40 @@
     });
 }
 
+#[test]
+fn edits_come_through_after_the_service_came_back_from_an_older_copy() {
+    run(async {
+        let site = site(2).await;
+        let mut newest = 0;
+        for weight in 1..=6 {
+            newest = site
+                .set_weights(0, &[100 * weight, 100])
+                .await
+                .expect("published");
+        }
+        site.wait_revision(&site.daemon_hosts(), newest)
+            .await
+            .expect("in force");
+        site.platform_order("POST", "restore", "4")
+            .await
+            .expect("obeys");
+        let next = site.set_weights(0, &[100, 700]).await.expect("published");
+        assert!(next < newest, "the service gives revisions out again");
+        let in_force = async |site: &Site| {
+            let mut behind = 0;
+            for host in site.daemon_hosts() {
+                let held = site.metric(host, "config_revision").await.unwrap_or(0.0);
+                let era = site.metric(host, "platform_era").await.unwrap_or(0.0);
+                behind += usize::from((era as u64, held as u64) != (1, next));
+            }
+            behind == 0
+        };
+        site.until("the edit after the return", in_force)
+            .await
+            .expect("in force");
+    });
+}
+
 #[test]
 fn racing_edits_end_the_same_everywhere_and_a_bad_one_changes_nothing() {
     run(async {
