Let edits through after the own configuration service came back from an older copy

What operators of the product's own form would see (brought about by a test): no edit is in force until the service has passed the revision of before, since its answers are refused as stale and its numbers as old. Change: the service says by a header that it came back; its revisions are ordered by that first, and changes are read from the first one again. Why it holds: a service that shows lower revisions without saying so is taken for stale as before, which the test of a rolled back service keeps.

--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -14,6 +14,8 @@
 const READ_TIMEOUT_MS: u64 = 1_500;
 /// The header that carries a revision; see docs/PLATFORM.md.
 const REVISION_HEADER: &str = "revision";
+/// The header that tells how often the service has come back from an older copy; without it, never.
+const ERA_HEADER: &str = "era";
 
 /// Names and revisions that changed, and the highest revision that the service knows.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -66,7 +68,12 @@
 fn revision(response: &Response<Bytes>) -> Result<Revision> {
     let header = |name: &str| response.headers().get(name);
     let number = |name: &str| header(name)?.to_str().ok()?.parse().ok();
-    let revision = number(REVISION_HEADER).and_then(|number| Revision::new(0, number));
+    let era = match header(ERA_HEADER) {
+        None => Some(0),
+        Some(_) => number(ERA_HEADER),
+    };
+    let revision = era.zip(number(REVISION_HEADER));
+    let revision = revision.and_then(|(era, number)| Revision::new(era, number));
     revision.ok_or_else(|| silent("no revision header, or one that is no number"))
 }
 
--- a/src/controllers/platform_reader.rs
+++ b/src/controllers/platform_reader.rs
@@ -121,6 +121,11 @@
         }
     }
     answered(control);
+    if changes.highest.era() > since.era() {
+        // What changed between was numbered anew, so that the changes above a number of before are not all.
+        log::warn!("event=platform_restored revision={}", changes.highest);
+        return Ok(Revision::new(changes.highest.era(), 0).unwrap_or_default());
+    }
     Ok(changes.highest)
 }
 
