Believe what the platform's older copy shows of leaving servers and zones after 5 s

One change of policy: entries that take back that a server leaves, and evacuations that the copy lacks, waited 2.5 s, as lapsed entries do. Hypothesis: too short, since the entry of a server that has ended stands in the copy until three of its signs of life are missed, 3.6 s, and operators promise no time for what they write again. Ruled out: a longer wait for everything; proofs that nobody holds a flow go on after 2.5 s, as each further second leaves callers waiting. Change: 5 s for these two. Cost: a zone that operators took back while the platform was away stays empty for up to 5 s longer where the copy never knew of it.

--- a/src/opaque/mod.rs
+++ b/src/opaque/mod.rs
@@ -37,7 +37,7 @@
 pub use crate::opaque::values::news::{Dropped, dropped, news};
 pub use crate::opaque::values::own_backend::OwnBackend;
 pub use crate::opaque::values::published::forgot;
-pub use crate::opaque::values::restoration::{Restoration, RestorationStep};
+pub use crate::opaque::values::restoration::{Restoration, RestorationStep, SETTLE_MS};
 pub use crate::opaque::values::source::{Batch, Published, Read, Source};
 pub use crate::process::opaque_metrics::OpaqueMetrics;
 
--- a/src/opaque/values/restoration.rs
+++ b/src/opaque/values/restoration.rs
@@ -1,6 +1,12 @@
 //! Follows the returns of the platform from older copies, and when what it shows can be believed again.
 
-use crate::opaque::values::published_entry::LAPSE_MS;
+/// For how long after a return the platform may show what was replaced before it, in milliseconds.
+///
+/// Entries are back within about two seconds; that of a server which has ended stands in the copy until three of its signs
+/// of life are missed, 3.6 seconds on the users' sites. When operators have written again what the copy lacks is not
+/// promised: meanwhile no flow is sent into a zone that they emptied, at the price of a zone that stays empty for that long
+/// where they have taken it back.
+pub const SETTLE_MS: u64 = 5_000;
 
 /// What a look at the era of the values in force showed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -13,8 +19,7 @@
 
 /// The returns of the platform, as far as one process knows them.
 ///
-/// Until they have written again, the platform lacks what operators and backend servers told it last. It promises that
-/// entries are back within about two seconds, as after a time in which it was away.
+/// Until they have written again, the platform lacks what operators and backend servers told it last.
 #[derive(Debug, Default)]
 pub struct Restoration {
     era: u64,
@@ -30,7 +35,7 @@
     pub fn look(&mut self, era: u64, clock_ms: u64) -> Option<RestorationStep> {
         if era > self.era {
             self.era = era;
-            self.until_ms = Some(clock_ms + LAPSE_MS);
+            self.until_ms = Some(clock_ms + SETTLE_MS);
             return Some(RestorationStep::Restored);
         }
         let is_over = self.until_ms.is_some_and(|until_ms| clock_ms >= until_ms);
--- a/tests/opaque/restored_platform.rs
+++ b/tests/opaque/restored_platform.rs
@@ -1,7 +1,8 @@
 //! What processes hold while the platform comes back from older copies and numbers changes anew.
 
 use endivedyke::opaque::{
-    BackendState, Batch, Published, ROUTES_HEADER, ROUTES_NAME, Restoration, RestorationStep, news,
+    BackendState, Batch, Published, ROUTES_HEADER, ROUTES_NAME, Restoration, RestorationStep,
+    SETTLE_MS, news,
 };
 use endivedyke::{Acceptance, ClusterKey, ConfigStore, Revision, Stamp};
 use proptest::prelude::*;
@@ -9,8 +10,8 @@
 use crate::builder::{started_text, state_text};
 
 const ENTRY: &str = "backend/i-1";
-/// How long a process waits after the platform's return, in milliseconds: what its entries take to be back.
-const SETTLE_MS: u64 = 2_500;
+/// How long the entry of a server that has ended stands in a copy, in milliseconds: three signs of life of 1.2 s.
+const LEASE_MS: u64 = 3_600;
 
 fn revision(era: u64, number: u64) -> Revision {
     Revision::new(era, number).expect("small")
@@ -121,6 +122,12 @@
 #[test]
 fn a_restoration_settles_once_values_are_new_for_long_enough() {
     let mut restoration = Restoration::default();
+    const {
+        assert!(
+            SETTLE_MS > LEASE_MS,
+            "an ended server would get flows again"
+        )
+    };
     assert_eq!(restoration.look(0, 100), None);
     assert_eq!(restoration.look(1, 1_000), Some(RestorationStep::Restored));
     // The clock stands still while the platform is away once more.
