Tell a return of the platform only where it was seen; show the era in status

A process that starts finds any era new and said each time that the platform came back from an older copy. Change: it says so where it had a configuration before. The printed status shows the era before the revision where there was a return.

--- a/src/opaque/values/published.rs
+++ b/src/opaque/values/published.rs
@@ -266,12 +266,11 @@
         let step = self.restoration.borrow_mut().look(highest.era(), clock_ms);
         match step {
             None => {}
+            // To a process that starts any era is new; those that saw the return tell it how long ago that was.
+            Some(RestorationStep::Restored) if self.in_force_since_ms.get().is_none() => {}
             Some(RestorationStep::Restored) => {
                 log::warn!("event=platform_restored revision={highest}");
-                // A process that starts now finds an older copy, and has nothing to compare it with.
-                if self.in_force_since_ms.get().is_some() {
-                    self.unsettle(LAPSE_MS);
-                }
+                self.unsettle(LAPSE_MS);
             }
             Some(RestorationStep::Settled) => {
                 log::info!("event=platform_settled revision={highest}");
@@ -334,8 +333,8 @@
             .collect();
         named.sort_unstable();
         let values = store.values().iter();
-        let is_settling =
-            store.is_settling() || batch.revision.era() > store.digest().highest.era();
+        let is_restored = batch.revision.era() > store.digest().highest.era();
+        let is_settling = is_restored || store.is_settling();
         values
             .filter(|value| may_vanish(&value.name, is_settling))
             .filter(|value| value.text != GONE_TEXT && value.revision <= batch.revision)
@@ -453,9 +452,8 @@
 
 /// Tells whether a value is withdrawn by no longer being published; the others are only replaced.
 ///
-/// An older copy of the platform lacks evacuations that operators have to ask for again, and what was
-/// drawn off a zone must not go back there meanwhile. A backend server that it lacks takes flows for as long as one whose
-/// entry lapsed.
+/// An older copy of the platform may lack an evacuation until operators have asked for it again, and flows must not go back
+/// into the zone meanwhile. A backend server that the copy lacks takes flows for as long as one whose entry lapsed.
 fn may_vanish(name: &str, is_settling: bool) -> bool {
     name.starts_with(BACKEND_PREFIX) || (name.starts_with(EVACUATED_PREFIX) && !is_settling)
 }
--- a/src/programs/operator/status.rs
+++ b/src/programs/operator/status.rs
@@ -90,7 +90,7 @@
         host.to_string(),
         scalar(&state["role"]),
         scalar(&state["zone"]),
-        scalar(&state["revision"]),
+        revision_text(state),
         if answers { "answers" } else { "not read" }.to_owned(),
         if rejected.is_empty() {
             "-".to_owned()
@@ -100,6 +100,15 @@
     ]
 }
 
+/// Returns the highest revision of a process, with the era before the dot where the platform came back from a copy.
+fn revision_text(state: &Value) -> String {
+    let number = scalar(&state["revision"]);
+    match state["era"].as_u64() {
+        None | Some(0) => number,
+        Some(era) => format!("{era}.{number}"),
+    }
+}
+
 fn opaque_row(host: Ipv4Addr, state: &Value) -> Vec<String> {
     let counts = &state["opaque"];
     let mut row = vec![host.to_string()];
