Show the version of the routes that are in force, of several that came in one read

What operators would see: config_version one change behind on the processes that read the store, until the next change, while the newest routes served. Cause: of several states of one value that came into force together the metric took the first. Change: the version is taken from what is in force. Why it holds: nothing else is asked.

--- a/src/controllers/control.rs
+++ b/src/controllers/control.rs
@@ -6,7 +6,7 @@
 
 use serde_json::{Value, json};
 
-use crate::config::config_store::{Acceptance, ConfigStore, HOSTS_NAME, ValueUpdate};
+use crate::config::config_store::{Acceptance, ConfigStore, HOSTS_NAME, StoredValue, ValueUpdate};
 use crate::config::hosts::HostRole;
 use crate::config::revision::Revision;
 use crate::config::route_table::ROUTES_NAME;
@@ -188,9 +188,10 @@
                 );
             }
         }
-        if let Some((_, stamp)) = values.iter().find(|(name, _)| *name == ROUTES_NAME) {
-            self.metrics.config_version.set(stamp.version as i64);
-        }
+        // Several states of one value may come together; the last one is in force.
+        let routes = self.store.borrow().get(ROUTES_NAME).map(StoredValue::stamp);
+        let version = routes.map_or(0, |stamp| stamp.version);
+        self.metrics.config_version.set(version as i64);
         let names: Vec<&str> = values.iter().map(|(name, _)| *name).collect();
         if names.contains(&HOSTS_NAME) {
             self.keep_entry_hosts();
