--- a/tests/opaque/message.rs
+++ b/tests/opaque/message.rs
@@ -1,7 +1,7 @@
 //! Datagrams between processes.
 
 use endivedyke::opaque::{Message, MessageKind};
-use endivedyke::{Code, Digest};
+use endivedyke::{Code, Digest, Revision};
 use proptest::prelude::*;
 
 proptest! {
@@ -26,3 +26,30 @@
         }
     }
 }
+
+/// A beat as processes sent it before revisions had an era: of host 10.9.0.1, at revision 18.
+const BEAT_BEFORE: [u8; 30] = [
+    1, 7, 0, 0, 10, 9, 0, 1, 0, 0, 0, 0, 0, 0, 0, 18, 1, 2, 3, 4, 5, 6, 7, 8, 0, 0, 0, 250, 255,
+    255,
+];
+
+#[test]
+fn a_message_of_a_version_without_eras_is_read_and_written_as_before() {
+    let (payload, message) = Message::split(&BEAT_BEFORE).expect("sound");
+    assert!(payload.is_empty());
+    assert_eq!(message.kind, MessageKind::Beat);
+    assert_eq!(message.digest.highest, Revision::new(0, 18).expect("small"));
+    let mut written = Vec::new();
+    message.append(&mut written);
+    assert_eq!(written, BEAT_BEFORE);
+}
+
+#[test]
+fn to_a_version_without_eras_a_later_one_is_a_higher_revision() {
+    let mut message = Message::new(MessageKind::Beat);
+    message.digest.highest = Revision::new(1, 3).expect("small");
+    let mut written = Vec::new();
+    message.append(&mut written);
+    let highest = u64::from_be_bytes(written[8..16].try_into().expect("eight bytes"));
+    assert!(highest > 18, "it asks who sent it for what is newer");
+}
