Bring about an entry of an older copy that is believed as the first of its era (red)

A server that leaves would get new flows again after a return of the platform, where its entry is the first value that comes into force: that the platform settles is noted with the first accepted value, and judged before it. Found by reading the change once more; the tests so far always let another value come first. No logic changes.

--- a/tests/opaque/restored_platform.rs
+++ b/tests/opaque/restored_platform.rs
@@ -85,6 +85,18 @@
     );
 }
 
+#[test]
+fn the_first_value_of_an_era_is_judged_like_those_after_it() {
+    let mut store = store();
+    let draining = state_text(1, BackendState::Draining);
+    store.accept(ENTRY, 7, &draining).expect("sound");
+    let ready = state_text(1, BackendState::Ready);
+    assert_eq!(
+        store.accept(ENTRY, revision(1, 5), &ready),
+        Ok(Acceptance::Old)
+    );
+}
+
 #[test]
 fn a_server_that_left_before_the_return_stays_gone_and_one_that_lapsed_is_back() {
     let ready = state_text(1, BackendState::Ready);
