Judge entries by whether their era has settled, not by what was accepted before

What callers would see: a server that leaves gets new flows again after a return of the platform, where its entry is the first value that comes into force. Cause: that the era settles was a flag set with the first value accepted in it. Change: the store of values knows up to which era all is settled; later ones are not, from their first value on, and a return is noticed with what was read as well, which may be older than all that is in force. Why it holds: nothing has to be accepted first.

--- a/src/config/config_store.rs
+++ b/src/config/config_store.rs
@@ -92,8 +92,8 @@
     hosts: HostList,
     ring: KeyRing,
     digest: Digest,
-    /// Whether the platform may still show states from before it came back from an older copy.
-    is_settling: bool,
+    /// The latest era that has settled: of later ones the platform may still show states from before it came back.
+    settled_era: u64,
 }
 
 enum Parsed {
@@ -113,7 +113,7 @@
             hosts: HostList::default(),
             ring: KeyRing::initial(cluster),
             digest: Digest::default(),
-            is_settling: false,
+            settled_era: 0,
         }
     }
 
@@ -133,7 +133,8 @@
         if !self.values[index].is_news(stamp) {
             return Ok(Acceptance::Old);
         }
-        if self.is_settling && self.values[index].is_older_entry(stamp, text) {
+        let is_settled = self.is_settled(stamp.revision.era());
+        if !is_settled && self.values[index].is_older_entry(stamp, text) {
             return Ok(Acceptance::Old);
         }
         match self.parse(name, text) {
@@ -256,14 +257,14 @@
         self.digest
     }
 
-    /// Tells whether the platform came back from an older copy, and [`ConfigStore::settle`] was not called since.
-    pub fn is_settling(&self) -> bool {
-        self.is_settling
+    /// Tells whether what the platform shows in an era was written, or left as it is, since that era began.
+    pub fn is_settled(&self, era: u64) -> bool {
+        era <= self.settled_era
     }
 
-    /// Notes that what the platform shows from now on was written, or left as it is, since it came back.
-    pub fn settle(&mut self) {
-        self.is_settling = false;
+    /// Notes that an era has settled.
+    pub fn settle(&mut self, era: u64) {
+        self.settled_era = self.settled_era.max(era);
     }
 
     fn parse(&self, name: &str, text: &str) -> Result<Parsed> {
@@ -315,7 +316,6 @@
             self.digest.hash ^= hash::pair_hash(name_hash, value.revision.bits());
         }
         self.digest.hash ^= hash::pair_hash(name_hash, revision.bits());
-        self.is_settling |= revision.era() > self.digest.highest.era();
         self.digest.highest = self.digest.highest.max(revision);
         value.previous_revision = std::mem::replace(&mut value.revision, revision);
         value.version = version;
--- a/src/opaque/values/published.rs
+++ b/src/opaque/values/published.rs
@@ -262,6 +262,8 @@
     /// Notes where the platform came back from an older copy, and where it has settled again.
     fn look_at_era(&self) {
         let highest = self.control.store.borrow().digest().highest;
+        // All that was read in a new era may be older than what is in force.
+        let highest = highest.max(self.seen_revision.get());
         let clock_ms = self.lapse_clock_ms();
         let step = self.restoration.borrow_mut().look(highest.era(), clock_ms);
         match step {
@@ -274,7 +276,8 @@
             }
             Some(RestorationStep::Settled) => {
                 log::info!("event=platform_settled revision={highest}");
-                self.control.store.borrow_mut().settle();
+                let era = self.restoration.borrow().era();
+                self.control.store.borrow_mut().settle(era);
                 // What was not believed until now is read again.
                 self.seen_revision.set(Revision::ZERO);
             }
@@ -317,10 +320,10 @@
         });
         news.extend(gone);
         self.control.accept_all(&news);
-        self.look_at_era();
         if batch.revision > self.seen_revision.get() {
             self.seen_revision.set(batch.revision);
         }
+        self.look_at_era();
     }
 
     /// Returns the backend servers and evacuations that a whole read no longer names, which are gone.
@@ -333,10 +336,9 @@
             .collect();
         named.sort_unstable();
         let values = store.values().iter();
-        let is_restored = batch.revision.era() > store.digest().highest.era();
-        let is_settling = is_restored || store.is_settling();
+        let is_settled = store.is_settled(batch.revision.era());
         values
-            .filter(|value| may_vanish(&value.name, is_settling))
+            .filter(|value| may_vanish(&value.name, is_settled))
             .filter(|value| value.text != GONE_TEXT && value.revision <= batch.revision)
             .filter(|value| named.binary_search(&value.name.as_str()).is_err())
             .map(|value| value.name.clone())
@@ -454,8 +456,8 @@
 ///
 /// An older copy of the platform may lack an evacuation until operators have asked for it again, and flows must not go back
 /// into the zone meanwhile. A backend server that the copy lacks takes flows for as long as one whose entry lapsed.
-fn may_vanish(name: &str, is_settling: bool) -> bool {
-    name.starts_with(BACKEND_PREFIX) || (name.starts_with(EVACUATED_PREFIX) && !is_settling)
+fn may_vanish(name: &str, is_settled: bool) -> bool {
+    name.starts_with(BACKEND_PREFIX) || (name.starts_with(EVACUATED_PREFIX) && is_settled)
 }
 
 /// Passes a batch that belongs to the history of the platform which was asked for.
--- a/src/opaque/values/restoration.rs
+++ b/src/opaque/values/restoration.rs
@@ -8,7 +8,7 @@
 /// where they have taken it back.
 pub const SETTLE_MS: u64 = 5_000;
 
-/// What a look at the era of the values in force showed.
+/// What a look at the platform's era showed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RestorationStep {
     /// The platform came back from an older copy: operators and backend servers write there again what it lost.
@@ -28,7 +28,12 @@
 }
 
 impl Restoration {
-    /// Looks at the era of the values in force.
+    /// Returns the latest era that is known.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Looks at the latest era of what was read or is in force.
     ///
     /// `clock_ms` is the time up to which values are known to be the newest, so that the wait stands still while the
     /// platform is away once more.
--- a/tests/opaque/restored_platform.rs
+++ b/tests/opaque/restored_platform.rs
@@ -77,7 +77,7 @@
     let copied = revision(1, 5);
     store.accept("other", revision(1, 4), "").expect("sound");
     assert_eq!(store.accept(ENTRY, copied, &ready), Ok(Acceptance::Old));
-    store.settle();
+    store.settle(1);
     assert_eq!(
         store.accept(ENTRY, copied, &ready),
         Ok(Acceptance::Accepted),
