Bring about two processes that do not become level after a return (red)

A process that starts after the platform's return holds the end of an entry at a revision of the new era, one that knew the end before keeps the old revision, since the text is the same: their digests differ for good, and the one that asks the other reads the platform itself instead. No logic changes.

--- a/tests/opaque/news.rs
+++ b/tests/opaque/news.rs
@@ -1,7 +1,7 @@
 //! What a read of the platform tells that is new.
 
 use endivedyke::opaque::{BackendState, Batch, Dropped, GONE_TEXT, Published, dropped, news};
-use endivedyke::{ClusterKey, ConfigStore};
+use endivedyke::{ClusterKey, ConfigStore, Revision};
 
 use crate::builder::state_text;
 
@@ -48,6 +48,23 @@
     assert_eq!(taken(store(), &changes), (7, ready()));
 }
 
+/// A process that starts after the platform's return holds the entry's end at a revision of the new era. One that kept the
+/// end of before would have another digest, and never be taken for level.
+#[test]
+fn the_first_state_of_an_era_is_news_though_its_text_is_known() {
+    let mut store = store();
+    store.accept(NAME, 8, GONE_TEXT).expect("sound");
+    let mut removed = batch(false, &[(5, false)]);
+    removed.values[0].stamp.revision = Revision::new(1, 5).expect("small");
+    let states = news(&store, &removed);
+    assert_eq!(states.len(), 1);
+    store
+        .accept(NAME, states[0].stamp, states[0].text)
+        .expect("sound");
+    removed.values[0].stamp.revision = Revision::new(1, 6).expect("small");
+    assert_eq!(news(&store, &removed), []);
+}
+
 #[test]
 fn an_entry_that_lapsed_and_came_back_within_a_batch_is_there_and_newer() {
     let changes = batch(false, &[(16, false), (25, true), (27, true)]);
