Take the first state of an era though its text is known

What operators would see: after a return of the platform processes that read it themselves for good, one more call each two seconds, since they never become level with the one that they ask. Cause: a state whose text is known was no news, and kept its revision of the era before. Change: within an era that holds as before; the first state in a new one is taken with its revision. Why it holds: all processes come to that revision, whenever they started.

--- a/src/opaque/values/news.rs
+++ b/src/opaque/values/news.rs
@@ -11,10 +11,11 @@
 /// Returns the values of a batch that are news, in the order of their revisions.
 ///
 /// A change to the text that a value has already, by its own batch or else by the store, is none: entries
-/// are written anew for signs of life in fields that the product does not use. Two cases are news though
+/// are written anew for signs of life in fields that the product does not use. Three cases are news though
 /// the text is known, since an older end of the entry would be believed without them, here or from a peer
 /// that lags, and flows of a backend server that serves be reset: the return of an entry that vanished within
-/// the batch, and every newer revision of a whole read, which follows lost history.
+/// the batch, every newer revision of a whole read, which follows lost history, and the first state in an era of the
+/// platform, at whose revision processes that start then hold the value.
 pub fn news<'a>(store: &ConfigStore, batch: &'a Batch) -> Vec<ValueState<'a>> {
     let mut news: Vec<ValueState<'_>> = Vec::new();
     // What each value holds once the batch was taken up to here, where that changed.
@@ -22,10 +23,12 @@
     for value in &batch.values {
         let name = value.name.as_str();
         let text = value.text.as_deref().unwrap_or(GONE_TEXT);
-        let held = || store.get(name).map(|value| value.text.as_str());
-        let known = taken.get(name).copied().or_else(held);
-        let is_new = batch.is_whole || known != Some(text);
         let stamp = value.stamp;
+        let held = store.get(name);
+        let held = held.filter(|held| held.revision.era() == stamp.revision.era());
+        let held_text = || held.map(|held| held.text.as_str());
+        let known = taken.get(name).copied().or_else(held_text);
+        let is_new = batch.is_whole || known != Some(text);
         if is_new && store.wants(name, stamp) {
             news.push(ValueState { name, stamp, text });
             taken.insert(name, text);
