Read how long callers wait, where they have time for one attempt only

Cause: an opener without room is left to its caller's copies and retries. That works where a caller has time for several attempts; an attempt that nobody answers lasts 1.4 s, and two customers' callers give up after 1.5 s. Change: the timeout and the latency objective of a route are read, in a value of its own (`deadlines`), and only of routes that leave no time for a second attempt. Nothing decides by it yet. Ruled out: columns in the table of routes (an older process refuses the table), deadlines of all routes (30 kB more for 1,600 routes at each start, worked out).

--- a/src/code.rs
+++ b/src/code.rs
@@ -76,6 +76,7 @@
     2402 BackendSyntax "backend server: the published value is malformed", "write service,address,zone,slots,state and, while it is cold, the milliseconds left";
     2403 EntryUnusable "backend server: what is published names none to use", "see which other program writes there";
     2404 ColdStartSyntax "cold starts: a line is malformed", "write service,milliseconds,flows a second";
+    2405 DeadlineSyntax "deadlines: a line is malformed", "write address,objective in milliseconds,timeout in milliseconds";
     2501 LogSilent "logs: no line names this request or flow", "give the log files of all processes, and the id as callers know it";
     3001 SettingsSyntax "settings: the file is not INI", "correct the line named";
     3002 SettingsUnknown "settings: unknown section or key", "remove or correct the key named";
--- a/src/config/config_store.rs
+++ b/src/config/config_store.rs
@@ -3,6 +3,7 @@
 use crate::code::Code;
 use crate::config::backend_entry::{self, BACKEND_PREFIX, BackendValue, GONE_TEXT};
 use crate::config::cold_starts::{self, COLD_STARTS_NAME};
+use crate::config::deadlines::{self, DEADLINES_NAME};
 use crate::config::delta::Delta;
 use crate::config::hash;
 use crate::config::hosts::HostList;
@@ -292,6 +293,10 @@
                 cold_starts::cold_starts(text)?;
                 Ok(Parsed::Other)
             }
+            DEADLINES_NAME => {
+                deadlines::deadlines(text)?;
+                Ok(Parsed::Other)
+            }
             HOSTS_NAME => Ok(Parsed::Hosts(HostList::parse(text)?)),
             KEYS_NAME => Ok(Parsed::Keys(KeyRing::parse(&self.cluster, text)?)),
             _ => Ok(Parsed::Other),
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod backend_entry;
 pub(crate) mod cold_starts;
 pub(crate) mod config_store;
+pub(crate) mod deadlines;
 pub(crate) mod delta;
 pub(crate) mod evacuation;
 pub(crate) mod hash;
--- a/src/opaque/mod.rs
+++ b/src/opaque/mod.rs
@@ -20,6 +20,7 @@
     cold_backend_text, started_backend_text, unusable_text,
 };
 pub use crate::config::cold_starts::{COLD_STARTS_NAME, ColdStart, cold_start_line, cold_starts};
+pub use crate::config::deadlines::{DEADLINES_NAME, Deadline, deadlines, deadlines_text};
 pub use crate::config::evacuation::{EVACUATED_PREFIX, EVACUATED_TEXT, evacuation_name};
 pub use crate::config::route_diff::{RouteChange, route_changes};
 pub use crate::config::route_table::{ROUTES_HEADER, ROUTES_NAME, Route, RouteShare, RouteTable};
--- a/src/opaque/processes/node.rs
+++ b/src/opaque/processes/node.rs
@@ -10,6 +10,7 @@
 use crate::config::backend_entry::{BackendValue, GONE_TEXT};
 use crate::config::cold_starts::{COLD_STARTS_NAME, cold_starts};
 use crate::config::config_store::StoredValue;
+use crate::config::deadlines::{DEADLINES_NAME, deadlines};
 use crate::config::evacuation::EVACUATED_PREFIX;
 use crate::config::route_table::RouteTable;
 use crate::config::service_names::{SERVICES_NAME, service_names};
@@ -283,6 +284,11 @@
                 directory.set_cold_starts(starts);
             }
         }
+        DEADLINES_NAME => {
+            if let Ok(deadlines) = deadlines(text) {
+                directory.set_deadlines(deadlines);
+            }
+        }
         name => {
             if let Some(zone) = name.strip_prefix(EVACUATED_PREFIX) {
                 directory.set_evacuated(zone, text != GONE_TEXT, value.revision);
--- a/src/opaque/values/directory.rs
+++ b/src/opaque/values/directory.rs
@@ -5,6 +5,7 @@
 use crate::code::Code;
 use crate::config::backend_entry::{Backend, BackendState, BackendValue};
 use crate::config::cold_starts::ColdStart;
+use crate::config::deadlines::Deadline;
 use crate::config::hash;
 use crate::config::hosts::{Host, HostList, HostRole, HostState};
 use crate::config::revision::Revision;
@@ -28,6 +29,8 @@
     evacuated_zones: Vec<String>,
     /// What operators told of cold starts, sorted by service.
     cold_starts: Vec<ColdStart>,
+    /// How long callers wait who have time for one attempt, sorted by the address that they call.
+    deadlines: Vec<Deadline>,
     /// Until when the backend server on a host is cold, for those that were published as cold, sorted by host.
     cold_hosts: Vec<(Ipv4Addr, u64)>,
     /// Ids whose values name no backend server to use, sorted.
@@ -201,6 +204,19 @@
         found.ok().map(|index| self.cold_starts[index])
     }
 
+    /// Takes how long callers wait.
+    pub fn set_deadlines(&mut self, deadlines: Vec<Deadline>) {
+        self.deadlines = deadlines;
+    }
+
+    /// Returns how long the callers of an address wait, if they have time for one attempt only.
+    pub fn deadline(&self, called: SocketAddrV4) -> Option<Deadline> {
+        let found = self
+            .deadlines
+            .binary_search_by_key(&called, |deadline| deadline.address);
+        found.ok().map(|index| self.deadlines[index])
+    }
+
     /// Tells whether the backend server on a host is published as cold.
     pub(crate) fn is_cold(&self, host: Ipv4Addr, now_ms: u64) -> bool {
         let found = self
