--- a/src/decisions/slots.rs
+++ b/src/decisions/slots.rs
@@ -1,20 +1,16 @@
 //! The slots of one target and the bounded queue before them.
 
-use std::collections::VecDeque;
-
 use crate::code::Code;
+use crate::decisions::service_time::{self, ServiceTime};
+use crate::decisions::wait_queue::{WaitQueue, Waiting};
 
 /// How many requests may wait for each slot.
 pub(crate) const QUEUE_PER_SLOT: u32 = 2;
-/// The service time assumed before the first request has ended, in milliseconds.
-pub(crate) const FIRST_SERVICE_MS: f64 = 20.0;
 /// The shortest time after which a refused caller is told to come back, in milliseconds.
 pub(crate) const MIN_RETRY_MS: u32 = 50;
 /// The longest such time, in milliseconds.
 pub(crate) const MAX_RETRY_MS: u32 = 30_000;
 
-const WEIGHT_OF_NEW: f64 = 0.1;
-
 /// Identifies a request in its agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RequestId(pub u64);
@@ -48,19 +44,13 @@
     pub expired: Vec<RequestId>,
 }
 
-#[derive(Debug)]
-struct Waiting {
-    id: RequestId,
-    deadline_ms: u64,
-}
-
 /// Slots, running requests and waiting requests of one target.
 #[derive(Debug)]
 pub struct Slots {
     slots: u32,
     busy: u32,
-    queue: VecDeque<Waiting>,
-    service_ms: f64,
+    queue: WaitQueue<RequestId>,
+    service: ServiceTime,
 }
 
 impl Slots {
@@ -69,8 +59,8 @@
         Self {
             slots,
             busy: 0,
-            queue: VecDeque::new(),
-            service_ms: FIRST_SERVICE_MS,
+            queue: WaitQueue::default(),
+            service: ServiceTime::default(),
         }
     }
 
@@ -96,7 +86,7 @@
 
     /// Returns the mean service time, in milliseconds.
     pub fn service_ms(&self) -> f64 {
-        self.service_ms
+        self.service.mean_ms()
     }
 
     /// Returns for how long a request that arrives now would wait, in milliseconds.
@@ -104,8 +94,7 @@
         if self.has_free() {
             return 0;
         }
-        let ahead = self.queue.len() as f64 + 1.0;
-        (ahead * self.service_ms / f64::from(self.slots.max(1))).ceil() as u64
+        service_time::wait_ms(self.queue.len() as u32 + 1, self.service_ms(), self.slots)
     }
 
     /// Takes a request that must have ended by `deadline_ms`.
@@ -120,17 +109,27 @@
         if self.queue.len() as u64 >= u64::from(self.slots) * u64::from(QUEUE_PER_SLOT) {
             return self.refuse(Code::Overloaded);
         }
-        let end_ms = now_ms as f64 + self.wait_ms() as f64 + self.service_ms;
+        let end_ms = now_ms as f64 + self.wait_ms() as f64 + self.service_ms();
         if end_ms > deadline_ms as f64 {
             return self.refuse(Code::Deadline);
         }
-        self.queue.push_back(Waiting { id, deadline_ms });
+        let waiting = Waiting {
+            item: id,
+            caller: id.0,
+            priority: 0,
+            since_ms: now_ms,
+            due_ms: deadline_ms,
+            deadline_ms,
+        };
+        if !self.queue.push(waiting) {
+            return self.refuse(Code::Overloaded);
+        }
         Arrival::Queued
     }
 
     /// Frees a slot after a service time of `took_ms`.
     pub fn finished(&mut self, took_ms: u64) {
-        self.service_ms += (took_ms as f64 - self.service_ms) * WEIGHT_OF_NEW;
+        self.service.note(took_ms as f64);
         self.release();
     }
 
@@ -139,48 +138,35 @@
         self.busy = self.busy.saturating_sub(1);
     }
 
-    /// Gives a free slot to the first waiting request that can still meet its deadline.
+    /// Gives a free slot to the waiting request that goes first of those that can still meet their deadlines.
     pub fn next(&mut self, now_ms: u64) -> Next {
         let mut next = Next::default();
-        while self.busy < self.slots {
-            let Some(waiting) = self.queue.pop_front() else {
-                break;
-            };
-            if waiting.deadline_ms <= now_ms {
-                next.expired.push(waiting.id);
-                continue;
-            }
+        if self.busy >= self.slots {
+            return next;
+        }
+        next.expired = self.expire(now_ms);
+        if let Some(waiting) = self.queue.pop(self.service_ms(), now_ms) {
             self.busy += 1;
-            next.run = Some(waiting.id);
-            break;
+            next.run = Some(waiting.item);
         }
         next
     }
 
     /// Removes waiting requests whose deadline has passed, so that they are answered at once.
     pub fn expire(&mut self, now_ms: u64) -> Vec<RequestId> {
-        let late = |waiting: &&Waiting| waiting.deadline_ms <= now_ms;
-        let expired = self
-            .queue
-            .iter()
-            .filter(late)
-            .map(|waiting| waiting.id)
-            .collect();
-        self.queue.retain(|waiting| waiting.deadline_ms > now_ms);
-        expired
+        let expired = self.queue.take_if(|waiting| waiting.deadline_ms <= now_ms);
+        expired.into_iter().map(|waiting| waiting.item).collect()
     }
 
     /// Removes a waiting request that its caller has cancelled, and says whether it waited.
     pub fn cancel(&mut self, id: RequestId) -> bool {
-        let before = self.queue.len();
-        self.queue.retain(|waiting| waiting.id != id);
-        self.queue.len() < before
+        !self.queue.take_if(|waiting| waiting.item == id).is_empty()
     }
 
     /// Returns after how long a refused caller should come back, in milliseconds.
     pub fn retry_after_ms(&self) -> u32 {
         let backlog = self.queue.len() as f64 + f64::from(self.busy);
-        let clear_ms = backlog * self.service_ms / f64::from(self.slots.max(1));
+        let clear_ms = backlog * self.service_ms() / f64::from(self.slots.max(1));
         (clear_ms as u32).clamp(MIN_RETRY_MS, MAX_RETRY_MS)
     }
 
--- a/src/opaque/finding/flow_book.rs
+++ b/src/opaque/finding/flow_book.rs
@@ -19,7 +19,13 @@
 /// hold its place for as long as a flow lives.
 const ABANDONED_MS: u64 = 3_000;
 /// How long a taken opener counts as a request before its caller has sent one, in milliseconds.
-const EXPECTED_MS: u64 = 500;
+pub(crate) const EXPECTED_MS: u64 = 500;
+/// The same where callers have time for one attempt only, in milliseconds: some round trips between a caller and its
+/// backend server. Many openers of a rush come from callers that have left, and would hold slots for nothing.
+pub(crate) const EXPECTED_SOON_MS: u64 = 60;
+/// How old a count of the requests may be where openers wait for a slot, in milliseconds: a part of the time for
+/// which a taken opener counts.
+const COUNT_MAX_AGE_MS: u64 = 20;
 
 /// Where a flow is, as far as the agent knows.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -49,6 +55,8 @@
     pub(crate) copy: u32,
     /// For how long its caller had waited before the first copy, as far as known, in milliseconds.
     pub(crate) waited_ms: u16,
+    /// How long it counts as a request before its caller has sent one, in milliseconds.
+    pub(crate) expected_ms: u64,
     pub(crate) answered: bool,
     pub(crate) backend_sequence: u32,
 }
@@ -148,7 +156,7 @@
     /// Tells whether it takes or will soon take a slot there.
     fn is_busy(&self, now_ms: u64) -> bool {
         match &self.holding {
-            Holding::Opening(opening) => now_ms < opening.since_ms + EXPECTED_MS,
+            Holding::Opening(opening) => now_ms < opening.since_ms + opening.expected_ms,
             _ => {
                 let waits = |running: &Running| now_ms < running.since_ms + ABANDONED_MS;
                 self.is_open() && self.running.as_ref().is_some_and(waits)
@@ -186,6 +194,7 @@
     lifetime_ms: u64,
     open: u32,
     busy: u32,
+    counted_ms: u64,
 }
 
 impl FlowBook {
@@ -197,6 +206,7 @@
             lifetime_ms,
             open: 0,
             busy: 0,
+            counted_ms: 0,
         }
     }
 
@@ -205,6 +215,14 @@
         self.busy
     }
 
+    /// Returns the same, without what counted as a request until a moment ago and does no more.
+    pub(crate) fn busy_now(&mut self, now_ms: u64) -> u32 {
+        if now_ms >= self.counted_ms + COUNT_MAX_AGE_MS {
+            self.count_anew(now_ms);
+        }
+        self.busy
+    }
+
     /// Returns the flows open there.
     pub(crate) fn open(&self) -> u32 {
         self.open
@@ -302,6 +320,7 @@
             keeps
         });
         (self.open, self.busy) = (open, busy);
+        self.counted_ms = now_ms;
         self.show();
         overdue
     }
@@ -314,6 +333,7 @@
             true
         });
         (self.open, self.busy) = (open, busy);
+        self.counted_ms = now_ms;
         self.show();
     }
 
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -4,10 +4,13 @@
 //! question among agents, which find each flow's holder without them. See docs/OPAQUE.md, "Finding a
 //! flow".
 
+mod offers;
+
 use std::collections::VecDeque;
 use std::net::Ipv4Addr;
 
 use crate::code::Code;
+use crate::decisions::known_waits::KnownWaits;
 use crate::decisions::suspicion::Suspicion;
 use crate::error::{Error, Result};
 use crate::opaque::finding::flow_map::FlowMap;
@@ -49,6 +52,11 @@
     attempt: usize,
     /// How many agents with more to do than others declined it.
     declined: usize,
+    /// The agents to which it was offered by what they would let it wait; none where it was not.
+    offered: Vec<Ipv4Addr>,
+    sent_ms: u64,
+    /// For how long its caller had waited before the first copy, in milliseconds.
+    waited_ms: u64,
     packet: Vec<u8>,
 }
 
@@ -67,6 +75,7 @@
     /// The loads over a longer time, of which agents are told the mean.
     steady_loads: KnownLoads,
     means: ServiceMeans,
+    waits: KnownWaits,
     retries: ExpectedRetries,
 }
 
@@ -93,6 +102,7 @@
             loads: KnownLoads::default(),
             steady_loads: KnownLoads::default(),
             means: ServiceMeans::default(),
+            waits: KnownWaits::default(),
             retries: ExpectedRetries::new(),
         }
     }
@@ -119,6 +129,14 @@
             return Ok(self.deliver(host, packet, 0));
         }
         let attempt = segment.acknowledgement as usize;
+        if directory.deadline(flow.called).is_some() {
+            return match self.offer(directory, suspicion, &segment, packet, now_ms) {
+                Err(_) if attempt == 0 && candidates::are_evacuated(directory, &flow) => {
+                    self.refuse(&segment, Code::ServiceEvacuated)
+                }
+                offer => offer,
+            };
+        }
         let host = match self.opener_host(directory, suspicion, &flow, attempt, now_ms) {
             // Copies come only from callers whose first one went to an agent, which may have taken it since.
             Err(_) if attempt == 0 && candidates::are_evacuated(directory, &flow) => {
@@ -136,6 +154,9 @@
             host,
             attempt,
             declined: 0,
+            offered: Vec::new(),
+            sent_ms: now_ms,
+            waited_ms,
             packet: packet.clone(),
         });
         let mut message = self.message(waited_ms);
@@ -255,6 +276,9 @@
         let is_it = |watched: &Watched| watched.flow == *flow && watched.host == host;
         let index = self.watched.iter().position(is_it)?;
         let mut watched = self.watched.remove(index)?;
+        if watched.is_offer() {
+            return self.offer_next(directory, suspicion, watched, now_ms).ok();
+        }
         watched.attempt += 1;
         watched.declined += 1;
         watched.due_ms = now_ms + TAKEN_TIMEOUT_MS;
@@ -292,7 +316,7 @@
             let Some(watched) = self.watched.pop_front() else {
                 break;
             };
-            if self.hints.get(&watched.flow).is_some() {
+            if self.is_answered(&watched) {
                 continue;
             }
             self.metrics.openers_unanswered.inc();
@@ -306,6 +330,12 @@
                 watched.host,
                 watched.attempt
             );
+            if watched.is_offer() {
+                self.forget_hint(&watched);
+                let next = self.offer_next(directory, suspicion, watched, now_ms);
+                actions.extend(next.ok());
+                continue;
+            }
             let attempt = watched.attempt + 1;
             let next = self.opener_host(directory, suspicion, &watched.flow, attempt, now_ms);
             if let Ok(host) = next
@@ -321,6 +351,7 @@
     /// Forgets flows of which nothing was heard for as long as a flow lives.
     pub fn expire(&mut self, now_ms: u64) {
         self.loads.expire(now_ms);
+        self.waits.expire(now_ms);
         self.steady_loads.expire(now_ms);
         self.retries.expire(now_ms);
         let lifetime_ms = self.flow_lifetime_ms;
@@ -401,7 +432,8 @@
     }
 
     fn watch(&mut self, watched: Watched) {
-        if self.watched.len() < MAX_WATCHED && self.hints.get(&watched.flow).is_none() {
+        let is_known = self.hints.get(&watched.flow).is_some() && !watched.is_offer();
+        if self.watched.len() < MAX_WATCHED && !is_known {
             self.watched.push_back(watched);
         }
     }
@@ -426,6 +458,13 @@
     Some(u16::from_be_bytes(*bytes))
 }
 
+/// Returns for how long a new flow would wait at the sender of a [`MessageKind::Holds`] or
+/// [`MessageKind::Declined`], in milliseconds, where its payload tells that.
+pub fn told_wait(payload: &[u8]) -> Option<u16> {
+    let bytes = payload.get(FLOW_KEY_BYTES + 2..)?.first_chunk()?;
+    Some(u16::from_be_bytes(*bytes))
+}
+
 /// Returns the flow that the payload of a message names.
 pub(crate) fn named_flow(payload: &[u8]) -> Option<FlowKey> {
     FlowKey::from_bytes(payload.get(..FLOW_KEY_BYTES)?)
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -9,16 +9,20 @@
 mod openers;
 mod questions;
 mod told;
+mod waiting;
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use crate::code::Code;
 use crate::config::revision::Revision;
 use crate::config::service_id::ServiceId;
+use crate::decisions::service_time::SlotTime;
 use crate::decisions::suspicion::Suspicion;
+use crate::decisions::wait_queue::WaitQueue;
 use crate::error::Result;
 use crate::opaque::finding::flow_book::{Flow, FlowBook, Holding, Running};
 use crate::opaque::finding::lookup::Lookups;
+use crate::opaque::keeper::waiting::WaitingOpener;
 use crate::opaque::openers::cold_rate::ColdRate;
 use crate::opaque::openers::mean_load::{FAILING_LOAD, MeanLoad, RECENT_SPAN_MS, STEADY_SPAN_MS};
 use crate::opaque::openers::recent_outcomes::RecentOutcomes;
@@ -71,6 +75,9 @@
     load: MeanLoad,
     /// The load over a longer time, by which flows are shared out.
     steady_load: MeanLoad,
+    slot_time: SlotTime,
+    /// Openers that wait for a slot of the backend server.
+    waiting: WaitQueue<WaitingOpener>,
     outcomes: RecentOutcomes,
     failing: bool,
     cold_rate: ColdRate,
@@ -113,6 +120,8 @@
             flows: FlowBook::new(metrics, identity.flow_lifetime_ms),
             load: MeanLoad::over(RECENT_SPAN_MS),
             steady_load: MeanLoad::over(STEADY_SPAN_MS),
+            slot_time: SlotTime::default(),
+            waiting: WaitQueue::default(),
             outcomes: RecentOutcomes::default(),
             failing: false,
             cold_rate: ColdRate::default(),
@@ -145,6 +154,7 @@
     pub fn load_permille(&mut self, scene: &Scene<'_>) -> u16 {
         self.load.changed(self.flows.busy(), scene.now_ms);
         self.steady_load.changed(self.flows.busy(), scene.now_ms);
+        self.note_slots(scene);
         if self.outcomes.is_failing(scene.now_ms) {
             // What fails at once looks idle, and would attract what others could serve.
             return FAILING_LOAD;
@@ -176,7 +186,7 @@
 
     /// Tells whether [`Keeper::tick`] has something to wait for.
     pub fn is_waiting(&self) -> bool {
-        !self.pending.is_empty() || !self.lookups.is_empty()
+        !self.pending.is_empty() || !self.lookups.is_empty() || !self.waiting.is_empty()
     }
 
     /// Takes a datagram of another process.
@@ -192,11 +202,12 @@
         payload: &[u8],
     ) -> Result<Vec<Action>> {
         let mut actions = Vec::new();
-        if message.kind == MessageKind::Deliver && message.host == from {
+        let comes_in = matches!(message.kind, MessageKind::Deliver | MessageKind::Offer);
+        if comes_in && message.host == from {
             self.balancers.heard(from, scene.now_ms);
         }
         match message.kind {
-            MessageKind::Deliver | MessageKind::HandOn => {
+            MessageKind::Deliver | MessageKind::HandOn | MessageKind::Offer => {
                 let segment = (self.wire.decode)(payload)?;
                 if segment.opens {
                     self.opener(scene, &segment, payload, message, &mut actions);
@@ -243,10 +254,11 @@
             self.metrics.packets_returned.inc();
             self.returned(scene, &segment, packet, &mut actions);
         } else {
-            self.answer(scene.now_ms, &segment, &packet);
+            self.answer(scene, &segment, &packet);
             let flow = segment.flow_from_backend();
             actions.push(Action::ToCaller(flow.caller, packet));
         }
+        self.serve_waiting(scene, &mut actions);
         Ok(actions)
     }
 
@@ -259,6 +271,7 @@
                 self.pending.push(key);
             }
         }
+        self.serve_waiting(scene, &mut actions);
         for key in self.lookups.flows() {
             self.conclude(scene, &key, &mut actions);
         }
--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -15,6 +15,8 @@
 const FIRST_ERROR_STATUS: u16 = 400;
 /// The status from which an answer is the backend server's failure and not its caller's.
 const FIRST_SERVER_ERROR_STATUS: u16 = 500;
+/// The status by which a backend server says that it has no room, which is no failure where its slots are busy.
+const OVERLOADED_STATUS: u16 = 503;
 
 impl Keeper {
     /// Takes a packet that the backend server returned.
@@ -58,7 +60,8 @@
     }
 
     /// Notes what an answer of the backend server tells of its flow.
-    pub(super) fn answer(&mut self, now_ms: u64, segment: &Segment, packet: &[u8]) {
+    pub(super) fn answer(&mut self, scene: &Scene<'_>, segment: &Segment, packet: &[u8]) {
+        let now_ms = scene.now_ms;
         let key = segment.flow_from_backend();
         if self.flows.get(&key).is_none() {
             if !segment.resets && !segment.accepts {
@@ -94,7 +97,9 @@
         }
         match answered {
             Some((running, true)) => {
-                self.note_answer(&key, &running, (self.wire.status)(packet), now_ms);
+                self.slot_time.answered(now_ms);
+                self.note_slots(scene);
+                self.note_answer(scene, &key, &running, (self.wire.status)(packet));
             }
             Some((running, false)) => {
                 self.metrics.requests_lost.inc();
@@ -108,13 +113,23 @@
         }
     }
 
-    fn note_answer(&mut self, key: &FlowKey, running: &Running, status: Option<u16>, now_ms: u64) {
+    fn note_answer(
+        &mut self,
+        scene: &Scene<'_>,
+        key: &FlowKey,
+        running: &Running,
+        status: Option<u16>,
+    ) {
+        let now_ms = scene.now_ms;
         let took_ms = now_ms.saturating_sub(running.since_ms);
         self.metrics
             .request_seconds
             .observe(took_ms as f64 / 1_000.0);
         let broken = status.is_some_and(|status| status >= FIRST_SERVER_ERROR_STATUS);
-        if broken {
+        if status == Some(OVERLOADED_STATUS) && self.is_full(scene, key) {
+            // In a rush it would seem to fail, and be left idle as soon as it has room again.
+            self.metrics.requests_shed.inc();
+        } else if broken {
             self.note_failed(now_ms);
         } else {
             self.note_served(now_ms);
--- a/src/opaque/keeper/backend_life.rs
+++ b/src/opaque/keeper/backend_life.rs
@@ -67,10 +67,12 @@
         let own = scene.directory.own(self.identity.backend);
         let gone = own.is_some_and(|own| own.is_gone && !own.takes_flows);
         let still = scene.now_ms >= self.last_heard_ms + STILL_MS;
+        let mut actions = Vec::new();
         if gone && still && self.refusing {
-            return self.backend_ended(scene);
+            actions = self.backend_ended(scene);
         }
-        Vec::new()
+        self.pass_on_waiting(scene, &mut actions);
+        actions
     }
 
     /// Ends all flows of a backend server whose process is gone at once, so that their callers open
@@ -90,7 +92,9 @@
             scene.now_ms.saturating_sub(self.last_heard_ms),
             scene.revision
         );
-        self.close_remains(scene, remains)
+        let mut actions = self.close_remains(scene, remains);
+        self.pass_on_waiting(scene, &mut actions);
+        actions
     }
 
     /// Resets the flows that are left of a backend server, and passes its openers on.
--- a/src/opaque/keeper/declines.rs
+++ b/src/opaque/keeper/declines.rs
@@ -7,6 +7,7 @@
 
 use std::net::Ipv4Addr;
 
+use crate::decisions::offers::TAKES_NONE_MS;
 use crate::opaque::finding::flow_book::Opening;
 use crate::opaque::keeper::{Keeper, Scene, tell};
 use crate::opaque::packets::action::Action;
@@ -19,13 +20,29 @@
 /// The least of that margin, in thousandths of a slot: of two idle backend servers none is the lighter one.
 const MIN_MARGIN_PERMILLE: f64 = 20.0;
 
+/// The wait that an agent tells which has room and more to do than the mean, in milliseconds: any agent that has
+/// room and no more than the mean is better, and any that has no room is worse.
+const ABOVE_MEAN_MS: u16 = 1;
+
+/// Why an agent leaves an opener to others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Declined {
+    /// Its backend server has more to do than the mean.
+    AboveMean,
+    /// Its backend server has no slot free.
+    Busy,
+    /// Its backend server takes no new flow now.
+    TakesNone,
+}
+
 impl Keeper {
     /// Tells whether an opener that could be taken should rather go to an agent with less to do.
     ///
     /// Only one whose caller has not waited goes on: each further agent is a risk and some milliseconds.
     pub(super) fn declines(&self, scene: &Scene<'_>, opening: &Opening, message: &Message) -> bool {
         let is_fresh = opening.copy == 0 && opening.waited_ms == 0;
-        let may_decline = message.kind == MessageKind::Deliver && is_fresh;
+        let from_balancer = matches!(message.kind, MessageKind::Deliver | MessageKind::Offer);
+        let may_decline = from_balancer && is_fresh;
         if !may_decline || message.load_permille == UNKNOWN_LOAD {
             return false;
         }
@@ -37,49 +54,68 @@
 
     /// Gives an opener back to its balancer.
     pub(super) fn decline(
-        &self,
+        &mut self,
         scene: &Scene<'_>,
         key: &FlowKey,
         message: &Message,
+        reason: Declined,
         actions: &mut Vec<Action>,
     ) {
         self.metrics.openers_declined.inc();
+        let wait_ms = match reason {
+            Declined::AboveMean => ABOVE_MEAN_MS,
+            Declined::Busy => self.expected_wait_ms(scene),
+            Declined::TakesNone => TAKES_NONE_MS,
+        };
         log::info!(
-            "event=opener_declined flow={key} load_permille={} mean_permille={} revision={}",
+            "event=opener_declined flow={key} reason={reason:?} wait_ms={wait_ms} busy={} slots={} load_permille={} mean_permille={} revision={}",
+            self.flows.busy(),
+            self.own_slots(scene).unwrap_or_default(),
             self.steady_permille(scene).unwrap_or(UNKNOWN_LOAD),
             message.load_permille,
             scene.revision
         );
-        self.tell_with_load(scene, MessageKind::Declined, key, message.host, actions);
+        let wait_ms = scene.directory.deadline(key.called).map(|_| wait_ms);
+        let kind = MessageKind::Declined;
+        self.tell_with_load(scene, kind, key, message.host, wait_ms, actions);
     }
 
     /// Tells the balancer from which an opener was taken that it is held here.
     pub(super) fn say_taken(
-        &self,
+        &mut self,
         scene: &Scene<'_>,
         key: &FlowKey,
         balancer: Ipv4Addr,
         actions: &mut Vec<Action>,
     ) {
-        if !balancer.is_unspecified() {
-            self.tell_with_load(scene, MessageKind::Holds, key, balancer, actions);
+        if balancer.is_unspecified() {
+            return;
         }
+        let deadline = scene.directory.deadline(key.called);
+        let wait_ms = deadline.map(|_| self.expected_wait_ms(scene));
+        self.tell_with_load(scene, MessageKind::Holds, key, balancer, wait_ms, actions);
     }
 
-    /// Tells something of a flow, and behind it how much the backend server has to do.
+    /// Tells something of a flow, and behind it how much the backend server has to do, and for how long a new flow
+    /// would wait.
     fn tell_with_load(
         &self,
         scene: &Scene<'_>,
         kind: MessageKind,
         key: &FlowKey,
         to: Ipv4Addr,
+        wait_ms: Option<u16>,
         actions: &mut Vec<Action>,
     ) {
         tell(kind, key, to, actions);
         if let Some(Action::ToPeer(_, message, payload)) = actions.last_mut() {
             message.host = self.identity.host;
-            let permille = self.steady_permille(scene);
-            payload.extend(permille.iter().flat_map(|permille| permille.to_be_bytes()));
+            let mut permille = self.steady_permille(scene);
+            if wait_ms.is_some() {
+                permille.get_or_insert(UNKNOWN_LOAD);
+            }
+            let words = permille.into_iter().chain(wait_ms);
+            payload.extend(words.flat_map(u16::to_be_bytes));
         }
     }
 
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -3,13 +3,14 @@
 use std::net::Ipv4Addr;
 
 use crate::code::Code;
-use crate::opaque::finding::flow_book::{Flow, Holding, Opening};
+use crate::config::deadlines::Deadline;
+use crate::opaque::finding::flow_book::{EXPECTED_MS, EXPECTED_SOON_MS, Flow, Holding, Opening};
+use crate::opaque::keeper::declines::Declined;
 use crate::opaque::keeper::{Keeper, Scene, say_holds, tell};
 use crate::opaque::openers::opener_order::{next_host, next_warm_host};
 use crate::opaque::packets::action::Action;
 use crate::opaque::packets::message::{Message, MessageKind};
 use crate::opaque::packets::segment::{FlowKey, Segment};
-use crate::opaque::values::own_backend::OwnBackend;
 
 /// How often a silent or failing backend server is tried with an opener, in milliseconds.
 const PROBE_MS: u64 = 200;
@@ -51,7 +52,7 @@
 
 /// Why an agent does not take an opener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum NotTaken {
+pub(super) enum NotTaken {
     Leaving,
     BackendDown,
     OtherService,
@@ -69,20 +70,26 @@
 /// What an agent knows of its own backend server when it decides about an opener.
 #[derive(Debug, Clone, Copy)]
 struct OwnPlace {
-    published: Option<OwnBackend>,
     /// Whether it is still slow after its start.
     is_cold: bool,
     /// How many new flows it bears a second while it is cold; none where it is warm or operators told no rate.
     cold_flows_per_s: Option<f64>,
     /// The number of requests from which the opener is not taken; none where no table has it.
     limit: Option<f64>,
+    /// How long its caller waits, where that is told.
+    deadline: Option<Deadline>,
 }
 
 impl Opening {
     /// Returns for how long its caller has waited, in milliseconds.
-    fn age_ms(&self) -> u64 {
+    pub(super) fn age_ms(&self) -> u64 {
+        self.copy_age_ms() + u64::from(self.waited_ms)
+    }
+
+    /// Returns for how long its caller has waited in this attempt, in milliseconds.
+    pub(super) fn copy_age_ms(&self) -> u64 {
         let copy = self.copy.min(LAST_COPY) as usize;
-        COPY_AGES_MS[copy] + u64::from(self.waited_ms)
+        COPY_AGES_MS[copy]
     }
 
     /// Returns which of the three limits it has.
@@ -108,6 +115,12 @@
             actions.push(Action::ToBackend(packet.to_vec()));
             return;
         }
+        if self.has_waiting(&key) {
+            // A copy of an opener that waits is the same opener.
+            say_holds(&key, message.host, self.identity.host, actions);
+            return;
+        }
+        let deadline = scene.directory.deadline(key.called);
         let opening = Opening {
             since_ms: scene.now_ms,
             packet: packet.to_vec(),
@@ -115,10 +128,11 @@
             hops: message.hops,
             copy: segment.acknowledgement,
             waited_ms: message.waited_ms,
+            expected_ms: deadline.map_or(EXPECTED_MS, |_| EXPECTED_SOON_MS),
             answered: false,
             backend_sequence: 0,
         };
-        let place = self.own_place(scene, &key, &opening);
+        let place = self.own_place(scene, &key, &opening, message.kind);
         let checked = self.check_opener(scene, &key, &opening, &place);
         let behind = message.digest.highest > scene.revision;
         match checked {
@@ -129,11 +143,22 @@
                 self.metrics.openers_dropped.inc();
             }
             Ok(()) if self.declines(scene, &opening, message) => {
-                self.decline(scene, &key, message, actions);
+                self.decline(scene, &key, message, Declined::AboveMean, actions);
             }
             Ok(()) => {
-                self.cold_rate.take();
+                let balancer = opening.balancer;
                 self.take_opener(scene, &key, opening, actions);
+                self.say_taken(scene, &key, balancer, actions);
+            }
+            Err(reason) if message.kind == MessageKind::Offer => {
+                let declined = match reason {
+                    NotTaken::Crowded => Declined::Busy,
+                    _ => Declined::TakesNone,
+                };
+                self.decline(scene, &key, message, declined, actions);
+            }
+            Err(NotTaken::Crowded) if let Some(deadline) = deadline => {
+                self.wait_or_refuse(scene, &key, opening, &deadline, actions);
             }
             Err(reason) => {
                 self.log_not_taken(scene, &key, &opening, &place, reason);
@@ -166,14 +191,16 @@
         );
     }
 
-    fn take_opener(
+    /// Hands an opener to the backend server.
+    pub(super) fn take_opener(
         &mut self,
         scene: &Scene<'_>,
         key: &FlowKey,
         opening: Opening,
         actions: &mut Vec<Action>,
     ) {
-        let (balancer, packet) = (opening.balancer, opening.packet.clone());
+        self.cold_rate.take();
+        let packet = opening.packet.clone();
         log::info!(
             "event=opener_taken flow={key} copy={} waited_ms={} hops={} busy={} open={} revision={}",
             opening.copy,
@@ -190,7 +217,6 @@
         self.metrics.openers_taken.inc();
         self.lookups.forget(key);
         self.pending.push(*key);
-        self.say_taken(scene, key, balancer, actions);
         actions.push(Action::ToBackend(packet));
     }
 
@@ -201,23 +227,11 @@
         opening: &Opening,
         place: &OwnPlace,
     ) -> Result<(), NotTaken> {
-        if self.leaving {
-            return Err(NotTaken::Leaving);
-        }
-        if !self.backend_up {
-            return Err(NotTaken::BackendDown);
-        }
+        self.is_running()?;
         if scene.directory.service_of(key) != Some(self.identity.service) {
             return Err(NotTaken::OtherService);
         }
-        let published = place.published;
-        let published = published.filter(|own| own.service == self.identity.service);
-        if !published.is_some_and(|own| own.takes_flows) {
-            return Err(NotTaken::NotPublished);
-        }
-        if published.is_some_and(|own| own.is_evacuated) {
-            return Err(NotTaken::Evacuated);
-        }
+        self.is_published(scene)?;
         if let Some(flows_per_s) = place.cold_flows_per_s
             && !self.cold_rate.has_room(flows_per_s, scene.now_ms)
         {
@@ -234,13 +248,53 @@
             }
             return self.probe(scene, NotTaken::Failing);
         }
-        let busy = f64::from(self.flows.busy());
-        if place.limit.is_some_and(|limit| busy >= limit) {
+        let busy = match place.deadline {
+            Some(_) if !self.waiting.is_empty() => return Err(NotTaken::Crowded),
+            Some(_) => self.flows.busy_now(scene.now_ms),
+            None => self.flows.busy(),
+        };
+        if place.limit.is_some_and(|limit| f64::from(busy) >= limit) {
             return Err(NotTaken::Crowded);
         }
         Ok(())
     }
 
+    /// Tells why no opener at all may be handed over now, whatever room there is.
+    pub(super) fn admits_any(&self, scene: &Scene<'_>) -> Result<(), NotTaken> {
+        self.is_running()?;
+        self.is_published(scene)
+    }
+
+    fn is_running(&self) -> Result<(), NotTaken> {
+        if self.leaving {
+            return Err(NotTaken::Leaving);
+        }
+        if !self.backend_up {
+            return Err(NotTaken::BackendDown);
+        }
+        Ok(())
+    }
+
+    fn is_published(&self, scene: &Scene<'_>) -> Result<(), NotTaken> {
+        let published = scene.directory.own(self.identity.backend);
+        let published = published.filter(|own| own.service == self.identity.service);
+        if !published.is_some_and(|own| own.takes_flows) {
+            return Err(NotTaken::NotPublished);
+        }
+        if published.is_some_and(|own| own.is_evacuated) {
+            return Err(NotTaken::Evacuated);
+        }
+        Ok(())
+    }
+
+    /// Tells whether the backend server is warm, or may be handed one more flow while it is cold.
+    pub(super) fn has_cold_rate(&mut self, scene: &Scene<'_>) -> bool {
+        let published = scene.directory.own(self.identity.backend);
+        let is_cold = published.is_some_and(|own| scene.now_ms < own.cold_until_ms);
+        let flows_per_s = self.cold_flows_per_s(scene, is_cold);
+        flows_per_s.is_none_or(|flows_per_s| self.cold_rate.has_room(flows_per_s, scene.now_ms))
+    }
+
     /// Tells whether an opener should rather go to an agent that has not been offered it.
     fn others_may_do_better(&self, scene: &Scene<'_>, key: &FlowKey, opening: &Opening) -> bool {
         let hops = opening.hops;
@@ -258,7 +312,13 @@
     }
 
     /// Looks the own backend server up, and how much it may have for an opener of this age.
-    fn own_place(&self, scene: &Scene<'_>, key: &FlowKey, opening: &Opening) -> OwnPlace {
+    fn own_place(
+        &self,
+        scene: &Scene<'_>,
+        key: &FlowKey,
+        opening: &Opening,
+        kind: MessageKind,
+    ) -> OwnPlace {
         let published = scene.directory.own(self.identity.backend);
         let is_cold = published.is_some_and(|own| scene.now_ms < own.cold_until_ms);
         let service = self.identity.service;
@@ -274,11 +334,16 @@
         let table = scene.directory.table(service);
         let row = table.and_then(|table| table.row_on(self.identity.host));
         let per_slot = per_slot[opening.age_step()];
+        let deadline = scene.directory.deadline(key.called);
+        let limit = |slots: u32| match (deadline, kind) {
+            (Some(_), MessageKind::Offer) => f64::from(slots),
+            _ => f64::from(slots) * per_slot,
+        };
         OwnPlace {
-            published,
             is_cold,
             cold_flows_per_s: self.cold_flows_per_s(scene, is_cold),
-            limit: row.map(|row| f64::from(row.slots) * per_slot),
+            limit: row.map(|row| limit(row.slots)),
+            deadline,
         }
     }
 
--- a/src/opaque/mod.rs
+++ b/src/opaque/mod.rs
@@ -27,7 +27,7 @@
 pub use crate::config::service_names::{SERVICES_NAME, service_names, services_text};
 pub use crate::opaque::finding::flow_search::FlowSearch;
 pub use crate::opaque::finding::lookup::{Lookups, Question, Verdict};
-pub use crate::opaque::forwarder::{Forwarder, steady_load};
+pub use crate::opaque::forwarder::{Forwarder, steady_load, told_wait};
 pub use crate::opaque::keeper::{Keeper, KeeperIdentity, Scene};
 pub use crate::opaque::packets::action::Action;
 pub use crate::opaque::packets::message::{Message, MessageKind, UNKNOWN_AGE_MS, UNKNOWN_LOAD};
--- a/src/opaque/openers/candidates.rs
+++ b/src/opaque/openers/candidates.rs
@@ -4,6 +4,7 @@
 use std::ops::RangeInclusive;
 
 use crate::code::Code;
+use crate::decisions::offers::{MAX_FAR, MAX_NEAR};
 use crate::decisions::placement;
 use crate::decisions::suspicion::Suspicion;
 use crate::error::{Error, Result};
@@ -28,6 +29,48 @@
     zone: &str,
     flow: &FlowKey,
     now_ms: u64,
+) -> Result<Vec<Ipv4Addr>> {
+    let mut order = ranked(directory, suspicion, flow, now_ms)?;
+    let choice = (order.len() / 2).clamp(*NEAR_CHOICE.start(), *NEAR_CHOICE.end());
+    let length = order.len();
+    let few = &mut order[..choice.min(length)];
+    let is_near = |host: &Ipv4Addr| directory.is_in_zone(*host, zone);
+    if let Some(nearest) = few.iter().position(is_near) {
+        few[..=nearest].rotate_right(1);
+    }
+    Ok(order)
+}
+
+/// Returns the agents to which an opener may be offered one after the other, each with whether it stands in this
+/// availability zone: the first of it by hash, then some of the others.
+///
+/// # Errors
+///
+/// Returns code 4006 where no backend server takes flows.
+pub(crate) fn asked(
+    directory: &Directory,
+    suspicion: &Suspicion,
+    zone: &str,
+    flow: &FlowKey,
+    now_ms: u64,
+) -> Result<Vec<(Ipv4Addr, bool)>> {
+    let order = ranked(directory, suspicion, flow, now_ms)?;
+    let is_near = |host: &Ipv4Addr| directory.is_in_zone(*host, zone);
+    let (near, far): (Vec<Ipv4Addr>, Vec<Ipv4Addr>) = order.into_iter().partition(is_near);
+    let near: Vec<Ipv4Addr> = near.into_iter().take(MAX_NEAR).collect();
+    // A zone with few backend servers asks as many in all.
+    let more = MAX_NEAR - near.len();
+    let far = far.into_iter().take(MAX_FAR + more);
+    let near = near.into_iter().map(|host| (host, true));
+    Ok(near.chain(far.map(|host| (host, false))).collect())
+}
+
+/// Returns the agents that take new flows in the order of a flow; those that are suspected only where all are.
+fn ranked(
+    directory: &Directory,
+    suspicion: &Suspicion,
+    flow: &FlowKey,
+    now_ms: u64,
 ) -> Result<Vec<Ipv4Addr>> {
     let none = || Error::new(Code::HostUnknown, flow.called.to_string());
     let table = directory.table_of(flow).ok_or_else(none)?;
@@ -42,14 +85,7 @@
     if ranked.is_empty() {
         return Err(none());
     }
-    let mut order: Vec<Ipv4Addr> = ranked.iter().map(|row| row.host).collect();
-    let choice = (ranked.len() / 2).clamp(*NEAR_CHOICE.start(), *NEAR_CHOICE.end());
-    let few = &mut order[..choice.min(ranked.len())];
-    let is_near = |host: &Ipv4Addr| directory.is_in_zone(*host, zone);
-    if let Some(nearest) = few.iter().position(is_near) {
-        few[..=nearest].rotate_right(1);
-    }
-    Ok(order)
+    Ok(ranked.iter().map(|row| row.host).collect())
 }
 
 /// Tells whether only evacuations keep a flow from being taken.
--- a/src/opaque/packets/message.rs
+++ b/src/opaque/packets/message.rs
@@ -45,8 +45,11 @@
     /// The sender runs and holds these revisions: for a balancer that may have just started.
     Greeting = 11,
     /// The sender could take this flow and has more to do than others: offer it to another agent. Behind the flow
-    /// stands a load as with [`MessageKind::Holds`].
+    /// stands a load as with [`MessageKind::Holds`]. Behind that may stand for how long a new flow would wait at the
+    /// sender, in milliseconds, as may behind [`MessageKind::Holds`].
     Declined = 12,
+    /// A caller's opener from a balancer, which offers it elsewhere if the receiver declines.
+    Offer = 13,
 }
 
 /// The trailer of a datagram between two processes.
@@ -179,6 +182,7 @@
         MessageKind::AttemptFailed,
         MessageKind::Greeting,
         MessageKind::Declined,
+        MessageKind::Offer,
     ];
     kinds.into_iter().find(|kind| *kind as u8 == byte)
 }
--- a/src/opaque/processes/entry.rs
+++ b/src/opaque/processes/entry.rs
@@ -11,7 +11,7 @@
 use crate::code::Code;
 use crate::controllers::control::Control;
 use crate::error::{Error, Result};
-use crate::opaque::forwarder::{Forwarder, named_flow, steady_load};
+use crate::opaque::forwarder::{Forwarder, named_flow, steady_load, told_wait};
 use crate::opaque::packets::message::{Message, MessageKind};
 use crate::opaque::packets::segment::FlowKey;
 use crate::opaque::processes::readiness;
@@ -159,6 +159,10 @@
             let mut forwarder = self.forwarder.borrow_mut();
             forwarder.heard_steady(from, permille, now_ms);
         }
+        if let Some(wait_ms) = told_wait(payload) {
+            let mut forwarder = self.forwarder.borrow_mut();
+            forwarder.heard_wait(from, wait_ms, now_ms);
+        }
         match message.kind {
             MessageKind::Declined => self.declined(&flow, from, now_ms),
             MessageKind::Holds => {
--- a/src/process/opaque_metrics.rs
+++ b/src/process/opaque_metrics.rs
@@ -29,6 +29,12 @@
     pub(crate) requests_busy: Gauge,
     pub(crate) request_seconds: Histogram,
     pub(crate) requests_lost: Counter,
+    pub(crate) requests_shed: Counter,
+    pub(crate) openers_offered: Counter,
+    pub(crate) openers_queued: Counter,
+    pub(crate) openers_refused: Counter,
+    pub(crate) openers_waiting: Gauge,
+    pub(crate) opener_wait_seconds: Histogram,
     pub(crate) packets_returned: Counter,
     pub(crate) lookups_started: Counter,
     pub(crate) lookups_found: Counter,
@@ -62,6 +68,12 @@
             requests_busy: Gauge::default(),
             request_seconds: times(),
             requests_lost: Counter::default(),
+            requests_shed: Counter::default(),
+            openers_offered: Counter::default(),
+            openers_queued: Counter::default(),
+            openers_refused: Counter::default(),
+            openers_waiting: Gauge::default(),
+            opener_wait_seconds: times(),
             packets_returned: Counter::default(),
             lookups_started: Counter::default(),
             lookups_found: Counter::default(),
@@ -102,6 +114,11 @@
             "Time from a request to the first byte of its answer, at the backend server",
             self.request_seconds.clone(),
         );
+        registry.register(
+            "opener_wait_seconds",
+            "Time for which openers waited at their agent for a slot",
+            self.opener_wait_seconds.clone(),
+        );
         registry.register(
             "relay_pull_seconds",
             "Time from a question to a peer for newer values until they are in force here",
@@ -114,7 +131,7 @@
         );
     }
 
-    fn counters(&self) -> [(&'static str, &'static str, &Counter); 16] {
+    fn counters(&self) -> [(&'static str, &'static str, &Counter); 20] {
         [
             (
                 "packets_shown",
@@ -141,6 +158,21 @@
                 "Openers left to an agent that has less to do",
                 &self.openers_declined,
             ),
+            (
+                "openers_offered",
+                "Openers that a balancer offered to an agent which may decline",
+                &self.openers_offered,
+            ),
+            (
+                "openers_queued",
+                "Openers that waited for a slot of the backend server",
+                &self.openers_queued,
+            ),
+            (
+                "openers_refused",
+                "Openers whose callers were told that nobody takes them in time",
+                &self.openers_refused,
+            ),
             (
                 "openers_dropped",
                 "Openers without room that may come again",
@@ -156,6 +188,11 @@
                 "Requests whose backend server ended",
                 &self.requests_lost,
             ),
+            (
+                "requests_shed",
+                "Requests that the backend server refused because its slots were busy",
+                &self.requests_shed,
+            ),
             (
                 "packets_returned",
                 "Packets that the backend server handed back",
@@ -199,7 +236,7 @@
         ]
     }
 
-    fn gauges(&self) -> [(&'static str, &'static str, &Gauge); 6] {
+    fn gauges(&self) -> [(&'static str, &'static str, &Gauge); 7] {
         [
             (
                 "opaque_flows_open",
@@ -211,6 +248,11 @@
                 "Requests that run or wait there",
                 &self.requests_busy,
             ),
+            (
+                "openers_waiting",
+                "Openers that wait for a slot of the backend server",
+                &self.openers_waiting,
+            ),
             (
                 "hints_held",
                 "Flows whose holder a balancer remembers",
