--- a/src/decisions/wait_queue.rs
+++ b/src/decisions/wait_queue.rs
@@ -56,9 +56,13 @@
         self.entries.is_empty()
     }
 
+    pub(crate) fn has_room(&self) -> bool {
+        self.entries.len() < MAX_WAITING
+    }
+
     /// Adds one at the end; says whether there was room.
     pub(crate) fn push(&mut self, waiting: Waiting<T>) -> bool {
-        if self.entries.len() >= MAX_WAITING {
+        if !self.has_room() {
             return false;
         }
         let turn = self.turn_of(waiting.caller);
@@ -68,10 +72,21 @@
 
     /// Takes out the one that goes first, given how long each is served.
     pub(crate) fn pop(&mut self, service_ms: f64, now_ms: u64) -> Option<Waiting<T>> {
+        self.pop_if(service_ms, now_ms, |_| true)
+    }
+
+    /// The same among those that may go now.
+    pub(crate) fn pop_if(
+        &mut self,
+        service_ms: f64,
+        now_ms: u64,
+        may_go: impl Fn(&T) -> bool,
+    ) -> Option<Waiting<T>> {
         let done_ms = now_ms + service_ms as u64;
-        let ranks = self.entries.iter().map(|entry| entry.rank(done_ms));
-        let first = ranks.enumerate().min_by_key(|(_, rank)| *rank)?;
-        Some(self.entries.remove(first.0).waiting)
+        let entries = self.entries.iter().enumerate();
+        let going = entries.filter(|(_, entry)| may_go(&entry.waiting.item));
+        let (index, _) = going.min_by_key(|(_, entry)| entry.rank(done_ms))?;
+        Some(self.entries.remove(index).waiting)
     }
 
     /// Returns how many would go before one that came now.
@@ -94,6 +109,12 @@
         taken.collect()
     }
 
+    /// Returns the first in order of arrival for which a test holds.
+    pub(crate) fn find_mut(&mut self, is_it: impl Fn(&T) -> bool) -> Option<&mut T> {
+        let items = self.entries.iter_mut().map(|entry| &mut entry.waiting.item);
+        items.into_iter().find(|item| is_it(item))
+    }
+
     /// Returns what waits, in order of arrival.
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Waiting<T>> {
         self.entries.iter().map(|entry| &entry.waiting)
--- a/src/opaque/finding/flow_book.rs
+++ b/src/opaque/finding/flow_book.rs
@@ -72,6 +72,17 @@
     pub(crate) overdue: bool,
 }
 
+impl Running {
+    /// Notes a request that is handed over now.
+    pub(crate) fn new(id: Option<&str>, now_ms: u64) -> Self {
+        Self {
+            id: id.unwrap_or("unknown").to_owned(),
+            since_ms: now_ms,
+            overdue: false,
+        }
+    }
+}
+
 /// One flow.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Flow {
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -6,6 +6,7 @@
 mod answers;
 mod backend_life;
 mod declines;
+mod held_requests;
 mod openers;
 mod questions;
 mod told;
@@ -22,7 +23,7 @@
 use crate::error::Result;
 use crate::opaque::finding::flow_book::{Flow, FlowBook, Holding, Running};
 use crate::opaque::finding::lookup::Lookups;
-use crate::opaque::keeper::waiting::WaitingOpener;
+use crate::opaque::keeper::waiting::WaitingWork;
 use crate::opaque::openers::cold_rate::ColdRate;
 use crate::opaque::openers::mean_load::{FAILING_LOAD, MeanLoad, RECENT_SPAN_MS, STEADY_SPAN_MS};
 use crate::opaque::openers::recent_outcomes::RecentOutcomes;
@@ -64,6 +65,19 @@
     pub flow_lifetime_ms: u64,
 }
 
+/// What becomes of a caller's packet.
+#[derive(Debug, Clone, Copy)]
+enum Delivery {
+    /// Its flow is not held here.
+    Elsewhere,
+    /// It brings nothing new.
+    Known,
+    /// It begins a request that waits for a slot.
+    Waits,
+    /// It goes to the backend server.
+    Handed,
+}
+
 /// The flows of one agent, and what they ask of it.
 #[derive(Debug)]
 pub struct Keeper {
@@ -76,8 +90,8 @@
     /// The load over a longer time, by which flows are shared out.
     steady_load: MeanLoad,
     slot_time: SlotTime,
-    /// Openers that wait for a slot of the backend server.
-    waiting: WaitQueue<WaitingOpener>,
+    /// Openers and requests that wait for a slot of the backend server.
+    waiting: WaitQueue<WaitingWork>,
     outcomes: RecentOutcomes,
     failing: bool,
     cold_rate: ColdRate,
@@ -311,7 +325,7 @@
         actions: &mut Vec<Action>,
     ) {
         let key = segment.flow_from_caller();
-        if self.deliver_held(scene.now_ms, segment, packet, actions) {
+        if self.deliver_held(scene, segment, packet, actions) {
             return;
         }
         let holding = self.flows.get(&key).map(|flow| flow.holding.clone());
@@ -329,42 +343,44 @@
         }
     }
 
-    /// Hands a packet to the backend server if the flow is known to be held there.
+    /// Hands a packet to the backend server if the flow is known to be held there, at once or once there is room.
     fn deliver_held(
         &mut self,
-        now_ms: u64,
+        scene: &Scene<'_>,
         segment: &Segment,
         packet: &[u8],
         actions: &mut Vec<Action>,
     ) -> bool {
-        let key = segment.flow_from_caller();
+        let (key, now_ms) = (segment.flow_from_caller(), scene.now_ms);
         let request_id = self.wire.request_id;
-        let held = self.flows.update(&key, now_ms, |flow| {
+        let is_held_back = self.is_held_back(scene, &key);
+        let delivery = self.flows.update(&key, now_ms, |flow| {
+            let was_open = flow.holding == Holding::Open;
             if !chosen_here(flow, segment) {
-                return false;
+                return Delivery::Elsewhere;
             }
             flow.seen_ms = now_ms;
             flow.caller_acknowledgement = segment.acknowledgement;
             // A packet that is sent again is no request of its own, also when its answer has begun.
-            if flow.takes_new_data(segment) {
-                match &mut flow.running {
-                    Some(running) => running.since_ms = now_ms,
-                    None => {
-                        flow.running = Some(Running {
-                            id: request_id(packet).unwrap_or("unknown").to_owned(),
-                            since_ms: now_ms,
-                            overdue: false,
-                        });
-                    }
-                }
+            if !flow.takes_new_data(segment) {
+                return Delivery::Known;
             }
-            true
+            match &mut flow.running {
+                Some(running) => running.since_ms = now_ms,
+                None if is_held_back && was_open => return Delivery::Waits,
+                None => flow.running = Some(Running::new(request_id(packet), now_ms)),
+            }
+            Delivery::Handed
         });
-        let held = held == Some(true);
-        if held {
-            actions.push(Action::ToBackend(packet.to_vec()));
+        match delivery.unwrap_or(Delivery::Elsewhere) {
+            Delivery::Elsewhere => return false,
+            Delivery::Waits => self.hold_back(scene, segment, packet, actions),
+            Delivery::Known if self.takes_waiting(segment, packet) => {}
+            Delivery::Known | Delivery::Handed => {
+                actions.push(Action::ToBackend(packet.to_vec()));
+            }
         }
-        held
+        true
     }
 
     /// Hands a packet of an unknown flow to the backend server, which returns it if it must.
--- /dev/null
+++ b/src/opaque/keeper/held_requests.rs
@@ -0,0 +1,144 @@
+//! Requests on open flows that wait at their agent until the backend server has room.
+//!
+//! Load pattern: more is asked for than all slots can do, and most of it on flows that are bound to their servers.
+//! In the server's own queue an urgent request stands behind all others, and where that is full the server refuses
+//! it. Here the urgent goes first and nothing is refused. What waits is handed over whole and in order, at the latest
+//! while its caller still waits. See docs/design/waiting-openers.md.
+
+use crate::config::deadlines::Deadline;
+use crate::opaque::finding::flow_book::{Holding, Running};
+use crate::opaque::keeper::waiting::{WaitingWork, WorkKind, waiting_of};
+use crate::opaque::keeper::{Keeper, Scene};
+use crate::opaque::packets::action::Action;
+use crate::opaque::packets::segment::{FlowKey, Segment};
+
+/// The most packets of one request that wait: as many as a caller sends without an acknowledgement.
+const MAX_PACKETS: usize = 16;
+/// The wait from which a request is logged, in milliseconds: half of the shortest latency objective of today's users.
+const LOGGED_MS: u64 = 100;
+
+impl Keeper {
+    /// Tells whether a request that begins now on an open flow has to wait.
+    pub(super) fn is_held_back(&mut self, scene: &Scene<'_>, key: &FlowKey) -> bool {
+        if scene.directory.deadline(key.called).is_none() {
+            return false;
+        }
+        if self.is_waiting_at(key) {
+            // Its packets stay in order.
+            return true;
+        }
+        let Some(slots) = self.own_slots(scene) else {
+            return false;
+        };
+        if self.silent_since_ms.is_some() || self.admits_any(scene).is_err() {
+            return false;
+        }
+        let has_room = f64::from(self.flows.busy_now(scene.now_ms)) < Self::handed_at_most(slots);
+        !has_room || !self.waiting.is_empty()
+    }
+
+    /// Lets a packet wait that begins a request, or goes on with one that waits.
+    pub(super) fn hold_back(
+        &mut self,
+        scene: &Scene<'_>,
+        segment: &Segment,
+        packet: &[u8],
+        actions: &mut Vec<Action>,
+    ) {
+        let key = segment.flow_from_caller();
+        if let Some(packets) = self.waiting_packets(&key) {
+            packets.push(packet.to_vec());
+            if packets.len() >= MAX_PACKETS {
+                self.release(scene, &key, actions);
+            }
+            return;
+        }
+        let Some(deadline) = scene.directory.deadline(key.called) else {
+            return;
+        };
+        let packets = vec![packet.to_vec()];
+        if !self.waiting.has_room() {
+            self.hand_request(scene, &key, packets, 0, actions);
+            return;
+        }
+        self.metrics.requests_held_back.inc();
+        let work = WaitingWork {
+            key,
+            kind: WorkKind::Request(packets),
+        };
+        let longest_ms = longest_wait_ms(&deadline);
+        self.waiting
+            .push(waiting_of(scene, work, 0, longest_ms, &deadline));
+        self.serve_waiting(scene, actions);
+    }
+
+    /// Takes a packet without new data on a flow whose request waits; says whether it goes no further now.
+    ///
+    /// A copy of what waits is dropped, the end of the caller's data stays behind it, and a caller that broke its
+    /// flow off asks for nothing any more.
+    pub(super) fn takes_waiting(&mut self, segment: &Segment, packet: &[u8]) -> bool {
+        let key = segment.flow_from_caller();
+        if segment.resets {
+            self.waiting.take_if(|waiting| waiting.item.key == key);
+            return false;
+        }
+        let Some(packets) = self.waiting_packets(&key) else {
+            return false;
+        };
+        if segment.ends {
+            packets.push(packet.to_vec());
+        }
+        segment.ends || segment.payload_bytes > 0
+    }
+
+    /// Hands a request over that has waited.
+    pub(super) fn hand_request(
+        &mut self,
+        scene: &Scene<'_>,
+        key: &FlowKey,
+        packets: Vec<Vec<u8>>,
+        waited_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let request_id = self.wire.request_id;
+        let id = packets.first().and_then(|packet| request_id(packet));
+        if waited_ms >= LOGGED_MS {
+            log::info!(
+                "event=request_dequeued request={} flow={key} waited_ms={waited_ms} waiting={} busy={}",
+                id.unwrap_or("unknown"),
+                self.waiting.len(),
+                self.flows.busy()
+            );
+        }
+        self.flows.update(key, scene.now_ms, |flow| {
+            if flow.holding == Holding::Open && flow.running.is_none() {
+                flow.running = Some(Running::new(id, scene.now_ms));
+            }
+        });
+        actions.extend(packets.into_iter().map(Action::ToBackend));
+    }
+
+    fn release(&mut self, scene: &Scene<'_>, key: &FlowKey, actions: &mut Vec<Action>) {
+        for waiting in self.waiting.take_if(|waiting| waiting.item.key == *key) {
+            if let WorkKind::Request(packets) = waiting.item.kind {
+                let waited_ms = scene.now_ms - waiting.since_ms;
+                self.hand_request(scene, key, packets, waited_ms, actions);
+            }
+        }
+    }
+
+    /// Returns the packets of a request that waits.
+    fn waiting_packets(&mut self, key: &FlowKey) -> Option<&mut Vec<Vec<u8>>> {
+        let of_flow = self.waiting.find_mut(|work| work.key == *key)?;
+        match &mut of_flow.kind {
+            WorkKind::Request(packets) => Some(packets),
+            WorkKind::Opener(_) => None,
+        }
+    }
+}
+
+/// Returns for how long a request may wait, in milliseconds: an objective less than its caller does, so that an answer
+/// can still reach it.
+fn longest_wait_ms(deadline: &Deadline) -> u64 {
+    u64::from(deadline.timeout_ms.saturating_sub(deadline.objective_ms))
+}
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -115,7 +115,7 @@
             actions.push(Action::ToBackend(packet.to_vec()));
             return;
         }
-        if self.has_waiting(&key) {
+        if self.is_waiting_at(&key) {
             // A copy of an opener that waits is the same opener.
             say_holds(&key, message.host, self.identity.host, actions);
             return;
@@ -337,7 +337,8 @@
         let deadline = scene.directory.deadline(key.called);
         let limit = |slots: u32| match (deadline, kind) {
             (Some(_), MessageKind::Offer) => f64::from(slots),
-            _ => f64::from(slots) * per_slot,
+            (Some(_), _) => Self::handed_at_most(slots),
+            (None, _) => f64::from(slots) * per_slot,
         };
         OwnPlace {
             is_cold,
--- a/src/opaque/keeper/waiting.rs
+++ b/src/opaque/keeper/waiting.rs
@@ -1,7 +1,7 @@
-//! Openers that wait at their agent for a slot of its backend server.
+//! What waits at its agent for a slot of the backend server: openers, and requests on open flows.
 //!
-//! Only those whose callers have time for one attempt; the others are left to their callers' copies. See
-//! docs/design/waiting-openers.md.
+//! Only where callers have time for one attempt; others are left to their callers' copies and to the backend
+//! server's own queue. See docs/design/waiting-openers.md.
 
 use crate::code::Code;
 use crate::config::deadlines::{Deadline, UNANSWERED_ATTEMPT_MS};
@@ -16,17 +16,25 @@
 
 /// How many requests more than its slots a backend server is handed, for each slot: from an opener to its request a
 /// round trip to the caller passes, for which the slot would stand idle.
-const RESERVE_PER_SLOT: f64 = 1.0;
+const RESERVE_PER_SLOT: f64 = 0.5;
 /// The longest wait that is told, in milliseconds; above it stands that no new flow is taken.
 const MAX_TOLD_MS: u64 = 60_000;
 
 const MS_PER_S: f64 = 1_000.0;
 
-/// An opener that waits, and what is needed to hand it over.
+/// What waits for a slot, with what is needed to hand it over.
 #[derive(Debug, Clone)]
-pub(super) struct WaitingOpener {
-    key: FlowKey,
-    opening: Opening,
+pub(super) struct WaitingWork {
+    pub(super) key: FlowKey,
+    pub(super) kind: WorkKind,
+}
+
+#[derive(Debug, Clone)]
+pub(super) enum WorkKind {
+    /// A flow that has not opened.
+    Opener(Opening),
+    /// The packets of a request on an open flow, in the order of their bytes.
+    Request(Vec<Vec<u8>>),
 }
 
 impl Keeper {
@@ -62,13 +70,13 @@
         wait_ms.min(MAX_TOLD_MS) as u16
     }
 
-    /// Returns from how many requests on a backend server is handed no further opener that has waited.
+    /// Returns from how many requests on a backend server is handed nothing that can wait.
     pub(super) fn handed_at_most(slots: u32) -> f64 {
         f64::from(slots) * (1.0 + RESERVE_PER_SLOT)
     }
 
-    /// Tells whether an opener waits here.
-    pub(super) fn has_waiting(&self, key: &FlowKey) -> bool {
+    /// Tells whether something of a flow waits here.
+    pub(super) fn is_waiting_at(&self, key: &FlowKey) -> bool {
         self.waiting.iter().any(|waiting| waiting.item.key == *key)
     }
 
@@ -82,10 +90,10 @@
         actions: &mut Vec<Action>,
     ) {
         let balancer = opening.balancer;
-        let waiting = waiting(scene, key, opening, deadline);
-        let prospect = self.prospect(scene, &waiting, deadline);
+        let waiting = opener_of(scene, key, &opening, deadline);
+        let prospect = self.prospect(scene, &waiting, &opening, deadline);
         if !prospect.waits() || self.waiting.len() >= self.max_waiting(scene, deadline) {
-            self.refuse(scene, &waiting.item, "no_time", actions);
+            self.refuse(scene, key, &opening, "no_time", actions);
             return;
         }
         self.metrics.openers_queued.inc();
@@ -103,7 +111,7 @@
         self.serve_waiting(scene, actions);
     }
 
-    /// Returns how many openers may wait: as many as can be served before a caller gives up.
+    /// Returns how many may wait: as many as can be served before a caller gives up.
     fn max_waiting(&self, scene: &Scene<'_>, deadline: &Deadline) -> usize {
         let slots = self.own_slots(scene).unwrap_or_default();
         let served = f64::from(deadline.timeout_ms) / self.slot_time.service_ms();
@@ -113,7 +121,8 @@
     fn prospect(
         &mut self,
         scene: &Scene<'_>,
-        waiting: &Waiting<WaitingOpener>,
+        waiting: &Waiting<WaitingWork>,
+        opening: &Opening,
         deadline: &Deadline,
     ) -> Prospect {
         let slots = self.own_slots(scene).unwrap_or_default();
@@ -122,7 +131,6 @@
         let there = self.flows.busy_now(scene.now_ms) + before;
         let ahead = (there + 1).saturating_sub(slots);
         let oldest_ms = self.waiting.iter().map(|waiting| waiting.since_ms).min();
-        let opening = &waiting.item.opening;
         Prospect {
             age_ms: opening.age_ms(),
             attempt_age_ms: opening.copy_age_ms(),
@@ -134,8 +142,7 @@
         }
     }
 
-    /// Hands waiting openers to the backend server while it has room, and ends the wait of those whose callers
-    /// would have left before they are served.
+    /// Hands over what waits while the backend server has room, and ends the wait of what has waited long enough.
     pub(super) fn serve_waiting(&mut self, scene: &Scene<'_>, actions: &mut Vec<Action>) {
         if self.waiting.is_empty() {
             return;
@@ -144,14 +151,13 @@
             self.pass_on_waiting(scene, actions);
             return;
         }
-        self.refuse_overdue(scene, actions);
+        self.end_overdue(scene, actions);
         let slots = self.own_slots(scene).unwrap_or_default();
         while f64::from(self.flows.busy_now(scene.now_ms)) < Self::handed_at_most(slots) {
-            if !self.has_cold_rate(scene) {
-                break;
-            }
             let service_ms = self.slot_time.service_ms();
-            let Some(waiting) = self.waiting.pop(service_ms, scene.now_ms) else {
+            let may_open = self.has_cold_rate(scene);
+            let may_go = |work: &WaitingWork| may_open || matches!(work.kind, WorkKind::Request(_));
+            let Some(waiting) = self.waiting.pop_if(service_ms, scene.now_ms, may_go) else {
                 break;
             };
             self.end_wait(scene, waiting, actions);
@@ -162,43 +168,67 @@
     fn end_wait(
         &mut self,
         scene: &Scene<'_>,
-        waiting: Waiting<WaitingOpener>,
+        waiting: Waiting<WaitingWork>,
         actions: &mut Vec<Action>,
     ) {
-        let WaitingOpener { key, mut opening } = waiting.item;
-        if scene.directory.service_of(&key) != Some(self.identity.service) {
-            self.hand_on(scene, &key, opening, actions);
-            return;
-        }
+        let WaitingWork { key, kind } = waiting.item;
         let waited_ms = scene.now_ms - waiting.since_ms;
         self.metrics
             .opener_wait_seconds
             .observe(waited_ms as f64 / MS_PER_S);
-        log::info!(
-            "event=opener_dequeued flow={key} waited_ms={waited_ms} busy={} slots={} service_ms={:.1}",
-            self.flows.busy(),
-            self.own_slots(scene).unwrap_or_default(),
-            self.slot_time.service_ms()
-        );
-        opening.since_ms = scene.now_ms;
-        self.take_opener(scene, &key, opening, actions);
+        match kind {
+            WorkKind::Request(packets) => {
+                self.hand_request(scene, &key, packets, waited_ms, actions);
+            }
+            WorkKind::Opener(opening)
+                if scene.directory.service_of(&key) != Some(self.identity.service) =>
+            {
+                self.hand_on(scene, &key, opening, actions);
+            }
+            WorkKind::Opener(mut opening) => {
+                log::info!(
+                    "event=opener_dequeued flow={key} waited_ms={waited_ms} busy={} slots={} service_ms={:.1}",
+                    self.flows.busy(),
+                    self.own_slots(scene).unwrap_or_default(),
+                    self.slot_time.service_ms()
+                );
+                opening.since_ms = scene.now_ms;
+                self.take_opener(scene, &key, opening, actions);
+            }
+        }
     }
 
-    /// Passes all openers that wait on to other agents, as where the backend server takes none any more.
+    /// Passes all openers that wait on to other agents, and hands all requests over, as where the process stops or
+    /// the backend server takes nothing new.
     pub(super) fn pass_on_waiting(&mut self, scene: &Scene<'_>, actions: &mut Vec<Action>) {
         for waiting in self.waiting.take_if(|_| true) {
-            let WaitingOpener { key, opening } = waiting.item;
-            self.hand_on(scene, &key, opening, actions);
+            let WaitingWork { key, kind } = waiting.item;
+            match kind {
+                WorkKind::Opener(opening) => self.hand_on(scene, &key, opening, actions),
+                WorkKind::Request(packets) => {
+                    let waited_ms = scene.now_ms - waiting.since_ms;
+                    self.hand_request(scene, &key, packets, waited_ms, actions);
+                }
+            }
         }
         self.metrics.openers_waiting.set(0);
     }
 
-    fn refuse_overdue(&mut self, scene: &Scene<'_>, actions: &mut Vec<Action>) {
-        let overdue = self
-            .waiting
-            .take_if(|waiting| waiting.deadline_ms <= scene.now_ms);
-        for waiting in overdue {
-            self.refuse(scene, &waiting.item, "waited", actions);
+    /// Refuses openers whose callers would have left before they are served, and hands requests over whose callers
+    /// would have.
+    fn end_overdue(&mut self, scene: &Scene<'_>, actions: &mut Vec<Action>) {
+        let is_overdue = |waiting: &Waiting<WaitingWork>| waiting.deadline_ms <= scene.now_ms;
+        for waiting in self.waiting.take_if(is_overdue) {
+            let WaitingWork { key, kind } = waiting.item;
+            match kind {
+                WorkKind::Opener(opening) => {
+                    self.refuse(scene, &key, &opening, "waited", actions);
+                }
+                WorkKind::Request(packets) => {
+                    let waited_ms = scene.now_ms - waiting.since_ms;
+                    self.hand_request(scene, &key, packets, waited_ms, actions);
+                }
+            }
         }
     }
 
@@ -206,16 +236,16 @@
     fn refuse(
         &self,
         scene: &Scene<'_>,
-        refused: &WaitingOpener,
+        key: &FlowKey,
+        opening: &Opening,
         reason: &str,
         actions: &mut Vec<Action>,
     ) {
-        let WaitingOpener { key, opening } = refused;
         self.metrics.openers_refused.inc();
-        let age_ms = opening.age_ms() + (scene.now_ms - opening.since_ms);
+        let waited_ms = scene.now_ms - opening.since_ms;
+        let age_ms = opening.age_ms() + waited_ms;
         log::info!(
-            "event=opener_refused flow={key} reason={reason} waited_ms={} age_ms={age_ms} waiting={} busy={} slots={} code={} revision={}",
-            scene.now_ms - opening.since_ms,
+            "event=opener_refused flow={key} reason={reason} waited_ms={waited_ms} age_ms={age_ms} waiting={} busy={} slots={} code={} revision={}",
             self.waiting.len(),
             self.flows.busy(),
             self.own_slots(scene).unwrap_or_default(),
@@ -230,23 +260,39 @@
     }
 }
 
-/// Returns what waits for an opener that came now.
-fn waiting(
+/// Returns how an opener waits that came now.
+fn opener_of(
     scene: &Scene<'_>,
     key: &FlowKey,
-    opening: Opening,
+    opening: &Opening,
     deadline: &Deadline,
-) -> Waiting<WaitingOpener> {
-    let route = scene.directory.routes().get(key.called);
-    let timeout_ms = u64::from(deadline.timeout_ms).saturating_sub(opening.age_ms());
+) -> Waiting<WaitingWork> {
+    let age_ms = opening.age_ms();
     let opens_ms = u64::from(UNANSWERED_ATTEMPT_MS).saturating_sub(opening.copy_age_ms());
-    let objective_ms = u64::from(deadline.objective_ms).saturating_sub(opening.age_ms());
+    let left_ms = u64::from(deadline.timeout_ms).saturating_sub(age_ms);
+    let work = WaitingWork {
+        key: *key,
+        kind: WorkKind::Opener(opening.clone()),
+    };
+    waiting_of(scene, work, age_ms, left_ms.min(opens_ms), deadline)
+}
+
+/// Returns how something waits whose caller has waited for `age_ms` and may wait for `left_ms`.
+pub(super) fn waiting_of(
+    scene: &Scene<'_>,
+    work: WaitingWork,
+    age_ms: u64,
+    left_ms: u64,
+    deadline: &Deadline,
+) -> Waiting<WaitingWork> {
+    let route = scene.directory.routes().get(work.key.called);
+    let objective_ms = u64::from(deadline.objective_ms).saturating_sub(age_ms);
     Waiting {
-        caller: u64::from(key.caller.ip().to_bits()),
+        caller: u64::from(work.key.caller.ip().to_bits()),
         priority: route.map_or(0, |route| route.priority),
         since_ms: scene.now_ms,
         due_ms: scene.now_ms + objective_ms,
-        deadline_ms: scene.now_ms + timeout_ms.min(opens_ms),
-        item: WaitingOpener { key: *key, opening },
+        deadline_ms: scene.now_ms + left_ms,
+        item: work,
     }
 }
--- a/src/process/opaque_metrics.rs
+++ b/src/process/opaque_metrics.rs
@@ -30,6 +30,7 @@
     pub(crate) request_seconds: Histogram,
     pub(crate) requests_lost: Counter,
     pub(crate) requests_shed: Counter,
+    pub(crate) requests_held_back: Counter,
     pub(crate) openers_offered: Counter,
     pub(crate) openers_queued: Counter,
     pub(crate) openers_refused: Counter,
@@ -69,6 +70,7 @@
             request_seconds: times(),
             requests_lost: Counter::default(),
             requests_shed: Counter::default(),
+            requests_held_back: Counter::default(),
             openers_offered: Counter::default(),
             openers_queued: Counter::default(),
             openers_refused: Counter::default(),
@@ -131,7 +133,7 @@
         );
     }
 
-    fn counters(&self) -> [(&'static str, &'static str, &Counter); 20] {
+    fn counters(&self) -> [(&'static str, &'static str, &Counter); 21] {
         [
             (
                 "packets_shown",
@@ -193,6 +195,11 @@
                 "Requests that the backend server refused because its slots were busy",
                 &self.requests_shed,
             ),
+            (
+                "requests_held_back",
+                "Requests on open flows that waited for a slot of the backend server",
+                &self.requests_held_back,
+            ),
             (
                 "packets_returned",
                 "Packets that the backend server handed back",
