--- a/src/opaque/finding/flow_book.rs
+++ b/src/opaque/finding/flow_book.rs
@@ -17,7 +17,7 @@
 /// How long a request without an answer counts as work, in milliseconds: callers of the users' short
 /// requests give up after 2.5 to 3 seconds. One of a backend server that swallowed it would otherwise
 /// hold its place for as long as a flow lives.
-const ABANDONED_MS: u64 = 3_000;
+pub(crate) const ABANDONED_MS: u64 = 3_000;
 /// How long a taken opener counts as a request before its caller has sent one, in milliseconds.
 pub(crate) const EXPECTED_MS: u64 = 500;
 /// The same where callers have time for one attempt only, in milliseconds: some round trips between a caller and its
@@ -70,15 +70,18 @@
     pub(crate) since_ms: u64,
     /// Whether it was noted as one that takes too long.
     pub(crate) overdue: bool,
+    /// For how long it counts as work, in milliseconds.
+    pub(crate) counts_ms: u64,
 }
 
 impl Running {
     /// Notes a request that is handed over now.
-    pub(crate) fn new(id: Option<&str>, now_ms: u64) -> Self {
+    pub(crate) fn new(id: Option<&str>, counts_ms: u64, now_ms: u64) -> Self {
         Self {
             id: id.unwrap_or("unknown").to_owned(),
             since_ms: now_ms,
             overdue: false,
+            counts_ms,
         }
     }
 }
@@ -169,7 +172,7 @@
         match &self.holding {
             Holding::Opening(opening) => now_ms < opening.since_ms + opening.expected_ms,
             _ => {
-                let waits = |running: &Running| now_ms < running.since_ms + ABANDONED_MS;
+                let waits = |running: &Running| now_ms < running.since_ms + running.counts_ms;
                 self.is_open() && self.running.as_ref().is_some_and(waits)
             }
         }
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -21,7 +21,7 @@
 use crate::decisions::suspicion::Suspicion;
 use crate::decisions::wait_queue::WaitQueue;
 use crate::error::Result;
-use crate::opaque::finding::flow_book::{Flow, FlowBook, Holding, Running};
+use crate::opaque::finding::flow_book::{ABANDONED_MS, Flow, FlowBook, Holding, Running};
 use crate::opaque::finding::lookup::Lookups;
 use crate::opaque::keeper::waiting::WaitingWork;
 use crate::opaque::openers::cold_rate::ColdRate;
@@ -354,6 +354,8 @@
         let (key, now_ms) = (segment.flow_from_caller(), scene.now_ms);
         let request_id = self.wire.request_id;
         let is_held_back = self.is_held_back(scene, &key);
+        let deadline = scene.directory.deadline(key.called);
+        let counts_ms = deadline.map_or(ABANDONED_MS, |deadline| deadline.timeout_ms.into());
         let delivery = self.flows.update(&key, now_ms, |flow| {
             let was_open = flow.holding == Holding::Open;
             if !chosen_here(flow, segment) {
@@ -361,6 +363,10 @@
             }
             flow.seen_ms = now_ms;
             flow.caller_acknowledgement = segment.acknowledgement;
+            if segment.resets && deadline.is_some() {
+                // Its caller has left, and the backend server need not answer any more.
+                flow.running = None;
+            }
             // A packet that is sent again is no request of its own, also when its answer has begun.
             if !flow.takes_new_data(segment) {
                 return Delivery::Known;
@@ -368,7 +374,7 @@
             match &mut flow.running {
                 Some(running) => running.since_ms = now_ms,
                 None if is_held_back && was_open => return Delivery::Waits,
-                None => flow.running = Some(Running::new(request_id(packet), now_ms)),
+                None => flow.running = Some(Running::new(request_id(packet), counts_ms, now_ms)),
             }
             Delivery::Handed
         });
--- a/src/opaque/keeper/held_requests.rs
+++ b/src/opaque/keeper/held_requests.rs
@@ -6,7 +6,7 @@
 //! while its caller still waits. See docs/design/waiting-openers.md.
 
 use crate::config::deadlines::Deadline;
-use crate::opaque::finding::flow_book::{Holding, Running};
+use crate::opaque::finding::flow_book::{ABANDONED_MS, Holding, Running};
 use crate::opaque::keeper::waiting::{WaitingWork, WorkKind, waiting_of};
 use crate::opaque::keeper::{Keeper, Scene};
 use crate::opaque::packets::action::Action;
@@ -79,6 +79,7 @@
     pub(super) fn takes_waiting(&mut self, segment: &Segment, packet: &[u8]) -> bool {
         let key = segment.flow_from_caller();
         if segment.resets {
+            log::debug!("event=caller_left flow={key}");
             self.waiting.take_if(|waiting| waiting.item.key == key);
             return false;
         }
@@ -110,9 +111,11 @@
                 self.flows.busy()
             );
         }
+        let deadline = scene.directory.deadline(key.called);
+        let counts_ms = deadline.map_or(ABANDONED_MS, |deadline| deadline.timeout_ms.into());
         self.flows.update(key, scene.now_ms, |flow| {
             if flow.holding == Holding::Open && flow.running.is_none() {
-                flow.running = Some(Running::new(id, scene.now_ms));
+                flow.running = Some(Running::new(id, counts_ms, scene.now_ms));
             }
         });
         actions.extend(packets.into_iter().map(Action::ToBackend));
--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -3,6 +3,7 @@
 mod backend_life;
 mod builder;
 mod cold_starts;
+mod crest;
 mod deadlines;
 mod declines;
 mod directory;
--- a/tests/opaque/queue_model.rs
+++ b/tests/opaque/queue_model.rs
@@ -10,14 +10,14 @@
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::Ipv4Addr;
 
-use endivedyke::opaque::{FlowKey, Forwarder};
+use endivedyke::opaque::{FlowKey, Forwarder, deadlines};
 use endivedyke::{ServiceId, ranked};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 use crate::builder::{
-    ACK, Agents, FIN, PacketSpec, SERVICE, WIRE, flow_of, forwarder, from_backend, from_caller,
-    host, index_of, opener,
+    ACK, Agents, CALLED, FIN, PacketSpec, SERVICE, WIRE, flow_of, forwarder, from_backend,
+    from_caller, host, index_of, opener,
 };
 use crate::queue_plan::{Outcome, Plan, Policy};
 
@@ -31,8 +31,6 @@
 const COPIES_MS: [u64; 3] = [0, 200, 600];
 /// How long an opener may stay without an answer, in milliseconds.
 const OPEN_TIMEOUT_MS: u64 = 1_400;
-/// How long a caller waits for its answer in all, in milliseconds.
-const DEADLINE_MS: u64 = 3_000;
 /// How often a caller tries again that was refused.
 const RETRIES: u32 = 2;
 /// How many callers there are; each has an address of its own.
@@ -59,6 +57,18 @@
     PowerBack,
 }
 
+/// Returns the agents of a plan, which know what is published.
+fn agents(plan: &Plan) -> Agents {
+    let mut agents = Agents::new(plan.servers);
+    if plan.tells_deadline {
+        let text = format!("{CALLED},{},{}\n", plan.aim_ms, plan.timeout_ms);
+        agents
+            .directory
+            .set_deadlines(deadlines(&text).expect("sound"));
+    }
+    agents
+}
+
 /// Returns the balancers of a plan, which know nothing yet.
 fn forwarders(plan: &Plan) -> Vec<Forwarder> {
     (0..plan.balancers).map(|_| forwarder()).collect()
@@ -127,7 +137,7 @@
             model.at(at_ms, Event::PowerLost);
             model.at(at_ms + for_ms, Event::PowerBack);
         }
-        let until_ms = plan.for_ms + DEADLINE_MS;
+        let until_ms = plan.for_ms + plan.timeout_ms;
         while let Some(Reverse((at_ms, _, event))) = model.events.pop() {
             if at_ms > until_ms {
                 break;
@@ -151,7 +161,7 @@
             now_ms: 0,
             events: BinaryHeap::new(),
             next_event: 0,
-            agents: Agents::new(plan.servers),
+            agents: agents(plan),
             forwarders: forwarders(plan),
             told: vec![0.0; usize::from(plan.servers)],
             servers: (0..plan.servers).map(|_| Server::default()).collect(),
@@ -266,7 +276,7 @@
     fn copy(&mut self, port: u16, copy: u32) {
         let attempt = self.attempts[&port];
         let waited_ms = self.now_ms - self.calls[attempt.call].first_ms;
-        if attempt.accepted || attempt.over || waited_ms > DEADLINE_MS {
+        if attempt.accepted || attempt.over || waited_ms > self.plan.timeout_ms {
             return;
         }
         if self.policy.is_product() {
@@ -370,7 +380,7 @@
         let (index, left) = (attempt.call, attempt.left);
         let call = &mut self.calls[index];
         call.tries += 1;
-        if call.tries <= RETRIES && self.now_ms < call.first_ms + DEADLINE_MS {
+        if call.tries <= RETRIES && self.now_ms < call.first_ms + self.plan.timeout_ms {
             self.attempt(index, left);
         }
     }
@@ -438,7 +448,7 @@
             self.at(self.now_ms + pause_ms, Event::NextRequest(port));
         }
         let wait_ms = self.now_ms + HOP_MS - self.calls[call].first_ms;
-        if wait_ms > DEADLINE_MS {
+        if wait_ms > self.plan.timeout_ms {
             return;
         }
         if wait_ms <= self.plan.aim_ms {
--- a/tests/opaque/queue_model/processes.rs
+++ b/tests/opaque/queue_model/processes.rs
@@ -4,7 +4,7 @@
 
 use endivedyke::opaque::{
     Action, BackendState, Keeper, Message, MessageKind, Scene, UNKNOWN_LOAD, cold_backend_text,
-    steady_load,
+    steady_load, told_wait,
 };
 
 use super::{ACCEPTED, BEAT_MS, Event, Model, TICK_MS, forwarders};
@@ -77,6 +77,9 @@
         if let Some(permille) = steady_load(payload) {
             forwarder.heard_steady(from, permille, self.now_ms);
         }
+        if let Some(wait_ms) = told_wait(payload) {
+            forwarder.heard_wait(from, wait_ms, self.now_ms);
+        }
         match message.kind {
             MessageKind::Holds => forwarder.holds(key, message.host, self.now_ms),
             MessageKind::Declined => {
--- a/tests/opaque/queue_plan.rs
+++ b/tests/opaque/queue_plan.rs
@@ -60,6 +60,10 @@
     pub(crate) burst: Option<(u64, u64, f64)>,
     pub(crate) for_ms: u64,
     pub(crate) aim_ms: u64,
+    /// When callers give up, in milliseconds.
+    pub(crate) timeout_ms: u64,
+    /// Whether the configuration tells for how long callers wait.
+    pub(crate) tells_deadline: bool,
     pub(crate) seed: u64,
 }
 
@@ -78,6 +82,8 @@
             burst: None,
             for_ms: 20_000,
             aim_ms: 150,
+            timeout_ms: 3_000,
+            tells_deadline: false,
             seed: 1,
         }
     }
