--- a/src/decisions/slots.rs
+++ b/src/decisions/slots.rs
@@ -2,7 +2,7 @@
 
 use crate::code::Code;
 use crate::decisions::service_time::{self, ServiceTime};
-use crate::decisions::wait_queue::{WaitQueue, Waiting};
+use crate::decisions::wait_queue::{Pace, WaitQueue, Waiting};
 
 /// How many requests may wait for each slot.
 pub(crate) const QUEUE_PER_SLOT: u32 = 2;
@@ -118,6 +118,7 @@
             caller: id.0,
             priority: 0,
             since_ms: now_ms,
+            objective_ms: u32::MAX,
             due_ms: deadline_ms,
             deadline_ms,
         };
@@ -145,7 +146,12 @@
             return next;
         }
         next.expired = self.expire(now_ms);
-        if let Some(waiting) = self.queue.pop(self.service_ms(), now_ms) {
+        let pace = Pace {
+            service_ms: self.service_ms(),
+            slots: self.slots,
+            objective_ms: u32::MAX,
+        };
+        if let Some(waiting) = self.queue.pop_if(&pace, now_ms, |_| true) {
             self.busy += 1;
             next.run = Some(waiting.item);
         }
--- a/src/decisions/wait_queue.rs
+++ b/src/decisions/wait_queue.rs
@@ -3,11 +3,28 @@
 //! Load pattern: for some seconds more is asked for than can be served, by callers of different urgency, some of
 //! whom ask ten times as often as others and some of whom have waited too long already. In the order of arrival
 //! all would be late. Here what can still be in time goes before what can't, the more urgent before the less, each
-//! caller's first before another one's second, and then the earliest due. See docs/design/waiting-openers.md.
+//! caller's first before another one's second, and then the earliest due, or the newest where the queue is long. See docs/design/waiting-openers.md.
 
 /// The most that waits: with the shortest requests of a few milliseconds, more would wait past any deadline.
 const MAX_WAITING: usize = 256;
 
+/// How many service times one that is served needs to be answered: many take longer than the mean.
+const SERVICE_MARGIN: f64 = 2.0;
+/// How long the queue may be before the newest goes first, as a part of the latency objective.
+///
+/// While more is asked for than can be served, the order of arrival serves each one at the last moment, and all that
+/// take longer than the mean are late. The newest first, those that come are in time, and only what already waits is
+/// late.
+const LONG_QUEUE: f64 = 0.25;
+
+/// How fast a queue is served, and what its callers aim at.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Pace {
+    pub(crate) service_ms: f64,
+    pub(crate) slots: u32,
+    pub(crate) objective_ms: u32,
+}
+
 /// Something that waits for a slot.
 #[derive(Debug, Clone)]
 pub(crate) struct Waiting<T> {
@@ -17,6 +34,8 @@
     /// How urgent it is; 0 goes first.
     pub(crate) priority: u8,
     pub(crate) since_ms: u64,
+    /// What its caller aims at, in milliseconds.
+    pub(crate) objective_ms: u32,
     /// The time after which its answer is late.
     pub(crate) due_ms: u64,
     /// The time at which its caller gives up.
@@ -36,9 +55,6 @@
     entries: Vec<Entry<T>>,
 }
 
-/// The order in which those that wait are served, least first.
-type Rank = (bool, u8, u32, u64);
-
 impl<T> Default for WaitQueue<T> {
     fn default() -> Self {
         Self {
@@ -70,34 +86,37 @@
         true
     }
 
-    /// Takes out the one that goes first, given how long each is served.
-    pub(crate) fn pop(&mut self, service_ms: f64, now_ms: u64) -> Option<Waiting<T>> {
-        self.pop_if(service_ms, now_ms, |_| true)
-    }
-
-    /// The same among those that may go now.
+    /// Takes out the one that goes first of those that may go now.
     pub(crate) fn pop_if(
         &mut self,
-        service_ms: f64,
+        pace: &Pace,
         now_ms: u64,
         may_go: impl Fn(&T) -> bool,
     ) -> Option<Waiting<T>> {
-        let done_ms = now_ms + service_ms as u64;
+        let order = self.order(pace, now_ms);
         let entries = self.entries.iter().enumerate();
         let going = entries.filter(|(_, entry)| may_go(&entry.waiting.item));
-        let (index, _) = going.min_by_key(|(_, entry)| entry.rank(done_ms))?;
+        let (index, _) = going.min_by_key(|(_, entry)| order.rank(&entry.waiting, entry.turn))?;
         Some(self.entries.remove(index).waiting)
     }
 
     /// Returns how many would go before one that came now.
-    pub(crate) fn ahead_of(&self, waiting: &Waiting<T>, service_ms: f64, now_ms: u64) -> u32 {
-        let done_ms = now_ms + service_ms as u64;
-        let own = waiting.rank(self.turn_of(waiting.caller), done_ms);
-        let before = self
+    pub(crate) fn ahead_of(&self, waiting: &Waiting<T>, pace: &Pace, now_ms: u64) -> u32 {
+        let order = self.order(pace, now_ms);
+        let own = order.rank(waiting, self.turn_of(waiting.caller));
+        let ranks = self
             .entries
             .iter()
-            .filter(|entry| entry.rank(done_ms) <= own);
-        before.count() as u32
+            .map(|entry| order.rank(&entry.waiting, entry.turn));
+        ranks.filter(|rank| *rank <= own).count() as u32
+    }
+
+    fn order(&self, pace: &Pace, now_ms: u64) -> Order {
+        let queue_ms = self.entries.len() as f64 * pace.service_ms / f64::from(pace.slots.max(1));
+        Order {
+            answered_ms: now_ms + (SERVICE_MARGIN * pace.service_ms) as u64,
+            newest_first: queue_ms > LONG_QUEUE * f64::from(pace.objective_ms),
+        }
     }
 
     /// Takes out those for which a test holds.
@@ -126,14 +145,22 @@
     }
 }
 
-impl<T> Waiting<T> {
-    fn rank(&self, turn: u32, done_ms: u64) -> Rank {
-        (done_ms > self.due_ms, self.priority, turn, self.due_ms)
-    }
+/// The order in which those that wait are served at one moment.
+#[derive(Debug)]
+struct Order {
+    /// When one that goes now is answered.
+    answered_ms: u64,
+    newest_first: bool,
 }
 
-impl<T> Entry<T> {
-    fn rank(&self, done_ms: u64) -> Rank {
-        self.waiting.rank(self.turn, done_ms)
+impl Order {
+    /// Returns the place of one that waits; the least goes first.
+    fn rank<T>(&self, waiting: &Waiting<T>, turn: u32) -> (bool, u8, u32, u64) {
+        let is_late = self.answered_ms > waiting.due_ms;
+        let due = match self.newest_first {
+            true => u64::MAX - waiting.due_ms,
+            false => waiting.due_ms,
+        };
+        (is_late, waiting.priority, turn, due)
     }
 }
--- a/src/opaque/keeper/waiting.rs
+++ b/src/opaque/keeper/waiting.rs
@@ -6,7 +6,7 @@
 use crate::code::Code;
 use crate::config::deadlines::{Deadline, UNANSWERED_ATTEMPT_MS};
 use crate::decisions::service_time::wait_ms;
-use crate::decisions::wait_queue::Waiting;
+use crate::decisions::wait_queue::{Pace, Waiting};
 use crate::decisions::waiting::Prospect;
 use crate::opaque::finding::flow_book::Opening;
 use crate::opaque::keeper::{Keeper, Scene, tell};
@@ -17,6 +17,9 @@
 /// How many requests more than its slots a backend server is handed, for each slot: from an opener to its request a
 /// round trip to the caller passes, for which the slot would stand idle.
 const RESERVE_PER_SLOT: f64 = 0.5;
+/// How many latency objectives an opener may wait for: after that a new attempt has the better chance, while its
+/// caller has time for one.
+const MAX_OBJECTIVES: u64 = 2;
 /// The longest wait that is told, in milliseconds; above it stands that no new flow is taken.
 const MAX_TOLD_MS: u64 = 60_000;
 
@@ -127,7 +130,12 @@
     ) -> Prospect {
         let slots = self.own_slots(scene).unwrap_or_default();
         let service_ms = self.slot_time.service_ms();
-        let before = self.waiting.ahead_of(waiting, service_ms, scene.now_ms);
+        let pace = Pace {
+            service_ms,
+            slots,
+            objective_ms: deadline.objective_ms,
+        };
+        let before = self.waiting.ahead_of(waiting, &pace, scene.now_ms);
         let there = self.flows.busy_now(scene.now_ms) + before;
         let ahead = (there + 1).saturating_sub(slots);
         let oldest_ms = self.waiting.iter().map(|waiting| waiting.since_ms).min();
@@ -154,10 +162,10 @@
         self.end_overdue(scene, actions);
         let slots = self.own_slots(scene).unwrap_or_default();
         while f64::from(self.flows.busy_now(scene.now_ms)) < Self::handed_at_most(slots) {
-            let service_ms = self.slot_time.service_ms();
+            let pace = self.pace(slots);
             let may_open = self.has_cold_rate(scene);
             let may_go = |work: &WaitingWork| may_open || matches!(work.kind, WorkKind::Request(_));
-            let Some(waiting) = self.waiting.pop_if(service_ms, scene.now_ms, may_go) else {
+            let Some(waiting) = self.waiting.pop_if(&pace, scene.now_ms, may_go) else {
                 break;
             };
             self.end_wait(scene, waiting, actions);
@@ -198,6 +206,15 @@
         }
     }
 
+    fn pace(&self, slots: u32) -> Pace {
+        let objectives = self.waiting.iter().map(|waiting| waiting.objective_ms);
+        Pace {
+            service_ms: self.slot_time.service_ms(),
+            slots,
+            objective_ms: objectives.min().unwrap_or_default(),
+        }
+    }
+
     /// Passes all openers that wait on to other agents, and hands all requests over, as where the process stops or
     /// the backend server takes nothing new.
     pub(super) fn pass_on_waiting(&mut self, scene: &Scene<'_>, actions: &mut Vec<Action>) {
@@ -270,6 +287,7 @@
     let age_ms = opening.age_ms();
     let opens_ms = u64::from(UNANSWERED_ATTEMPT_MS).saturating_sub(opening.copy_age_ms());
     let left_ms = u64::from(deadline.timeout_ms).saturating_sub(age_ms);
+    let opens_ms = opens_ms.min(MAX_OBJECTIVES * u64::from(deadline.objective_ms));
     let work = WaitingWork {
         key: *key,
         kind: WorkKind::Opener(opening.clone()),
@@ -292,6 +310,7 @@
         priority: route.map_or(0, |route| route.priority),
         since_ms: scene.now_ms,
         due_ms: scene.now_ms + objective_ms,
+        objective_ms: deadline.objective_ms,
         deadline_ms: scene.now_ms + left_ms,
         item: work,
     }
