--- a/src/decisions/known_waits.rs
+++ b/src/decisions/known_waits.rs
@@ -2,6 +2,8 @@
 
 use std::net::Ipv4Addr;
 
+use crate::decisions::offers::TAKES_NONE_MS;
+
 /// The age at which such a word no longer counts, in milliseconds: about the service time of the users' requests,
 /// after which a slot is free that was not, or the other way round.
 const FRESH_MS: u64 = 30;
@@ -15,15 +17,46 @@
     used: bool,
 }
 
-/// The newest word of each agent, sorted by host.
+/// The weight of the newest word in the level.
+const WEIGHT_OF_NEW: f64 = 0.1;
+/// The time in which the level halves without a word, in milliseconds: a rush may be over, and agents that are not
+/// asked don't say so.
+const LEVEL_HALF_LIFE_MS: f64 = 200.0;
+
+/// The mean of the waits that were told lately.
+#[derive(Debug, Default, Clone, Copy)]
+struct Level {
+    wait_ms: f64,
+    heard_ms: u64,
+}
+
+/// The newest word of each agent, sorted by host, and the level of those nearby and of the others.
 #[derive(Debug, Default)]
 pub(crate) struct KnownWaits {
     waits: Vec<KnownWait>,
+    near: Level,
+    far: Level,
+}
+
+impl Level {
+    fn heard(&mut self, wait_ms: u16, now_ms: u64) {
+        let before_ms = self.at(now_ms);
+        self.wait_ms = before_ms + (f64::from(wait_ms) - before_ms) * WEIGHT_OF_NEW;
+        self.heard_ms = now_ms;
+    }
+
+    fn at(&self, now_ms: u64) -> f64 {
+        let passed_ms = now_ms.saturating_sub(self.heard_ms) as f64;
+        self.wait_ms * (-passed_ms / LEVEL_HALF_LIFE_MS).exp2()
+    }
 }
 
 impl KnownWaits {
     /// Notes what an agent said.
-    pub(crate) fn heard(&mut self, host: Ipv4Addr, wait_ms: u16, now_ms: u64) {
+    pub(crate) fn heard(&mut self, host: Ipv4Addr, is_near: bool, wait_ms: u16, now_ms: u64) {
+        if wait_ms != TAKES_NONE_MS {
+            self.level_mut(is_near).heard(wait_ms, now_ms);
+        }
         let known = KnownWait {
             host,
             wait_ms,
@@ -53,6 +86,20 @@
         (is_fresh && !(had_room && known.used)).then_some(known.wait_ms)
     }
 
+    /// Returns the wait to expect at an agent that said nothing lately, in milliseconds.
+    pub(crate) fn level_ms(&self, is_near: bool, now_ms: u64) -> f64 {
+        let level = if is_near { &self.near } else { &self.far };
+        level.at(now_ms)
+    }
+
+    fn level_mut(&mut self, is_near: bool) -> &mut Level {
+        if is_near {
+            &mut self.near
+        } else {
+            &mut self.far
+        }
+    }
+
     /// Forgets words that no longer count.
     pub(crate) fn expire(&mut self, now_ms: u64) {
         self.waits
--- a/src/decisions/offers.rs
+++ b/src/decisions/offers.rs
@@ -1,20 +1,26 @@
 //! To which agent a balancer offers an opener next, and when it asks no further.
 //!
 //! Load pattern: nearly all slots of many small servers are busy, each for some tens of milliseconds. Chosen by
-//! hash alone, openers queue at some servers while slots are free at others. So an agent without a free slot
-//! declines and says how long an opener would wait; the balancer offers it to the next, and assigns it to the
-//! best that it heard of once it has asked a few. See docs/design/offers.md.
+//! hash alone, openers queue at some servers while slots are free at others. So an agent declines an opener that
+//! would wait there for longer than the balancer expects elsewhere, and says for how long; the balancer offers it to
+//! the next, and assigns it to the best that it heard of once the others promise nothing better. See
+//! docs/design/offers.md.
 
 use std::net::Ipv4Addr;
 
-/// How many agents of the balancer's availability zone an opener may be offered to: of five busy for 85 % of the
-/// time, one has a slot free in more than half of all cases, and the least wait of five is short.
+/// How many agents of the balancer's availability zone an opener may be offered to.
 pub(crate) const MAX_NEAR: usize = 5;
 /// How many agents of other availability zones it may be offered to.
 pub(crate) const MAX_FAR: usize = 2;
-/// How much longer the wait nearby must be for an opener to cross to another availability zone, in milliseconds:
-/// the way there and back, which the opener and each request of its flow make.
-const FAR_MS: u32 = 15;
+/// How many agents an opener is offered to before it is assigned: of four busy for 85 % of the time one has a slot
+/// free in half of all cases, and each further one costs the caller a round trip.
+const MAX_OFFERS: usize = 4;
+/// How much shorter the wait in another availability zone must be, in milliseconds: the way there and back, which the
+/// opener and each request of its flow make.
+const FAR_MS: f64 = 15.0;
+/// How much of the usual wait an agent that said nothing is hoped to have: loads of small servers differ by about
+/// that much from their mean.
+const HOPED: f64 = 0.5;
 /// The wait that an agent tells which takes no new flow now.
 pub(crate) const TAKES_NONE_MS: u16 = u16::MAX;
 
@@ -26,57 +32,52 @@
     pub(crate) is_near: bool,
     /// For how long the opener would wait there, in milliseconds, where that is known.
     pub(crate) wait_ms: Option<u16>,
+    /// The usual wait in its part of the site, in milliseconds.
+    pub(crate) level_ms: f64,
     /// Whether the opener was offered to it already.
     pub(crate) was_offered: bool,
 }
 
 /// Where an opener goes next.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Offer {
-    /// To this agent, which may decline it.
-    MayDecline(Ipv4Addr),
+    /// To this agent, which declines it if it would wait for longer than so many milliseconds.
+    MayDecline(Ipv4Addr, f64),
     /// To this agent, which takes it, lets it wait or refuses it for good.
     Assigned(Ipv4Addr),
 }
 
 /// Chooses among the candidates, which stand in the order of the flow.
-///
-/// An agent that just said that it has room goes first, then those nearby that said nothing yet. Agents of other
-/// zones are asked only where each one nearby has a wait that is worth the way.
 pub(crate) fn choose(candidates: &[Candidate]) -> Option<Offer> {
-    let open = |candidate: &&Candidate| !candidate.was_offered;
-    let has_room = |candidate: &&Candidate| candidate.wait_ms == Some(0);
-    let is_unknown = |candidate: &&Candidate| candidate.wait_ms.is_none();
-    let near = candidates.iter().filter(|candidate| candidate.is_near);
-    let far = candidates.iter().filter(|candidate| !candidate.is_near);
-    let least_near_ms = near.clone().filter_map(Candidate::cost_ms).min();
-    let is_worth_crossing = least_near_ms.is_none_or(|least_ms| least_ms > FAR_MS);
-    let mut asked_near = near.clone().filter(open);
-    let next = asked_near.clone().find(has_room);
-    let next = next.or_else(|| asked_near.find(is_unknown));
-    let next = next.or_else(|| {
-        let mut asked_far = far.filter(open).filter(|_| is_worth_crossing);
-        asked_far
-            .clone()
-            .find(has_room)
-            .or_else(|| asked_far.find(is_unknown))
-    });
-    if let Some(next) = next {
-        return Some(Offer::MayDecline(next.host));
-    }
+    let offers = candidates.iter().filter(|candidate| candidate.was_offered);
+    let may_ask = offers.count() < MAX_OFFERS;
+    let open = candidates.iter().filter(|candidate| !candidate.was_offered);
+    let next = open.min_by(|one, other| one.hoped_ms().total_cmp(&other.hoped_ms()));
     let known = candidates
         .iter()
         .filter(|candidate| candidate.wait_ms.is_some());
-    let best = known.min_by_key(|candidate| candidate.cost_ms());
-    // None is known where none of those offered answered: the last one may still have it.
-    let best = best.or_else(|| candidates.iter().find(open));
-    best.map(|candidate| Offer::Assigned(candidate.host))
+    let best = known.min_by(|one, other| one.hoped_ms().total_cmp(&other.hoped_ms()));
+    match (next, best) {
+        (Some(next), Some(best)) if may_ask && next.hoped_ms() < best.hoped_ms() => {
+            Some(next.offered())
+        }
+        (Some(next), None) if may_ask => Some(next.offered()),
+        (_, Some(best)) if !best.was_offered && may_ask => Some(best.offered()),
+        (_, Some(best)) => Some(Offer::Assigned(best.host)),
+        (Some(next), None) => Some(Offer::Assigned(next.host)),
+        (None, None) => None,
+    }
 }
 
 impl Candidate {
-    /// Returns what an opener loses by going there, in milliseconds, where that is known.
-    fn cost_ms(&self) -> Option<u32> {
-        let way_ms = if self.is_near { 0 } else { FAR_MS };
-        self.wait_ms.map(|wait_ms| u32::from(wait_ms) + way_ms)
+    /// Returns what an opener is hoped to lose by going there, in milliseconds.
+    fn hoped_ms(&self) -> f64 {
+        let way_ms = if self.is_near { 0.0 } else { FAR_MS };
+        let wait_ms = self.wait_ms.map_or(HOPED * self.level_ms, f64::from);
+        wait_ms + way_ms
+    }
+
+    fn offered(&self) -> Offer {
+        Offer::MayDecline(self.host, self.level_ms)
     }
 }
--- a/src/opaque/forwarder/offers.rs
+++ b/src/opaque/forwarder/offers.rs
@@ -11,7 +11,7 @@
 use crate::opaque::forwarder::{Forwarder, TAKEN_TIMEOUT_MS, Watched};
 use crate::opaque::openers::candidates;
 use crate::opaque::packets::action::Action;
-use crate::opaque::packets::message::MessageKind;
+use crate::opaque::packets::message::{MessageKind, wait_units};
 use crate::opaque::packets::segment::Segment;
 use crate::opaque::values::directory::Directory;
 
@@ -24,8 +24,9 @@
 
 impl Forwarder {
     /// Notes for how long a new flow would wait at an agent.
-    pub fn heard_wait(&mut self, host: Ipv4Addr, wait_ms: u16, now_ms: u64) {
-        self.waits.heard(host, wait_ms, now_ms);
+    pub fn heard_wait(&mut self, directory: &Directory, host: Ipv4Addr, wait_ms: u16, now_ms: u64) {
+        let is_near = directory.is_in_zone(host, &self.zone);
+        self.waits.heard(host, is_near, wait_ms, now_ms);
     }
 
     /// Sends a copy of an opener to the agent that has it, or offers it to one.
@@ -85,8 +86,9 @@
         let offer = choose(&candidates).ok_or_else(none)?;
         let mut message = self.message(watched.waited_ms);
         let host = match offer {
-            Offer::MayDecline(host) => {
+            Offer::MayDecline(host, most_ms) => {
                 message.kind = MessageKind::Offer;
+                message.hops = wait_units(most_ms);
                 message.load_permille = self.mean_load(directory, &flow, now_ms);
                 host
             }
@@ -121,6 +123,7 @@
             host,
             is_near,
             wait_ms: self.waits.get(host, now_ms),
+            level_ms: self.waits.level_ms(is_near, now_ms),
             was_offered: watched.offered.contains(&host),
         };
         Ok(hosts.into_iter().map(candidate).collect())
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -121,11 +121,13 @@
             return;
         }
         let deadline = scene.directory.deadline(key.called);
+        let is_offer = message.kind == MessageKind::Offer;
+        let hops = if is_offer { 0 } else { message.hops };
         let opening = Opening {
             since_ms: scene.now_ms,
             packet: packet.to_vec(),
             balancer: message.host,
-            hops: message.hops,
+            hops,
             copy: segment.acknowledgement,
             waited_ms: message.waited_ms,
             expected_ms: deadline.map_or(EXPECTED_MS, |_| EXPECTED_SOON_MS),
@@ -150,7 +152,12 @@
                 self.take_opener(scene, &key, opening, actions);
                 self.say_taken(scene, &key, balancer, actions);
             }
-            Err(reason) if message.kind == MessageKind::Offer => {
+            Err(NotTaken::Crowded) if is_offer && self.is_wait_taken(scene, message) => {
+                if let Some(deadline) = deadline {
+                    self.wait_or_refuse(scene, &key, opening, &deadline, actions);
+                }
+            }
+            Err(reason) if is_offer => {
                 let declined = match reason {
                     NotTaken::Crowded => Declined::Busy,
                     _ => Declined::TakesNone,
--- a/src/opaque/packets/message.rs
+++ b/src/opaque/packets/message.rs
@@ -57,7 +57,8 @@
 pub struct Message {
     /// What it asks or says.
     pub kind: MessageKind,
-    /// How many agents have passed an opener on.
+    /// How many agents have passed an opener on; of [`MessageKind::Offer`], the longest wait for which the receiver
+    /// takes it, in units of [`OFFER_WAIT_UNIT_MS`].
     pub hops: u8,
     /// The balancer through which a packet came in; of [`MessageKind::Holds`], who holds the flow.
     pub host: Ipv4Addr,
@@ -89,6 +90,15 @@
 /// The unit in which [`Message::unsettled_ms`] travels, in milliseconds.
 pub(crate) const UNSETTLED_UNIT_MS: u16 = 20;
 
+/// The unit in which the longest wait of an offer travels, in milliseconds: 255 of them are more than any latency
+/// objective for which openers are offered.
+pub(crate) const OFFER_WAIT_UNIT_MS: u16 = 4;
+
+/// Returns the longest wait of an offer as it travels, rounded down.
+pub(crate) fn wait_units(wait_ms: f64) -> u8 {
+    (wait_ms / f64::from(OFFER_WAIT_UNIT_MS)) as u8
+}
+
 /// The unit in which [`Message::waited_ms`] travels, in milliseconds: half of the first step between the ages
 /// that an agent tells apart.
 const WAIT_UNIT_MS: u16 = 100;
--- a/src/opaque/processes/entry.rs
+++ b/src/opaque/processes/entry.rs
@@ -161,7 +161,7 @@
         }
         if let Some(wait_ms) = told_wait(payload) {
             let mut forwarder = self.forwarder.borrow_mut();
-            forwarder.heard_wait(from, wait_ms, now_ms);
+            forwarder.heard_wait(&self.node.directory.borrow(), from, wait_ms, now_ms);
         }
         match message.kind {
             MessageKind::Declined => self.declined(&flow, from, now_ms),
--- a/tests/opaque/queue_model/processes.rs
+++ b/tests/opaque/queue_model/processes.rs
@@ -78,7 +78,7 @@
             forwarder.heard_steady(from, permille, self.now_ms);
         }
         if let Some(wait_ms) = told_wait(payload) {
-            forwarder.heard_wait(from, wait_ms, self.now_ms);
+            forwarder.heard_wait(&self.agents.directory, from, wait_ms, self.now_ms);
         }
         match message.kind {
             MessageKind::Holds => forwarder.holds(key, message.host, self.now_ms),
