--- a/src/decisions/wait_queue.rs
+++ b/src/decisions/wait_queue.rs
@@ -25,6 +25,13 @@
     pub(crate) objective_ms: u32,
 }
 
+impl Pace {
+    /// Returns when one that goes now is answered.
+    fn answered_ms(&self, now_ms: u64) -> u64 {
+        now_ms + (SERVICE_MARGIN * self.service_ms) as u64
+    }
+}
+
 /// Something that waits for a slot.
 #[derive(Debug, Clone)]
 pub(crate) struct Waiting<T> {
@@ -111,10 +118,19 @@
         ranks.filter(|rank| *rank <= own).count() as u32
     }
 
+    /// Returns how many can still be in time: those that can't delay nothing that comes.
+    pub(crate) fn in_time(&self, pace: &Pace, now_ms: u64) -> u32 {
+        let answered_ms = pace.answered_ms(now_ms);
+        let entries = self.entries.iter();
+        let in_time = entries.filter(|entry| answered_ms <= entry.waiting.due_ms);
+        in_time.count() as u32
+    }
+
     fn order(&self, pace: &Pace, now_ms: u64) -> Order {
-        let queue_ms = self.entries.len() as f64 * pace.service_ms / f64::from(pace.slots.max(1));
+        let in_time = f64::from(self.in_time(pace, now_ms));
+        let queue_ms = in_time * pace.service_ms / f64::from(pace.slots.max(1));
         Order {
-            answered_ms: now_ms + (SERVICE_MARGIN * pace.service_ms) as u64,
+            answered_ms: pace.answered_ms(now_ms),
             newest_first: queue_ms > LONG_QUEUE * f64::from(pace.objective_ms),
         }
     }
--- a/src/opaque/keeper/waiting.rs
+++ b/src/opaque/keeper/waiting.rs
@@ -67,7 +67,7 @@
             return 0;
         };
         let busy = self.flows.busy_now(scene.now_ms);
-        let there = busy + self.waiting.len() as u32;
+        let there = busy + self.waiting.in_time(&self.pace(slots), scene.now_ms);
         let ahead = (there + 1).saturating_sub(slots);
         let wait_ms = wait_ms(ahead, self.slot_time.service_ms(), slots);
         wait_ms.min(MAX_TOLD_MS) as u16
