Show a revision's era and number in debug output

Cause: the derived form shows the packed bits, so that a log line about a read after a return from an older copy names where 3.41 is meant. Change: `Debug` writes what `Display` does; a test holds both (it failed before). Ruled out: `Revision(3.41)`, which log lines about reads would carry along. Conclusion: no decision reads it; the only line that shows it is `platform_fails`.

--- a/src/config/revision.rs
+++ b/src/config/revision.rs
@@ -16,7 +16,7 @@
 ///
 /// It fits 64 bits, so that messages between processes are no longer for it, and a plain number is a revision of era 0,
 /// as of a platform that tells no era. See docs/OPAQUE.md, "When the platform comes back from an older copy".
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Revision(u64);
 
 impl Revision {
@@ -57,6 +57,13 @@
     }
 }
 
+/// Writes what `Display` does: the packed bits of a later era can't be read.
+impl fmt::Debug for Revision {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, formatter)
+    }
+}
+
 /// Writes the number, and the era before it where there was a return.
 impl fmt::Display for Revision {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/tests/revisions.rs
+++ b/tests/revisions.rs
@@ -153,3 +153,11 @@
         prop_assert_eq!(Delta::between(&old, &new).apply(&old), Ok(new));
     }
 }
+
+#[test]
+fn a_revision_shows_its_era_and_number() {
+    let of_later_era = Revision::new(3, 41).expect("fits");
+    assert_eq!(format!("{of_later_era}"), "3.41");
+    assert_eq!(format!("{of_later_era:?}"), "3.41");
+    assert_eq!(format!("{:?}", Revision::from(41)), "41");
+}
