--- a/src/links/node_codec.rs
+++ b/src/links/node_codec.rs
@@ -42,13 +42,18 @@
 }
 
 pub(crate) fn read_entry(reader: entry::Reader<'_>) -> Result<(String, Stamp)> {
-    let stamp = Stamp {
-        revision: reader.get_revision().into(),
-        version: reader.get_version(),
-    };
+    let stamp = stamp(reader.get_revision(), reader.get_version());
     Ok((text(reader.get_name())?, stamp))
 }
 
+/// Makes a stamp of its two fields on the wire.
+fn stamp(revision_bits: u64, version: u64) -> Stamp {
+    Stamp {
+        revision: revision_bits.into(),
+        version,
+    }
+}
+
 pub(crate) fn write_value(mut builder: value::Builder<'_>, update: &ValueUpdate) {
     builder.set_name(&update.name);
     builder.set_revision(update.stamp.revision.bits());
@@ -63,10 +68,7 @@
 pub(crate) fn read_value(reader: value::Reader<'_>) -> Result<ValueUpdate> {
     Ok(ValueUpdate {
         name: text(reader.get_name())?,
-        stamp: Stamp {
-            revision: reader.get_revision().into(),
-            version: reader.get_version(),
-        },
+        stamp: stamp(reader.get_revision(), reader.get_version()),
         base: reader.get_base().into(),
         delta: Delta {
             kept_lines: reader.get_kept_lines(),
