Separate what a pull wants from the pull

Cause: `pull` held a block of three shadowed steps beside its loop of fetches. Change: a function of the store and the states; one pass, one collection. Ruled out: dropping the list altogether, since a store that changes while a fetch is under way must not be borrowed meanwhile. No behaviour changes.

--- a/src/controllers/relay.rs
+++ b/src/controllers/relay.rs
@@ -9,9 +9,10 @@
 
 use rand::seq::IndexedRandom;
 
-use crate::config::config_store::ValueUpdate;
+use crate::config::config_store::{ConfigStore, ValueUpdate};
 use crate::config::membership;
 use crate::config::revision::Revision;
+use crate::config::stamp::Stamp;
 use crate::controllers::control::Control;
 use crate::error::Result;
 
@@ -125,16 +126,7 @@
 pub(crate) async fn pull(control: &Rc<Control>, host: Ipv4Addr, floor: Revision) -> Result<()> {
     let started_ms = control.now_ms();
     let states = control.peers.changes(host, floor).await?;
-    let mut wanted: Vec<(String, Revision)> = {
-        let store = control.store.borrow();
-        let news = states.into_iter();
-        let news = news.filter(|(name, stamp)| store.wants(name, *stamp));
-        news.map(|(name, _)| {
-            let have = store.revision(&name);
-            (name, have)
-        })
-        .collect()
-    };
+    let mut wanted = wanted(&control.store.borrow(), states);
     while !wanted.is_empty() {
         let asked = wanted.len().min(MAX_WANTED);
         let (updates, handled) = control.peers.fetch(host, &wanted[..asked]).await?;
@@ -153,6 +145,18 @@
     Ok(())
 }
 
+/// Returns the names of the values that are news here, each with the revision that is held of it.
+fn wanted(store: &ConfigStore, states: Vec<(String, Stamp)>) -> Vec<(String, Revision)> {
+    let news = states
+        .into_iter()
+        .filter(|(name, stamp)| store.wants(name, *stamp));
+    news.map(|(name, _)| {
+        let held = store.revision(&name);
+        (name, held)
+    })
+    .collect()
+}
+
 /// Takes what several peers hold, before this process serves; returns how many answered.
 pub(crate) async fn pull_at_start(control: &Rc<Control>) -> usize {
     let mut answered = 0;
