Read what a value says of an evacuation in one place

Cause: the prefix and "any text but that of a value which is gone" were read by the directory's feed and by the state dump, each for itself. Change: `Evacuation::of` beside `evacuation_name`. No behaviour changes.

--- a/src/config/evacuation.rs
+++ b/src/config/evacuation.rs
@@ -1,5 +1,7 @@
 //! Availability zones that operators took out of service, as published.
 
+use crate::config::backend_entry::GONE_TEXT;
+
 /// What the name of a published evacuation starts with; the availability zone follows.
 pub const EVACUATED_PREFIX: &str = "evacuated/";
 /// The text of an evacuation that is in force.
@@ -8,6 +10,26 @@
 /// the zone here too.
 pub const EVACUATED_TEXT: &str = "yes";
 
+/// What a published value says of an availability zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Evacuation<'a> {
+    /// The availability zone.
+    pub(crate) zone: &'a str,
+    /// Whether its evacuation is in force.
+    pub(crate) is_in_force: bool,
+}
+
+impl<'a> Evacuation<'a> {
+    /// Reads a published value; `None` where its name is that of another kind of value.
+    pub(crate) fn of(name: &'a str, text: &str) -> Option<Self> {
+        let zone = name.strip_prefix(EVACUATED_PREFIX)?;
+        Some(Self {
+            zone,
+            is_in_force: text != GONE_TEXT,
+        })
+    }
+}
+
 /// Returns the name of the value that evacuates an availability zone.
 pub fn evacuation_name(zone: &str) -> String {
     format!("{EVACUATED_PREFIX}{zone}")
--- a/src/opaque/processes/node.rs
+++ b/src/opaque/processes/node.rs
@@ -7,11 +7,11 @@
 use compio::BufResult;
 use compio::net::UdpSocket;
 
-use crate::config::backend_entry::{BackendValue, GONE_TEXT};
+use crate::config::backend_entry::BackendValue;
 use crate::config::cold_starts::{COLD_STARTS_NAME, cold_starts};
 use crate::config::config_store::StoredValue;
 use crate::config::deadlines::{DEADLINES_NAME, deadlines};
-use crate::config::evacuation::EVACUATED_PREFIX;
+use crate::config::evacuation::Evacuation;
 use crate::config::route_table::RouteTable;
 use crate::config::service_names::{SERVICES_NAME, service_names};
 use crate::controllers::control::Control;
@@ -290,8 +290,8 @@
             }
         }
         name => {
-            if let Some(zone) = name.strip_prefix(EVACUATED_PREFIX) {
-                directory.set_evacuated(zone, text != GONE_TEXT, value.revision);
+            if let Some(Evacuation { zone, is_in_force }) = Evacuation::of(name, text) {
+                directory.set_evacuated(zone, is_in_force, value.revision);
             }
         }
     }
--- a/src/opaque/processes/state.rs
+++ b/src/opaque/processes/state.rs
@@ -4,8 +4,8 @@
 
 use serde_json::{Value, json};
 
-use crate::config::backend_entry::{BACKEND_PREFIX, BackendFields, GONE_TEXT};
-use crate::config::evacuation::EVACUATED_PREFIX;
+use crate::config::backend_entry::{BACKEND_PREFIX, BackendFields};
+use crate::config::evacuation::Evacuation;
 use crate::controllers::control::Control;
 use crate::controllers::node_server::{self, NodeHooks};
 
@@ -37,12 +37,13 @@
 /// Returns the availability zones that are evacuated as far as the process knows.
 fn evacuated_zones(control: &Control) -> Value {
     let store = control.store.borrow();
-    let in_force = store
+    let evacuations = store
         .values()
         .iter()
-        .filter(|value| value.text != GONE_TEXT);
-    in_force
-        .filter_map(|value| value.name.strip_prefix(EVACUATED_PREFIX))
+        .filter_map(|value| Evacuation::of(&value.name, &value.text));
+    evacuations
+        .filter(|evacuation| evacuation.is_in_force)
+        .map(|evacuation| evacuation.zone)
         .collect()
 }
 
