Name the words of unusable reasons by a match

Cause: `word` searched a list and had an empty word for one that it lacks. Change: a match, which the compiler keeps whole; `of` asks `word`. No behaviour changes.

--- a/src/config/backend_entry.rs
+++ b/src/config/backend_entry.rs
@@ -39,25 +39,19 @@
 }
 
 impl UnusableReason {
-    /// Every reason with its word in published texts and log lines.
-    const WORDS: [(Self, &str); 2] = [
-        (Self::Malformed, "malformed"),
-        (Self::UnknownState, "unknown-state"),
-    ];
+    const ALL: [Self; 2] = [Self::Malformed, Self::UnknownState];
 
     /// Returns the word for this reason in published texts and log lines.
     pub fn word(self) -> &'static str {
-        let mut words = Self::WORDS.iter();
-        words
-            .find(|(reason, _)| *reason == self)
-            .map_or("", |(_, word)| word)
+        match self {
+            Self::Malformed => "malformed",
+            Self::UnknownState => "unknown-state",
+        }
     }
 
     fn of(word: &str) -> Option<Self> {
-        let mut words = Self::WORDS.iter();
-        words
-            .find(|(_, known)| *known == word)
-            .map(|(reason, _)| *reason)
+        let mut reasons = Self::ALL.into_iter();
+        reasons.find(|reason| reason.word() == word)
     }
 }
 
