Rank hosts under a hash in one function

Cause: the hash of a host under another hash stood in links, in the order of readers, in that of greeters and in that of a search. Change: `hash::host_hash` and `hash::host_rank`; the values stay bit for bit, as they must agree between versions. No behaviour changes.

--- a/src/config/hash.rs
+++ b/src/config/hash.rs
@@ -1,5 +1,7 @@
 //! Hashes that must agree on every host.
 
+use std::net::Ipv4Addr;
+
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 const NAME_SEED: u64 = 0x656e_6469_7665_0001;
@@ -15,6 +17,17 @@
     xxh3_64_with_seed(bytes, NAME_SEED)
 }
 
+/// Hashes a host's address.
+pub(crate) fn host_hash(host: Ipv4Addr) -> u64 {
+    bytes_hash(&host.octets())
+}
+
+/// Returns the place of a host in the order that belongs to a hash: the same on every host, and another one for
+/// each hash.
+pub(crate) fn host_rank(order_hash: u64, host: Ipv4Addr) -> u64 {
+    pair_hash(order_hash, host_hash(host))
+}
+
 /// Hashes an unordered choice, such as "opener at target", from its two hashes.
 pub(crate) fn pair_hash(left: u64, right: u64) -> u64 {
     let mut bytes = [0; 16];
--- a/src/config/membership.rs
+++ b/src/config/membership.rs
@@ -18,13 +18,9 @@
 
 const READER_SALT: u64 = 0x7265_6164;
 
-fn host_hash(host: Ipv4Addr) -> u64 {
-    hash::bytes_hash(&host.octets())
-}
-
 /// Returns the `count` hosts with the greatest hash for `salt`, best first.
 fn ranked<'a>(hosts: impl Iterator<Item = &'a Host>, salt: u64, count: usize) -> Vec<Ipv4Addr> {
-    let rank = |address: Ipv4Addr| std::cmp::Reverse(hash::pair_hash(salt, host_hash(address)));
+    let rank = |address: Ipv4Addr| std::cmp::Reverse(hash::host_rank(salt, address));
     let mut addresses: Vec<Ipv4Addr> = hosts.map(|host| host.address).collect();
     if addresses.len() > count && count > 0 {
         addresses.select_nth_unstable_by_key(count - 1, |address| rank(*address));
@@ -50,8 +46,8 @@
     let eligible = || others().filter(|host| trusted(host.address));
     let zone = hosts.get(me).map(|host| host.zone.as_str());
     let near = eligible().filter(|host| Some(host.zone.as_str()) == zone);
-    let mut links = ranked(near, host_hash(me), NEAR_LINKS);
+    let mut links = ranked(near, hash::host_hash(me), NEAR_LINKS);
     let far = eligible().filter(|host| !links.contains(&host.address));
-    links.extend(ranked(far, host_hash(me), PEER_LINKS - links.len()));
+    links.extend(ranked(far, hash::host_hash(me), PEER_LINKS - links.len()));
     links
 }
--- a/src/opaque/finding/flow_search.rs
+++ b/src/opaque/finding/flow_search.rs
@@ -107,10 +107,7 @@
         let mut order: Vec<(u64, Ipv4Addr)> = self
             .agents
             .iter()
-            .map(|agent| {
-                let host_hash = hash::bytes_hash(&agent.host.octets());
-                (hash::pair_hash(flow.hash(), host_hash), agent.host)
-            })
+            .map(|agent| (hash::host_rank(flow.hash(), agent.host), agent.host))
             .collect();
         order.sort_unstable();
         if order.is_empty() {
--- a/src/opaque/values/freshness.rs
+++ b/src/opaque/values/freshness.rs
@@ -67,17 +67,14 @@
         .all()
         .iter()
         .filter(passing)
-        .map(|host| {
-            let host_hash = hash::bytes_hash(&host.address.octets());
-            (hash::pair_hash(ORDER_SALT, host_hash), host)
-        })
+        .map(|host| (hash::host_rank(ORDER_SALT, host.address), host))
         .collect();
     order.sort_unstable_by_key(|(place, host)| (*place, host.address));
     let listed = order
         .iter()
         .position(|(_, host)| host.address == asker.host);
     // A process that is not listed, as all while nothing is published yet, is no reader by its place.
-    let own_hash = hash::bytes_hash(&asker.host.octets()) as usize;
+    let own_hash = hash::host_hash(asker.host) as usize;
     let rank = listed.unwrap_or(order.len().max(READERS) + own_hash % FAN_OUT);
     let parent = match rank {
         0 => None,
--- a/src/opaque/values/known_balancers.rs
+++ b/src/opaque/values/known_balancers.rs
@@ -77,11 +77,8 @@
 
 /// Tells whether fewer than [`GREETERS`] agents come before `own` in the order of a balancer.
 fn is_greeter(own: Ipv4Addr, balancer: Ipv4Addr, agents: &[Ipv4Addr]) -> bool {
-    let balancer_hash = hash::bytes_hash(&balancer.octets());
-    let rank = |agent: Ipv4Addr| {
-        let agent_hash = hash::bytes_hash(&agent.octets());
-        (hash::pair_hash(balancer_hash, agent_hash), agent)
-    };
+    let balancer_hash = hash::host_hash(balancer);
+    let rank = |agent: Ipv4Addr| (hash::host_rank(balancer_hash, agent), agent);
     let own_rank = rank(own);
     let before = agents.iter().filter(|agent| rank(**agent) < own_rank);
     before.count() < GREETERS
--- a/src/opaque/values/published.rs
+++ b/src/opaque/values/published.rs
@@ -359,7 +359,7 @@
         // While nobody is published the seeds read, and the others ask them.
         let seeds = &self.control.settings.seeds;
         if standing.parent.is_none() && standing.rank > 0 && !seeds.contains(&me) {
-            let first = hash::bytes_hash(&me.octets()) as usize % seeds.len().max(1);
+            let first = hash::host_hash(me) as usize % seeds.len().max(1);
             let mut from_first = seeds[first..].iter().chain(&seeds[..first]).copied();
             standing.parent = from_first.find(|seed| trusted(*seed));
         }
