Split the directory by what each part holds

Its public methods stay as they are. Ruled out: callers that use the parts themselves, since a change of one part is seen only once the tables are built anew.

--- a/src/opaque/values/mod.rs
+++ b/src/opaque/values/mod.rs
@@ -3,12 +3,15 @@
 //! The rule that lives here: a value is never replaced by an older one, and what is old is not taken for what is so now. See docs/OPAQUE.md.
 
 pub(crate) mod backend_change;
+pub(crate) mod backend_tables;
 pub(crate) mod directory;
 pub(crate) mod freshness;
 pub(crate) mod known_balancers;
 pub(crate) mod news;
+pub(crate) mod operator_values;
 pub(crate) mod own_backend;
 pub(crate) mod published;
+pub(crate) mod published_entries;
 pub(crate) mod published_entry;
 pub(crate) mod restoration;
 pub(crate) mod source;
