Split what keeps values new by what each part holds

Change: `Settling`, a plain struct that is told the time, says whether what is not published may be taken for gone; what a whole read no longer names stands beside `news` and `dropped`; the check of one history beside `Batch`. Ruled out: a controller a part, since reads and beats share the freshness and the one ask under way.

--- a/src/opaque/processes/side.rs
+++ b/src/opaque/processes/side.rs
@@ -20,7 +20,7 @@
 use crate::opaque::processes::backend_watch::{self, BackendSign};
 use crate::opaque::processes::readiness;
 use crate::opaque::processes::ticker::Ticker;
-use crate::opaque::values::published::START_SETTLE_MS;
+use crate::opaque::values::settling::START_SETTLE_MS;
 use crate::opaque::{Adapter, Node};
 use crate::process::udp::{self, BUFFER_BYTES};
 
--- a/src/opaque/values/mod.rs
+++ b/src/opaque/values/mod.rs
@@ -14,4 +14,5 @@
 pub(crate) mod published_entries;
 pub(crate) mod published_entry;
 pub(crate) mod restoration;
+pub(crate) mod settling;
 pub(crate) mod source;
--- a/src/opaque/values/news.rs
+++ b/src/opaque/values/news.rs
@@ -1,12 +1,13 @@
-//! What a read of the platform tells that is new here, and what it tells that is older.
+//! What a read of the platform tells that is new here, what is older, and what it no longer names.
 
 use std::collections::BTreeMap;
 
 use crate::config::config_store::ConfigStore;
+use crate::config::evacuation::EVACUATED_PREFIX;
 use crate::config::revision::Revision;
 use crate::config::value_state::ValueState;
-use crate::opaque::GONE_TEXT;
 use crate::opaque::values::source::Batch;
+use crate::opaque::{BACKEND_PREFIX, GONE_TEXT};
 
 /// Returns the values of a batch that are news, in the order of their revisions.
 ///
@@ -65,3 +66,34 @@
     });
     older.collect()
 }
+
+/// Returns the backend servers and evacuations that a whole read no longer names, which are gone.
+///
+/// A read of changes names what is gone.
+pub(crate) fn vanished(store: &ConfigStore, batch: &Batch) -> Vec<String> {
+    if !batch.is_whole {
+        return Vec::new();
+    }
+    let mut named: Vec<&str> = batch
+        .values
+        .iter()
+        .map(|value| value.name.as_str())
+        .collect();
+    named.sort_unstable();
+    let values = store.values().iter();
+    let is_settled = store.is_settled(batch.revision.era());
+    values
+        .filter(|value| may_vanish(&value.name, is_settled))
+        .filter(|value| value.text != GONE_TEXT && value.revision <= batch.revision)
+        .filter(|value| named.binary_search(&value.name.as_str()).is_err())
+        .map(|value| value.name.clone())
+        .collect()
+}
+
+/// Tells whether a value is withdrawn by no longer being published; the others are only replaced.
+///
+/// An older copy of the platform may lack an evacuation until operators have asked for it again, and flows must not go back
+/// into the zone meanwhile. A backend server that the copy lacks takes flows for as long as one whose entry lapsed.
+fn may_vanish(name: &str, is_settled: bool) -> bool {
+    name.starts_with(BACKEND_PREFIX) || (name.starts_with(EVACUATED_PREFIX) && is_settled)
+}
--- a/src/opaque/values/published.rs
+++ b/src/opaque/values/published.rs
@@ -7,20 +7,19 @@
 
 use crate::code::Code;
 use crate::config::backend_entry::GONE_TEXT;
-use crate::config::evacuation::EVACUATED_PREFIX;
 use crate::config::hash;
 use crate::config::revision::Revision;
 use crate::config::value_state::ValueState;
 use crate::controllers::control::Control;
 use crate::controllers::relay;
-use crate::error::{Error, Result};
-use crate::opaque::BACKEND_PREFIX;
+use crate::error::Result;
 use crate::opaque::packets::message::{Message, UNKNOWN_AGE_MS, UNSETTLED_UNIT_MS};
 use crate::opaque::values::freshness::{self, Asker, Freshness, Standing, WATCH_WAIT_MS};
-use crate::opaque::values::news::{dropped, news};
+use crate::opaque::values::news::{dropped, news, vanished};
 use crate::opaque::values::published_entry::LAPSE_MS;
 use crate::opaque::values::restoration::{Restoration, RestorationStep};
-use crate::opaque::values::source::{Batch, Read, Source};
+use crate::opaque::values::settling::Settling;
+use crate::opaque::values::source::{Batch, Read, Source, of_one_history};
 
 /// How long a process waits after a failed read before the next one, at first, in milliseconds.
 const MIN_BACKOFF_MS: u64 = 200;
@@ -40,10 +39,6 @@
 const WATCH_PAUSE_MS: u64 = 150;
 /// How long a beat may stay unanswered before its receiver is suspected, in beats.
 const MISSED_BEATS: u32 = 2;
-/// How long a process that remembers nothing waits for agents of backend servers that are not published
-/// to make themselves known, in milliseconds: two of their announcements and their start beside its own.
-pub(crate) const START_SETTLE_MS: u64 = 300;
-
 /// What a process knows of how new its values are.
 pub(crate) struct PublishedValues {
     control: Rc<Control>,
@@ -53,12 +48,7 @@
     restoration: RefCell<Restoration>,
     asked: Cell<Option<(Ipv4Addr, u32)>>,
     pulling: Rc<Cell<bool>>,
-    /// Until when entries that lapsed before this process started may come back.
-    unsettled_until_ms: Cell<u64>,
-    /// Whether the first read of the platform succeeded, once it has ended.
-    first_read_succeeded: Cell<Option<bool>>,
-    /// Since when this process has had values.
-    in_force_since_ms: Cell<Option<u64>>,
+    settling: RefCell<Settling>,
 }
 
 impl PublishedValues {
@@ -71,9 +61,7 @@
             restoration: RefCell::default(),
             asked: Cell::new(None),
             pulling: Rc::default(),
-            unsettled_until_ms: Cell::new(0),
-            first_read_succeeded: Cell::new(None),
-            in_force_since_ms: Cell::new(None),
+            settling: RefCell::default(),
         })
     }
 
@@ -93,8 +81,8 @@
             waited_ms += START_LOOK_MS;
         }
         drop(reading);
-        self.in_force_since_ms.set(Some(self.control.now_ms()));
-        if self.first_read_succeeded.get() == Some(false) {
+        self.settling.borrow_mut().start(self.control.now_ms());
+        if self.settling.borrow().has_missed_platform() {
             self.unsettle(LAPSE_MS);
         }
     }
@@ -103,9 +91,7 @@
         let mut backoff_ms = MIN_BACKOFF_MS;
         loop {
             let read = self.read(Read::Recent).await;
-            if self.first_read_succeeded.get().is_none() {
-                self.first_read_succeeded.set(Some(read.is_ok()));
-            }
+            self.settling.borrow_mut().note_read(read.is_ok());
             if let Ok(batch) = read {
                 self.take(&batch);
             }
@@ -119,16 +105,10 @@
     }
 
     /// Tells whether a backend server that is not published may be taken for gone.
-    ///
-    /// A process that remembers nothing and found the platform away can't know which entries lapsed
-    /// meanwhile; they are back soon after its return. Who hears of such a process waits
-    /// with it, since its own read may have come just after the return.
     pub(crate) fn is_settled(&self) -> bool {
-        let Some(since_ms) = self.in_force_since_ms.get() else {
-            return false;
-        };
-        let heard_all = self.control.now_ms() >= since_ms + START_SETTLE_MS;
-        heard_all && self.lapse_clock_ms() >= self.unsettled_until_ms.get()
+        let now_ms = self.control.now_ms();
+        let clock_ms = self.lapse_clock_ms();
+        self.settling.borrow().is_settled(clock_ms, now_ms)
     }
 
     /// Returns the time up to which entries that came back have been seen: when the values were last
@@ -138,35 +118,21 @@
         now_ms - self.freshness.borrow().age_ms(now_ms)
     }
 
-    /// Tells whether this process had no values yet when what may come back for so long vanished.
-    ///
-    /// One that saw it vanish remembers whom to ask, and need not wait.
-    fn missed(&self, unsettled_ms: u64) -> bool {
-        let Some(since_ms) = self.in_force_since_ms.get() else {
-            return true;
-        };
-        let vanished_ms_ago = LAPSE_MS.saturating_sub(unsettled_ms);
-        self.control.now_ms().saturating_sub(vanished_ms_ago) < since_ms
-    }
-
     fn unsettle(&self, for_ms: u64) {
-        let until_ms = self.control.now_ms() + for_ms;
-        if until_ms > self.unsettled_until_ms.get() {
-            if self.is_settled() {
-                log::warn!("event=unsettled for_ms={for_ms}");
-            }
-            self.unsettled_until_ms.set(until_ms);
-        }
+        let now_ms = self.control.now_ms();
+        let clock_ms = self.lapse_clock_ms();
+        let mut settling = self.settling.borrow_mut();
+        settling.unsettle(for_ms, clock_ms, now_ms);
     }
 
     /// Returns for how long this process will be unsettled, in milliseconds.
     fn unsettled_ms(&self) -> u64 {
-        let waits = !self.has_routes() && self.first_read_succeeded.get() == Some(false);
+        let settling = self.settling.borrow();
+        let waits = !self.has_routes() && settling.has_missed_platform();
         if waits {
             return LAPSE_MS;
         }
-        let until_ms = self.unsettled_until_ms.get();
-        until_ms.saturating_sub(self.lapse_clock_ms()).min(LAPSE_MS)
+        settling.unsettled_ms(self.lapse_clock_ms())
     }
 
     /// Tells whether a configuration is in force.
@@ -269,7 +235,7 @@
         match step {
             None => {}
             // To a process that starts any era is new; those that saw the return tell it how long ago that was.
-            Some(RestorationStep::Restored) if self.in_force_since_ms.get().is_none() => {}
+            Some(RestorationStep::Restored) if !self.settling.borrow().is_started() => {}
             Some(RestorationStep::Restored) => {
                 log::warn!("event=platform_restored revision={highest}");
                 self.unsettle(LAPSE_MS);
@@ -304,16 +270,12 @@
 
     fn take(&self, batch: &Batch) {
         self.note_dropped(batch);
-        let missing = if batch.is_whole {
-            self.missing(batch)
-        } else {
-            Vec::new()
-        };
+        let vanished = vanished(&self.control.store.borrow(), batch);
         let mut news = {
             let store = self.control.store.borrow();
             news(&store, batch)
         };
-        let gone = missing.iter().map(|name| ValueState {
+        let gone = vanished.iter().map(|name| ValueState {
             name,
             stamp: batch.revision.into(),
             text: GONE_TEXT,
@@ -326,25 +288,6 @@
         self.look_at_era();
     }
 
-    /// Returns the backend servers and evacuations that a whole read no longer names, which are gone.
-    fn missing(&self, batch: &Batch) -> Vec<String> {
-        let store = self.control.store.borrow();
-        let mut named: Vec<&str> = batch
-            .values
-            .iter()
-            .map(|value| value.name.as_str())
-            .collect();
-        named.sort_unstable();
-        let values = store.values().iter();
-        let is_settled = store.is_settled(batch.revision.era());
-        values
-            .filter(|value| may_vanish(&value.name, is_settled))
-            .filter(|value| value.text != GONE_TEXT && value.revision <= batch.revision)
-            .filter(|value| named.binary_search(&value.name.as_str()).is_err())
-            .map(|value| value.name.clone())
-            .collect()
-    }
-
     fn standing(&self) -> Standing {
         let now_ms = self.control.now_ms();
         let suspicion = self.control.suspicion.borrow();
@@ -421,9 +364,11 @@
     pub(crate) fn noticed(self: &Rc<Self>, from: Ipv4Addr, message: &Message) {
         // Less by what rounding added, so that two can't keep each other unsettled.
         let unsettled_ms = u64::from(message.unsettled_ms.saturating_sub(UNSETTLED_UNIT_MS));
-        if unsettled_ms > 0 && self.missed(unsettled_ms) {
-            self.unsettle(unsettled_ms);
-        }
+        let now_ms = self.control.now_ms();
+        let clock_ms = self.lapse_clock_ms();
+        let mut settling = self.settling.borrow_mut();
+        settling.wait_with(unsettled_ms, clock_ms, now_ms);
+        drop(settling);
         let digest = message.digest;
         if digest.highest > self.control.store.borrow().digest().highest {
             if !self.has_routes() && !self.pulling.get() {
@@ -451,31 +396,3 @@
         .detach();
     }
 }
-
-/// Tells whether a value is withdrawn by no longer being published; the others are only replaced.
-///
-/// An older copy of the platform may lack an evacuation until operators have asked for it again, and flows must not go back
-/// into the zone meanwhile. A backend server that the copy lacks takes flows for as long as one whose entry lapsed.
-fn may_vanish(name: &str, is_settled: bool) -> bool {
-    name.starts_with(BACKEND_PREFIX) || (name.starts_with(EVACUATED_PREFIX) && is_settled)
-}
-
-/// Passes a batch that belongs to the history of the platform which was asked for.
-///
-/// # Errors
-///
-/// Returns code 5005 for changes after a revision of another history: what the platform took since it came back from an
-/// older copy may have lower numbers, which a watch from there passes over.
-fn of_one_history(read: Read, batch: Batch) -> Result<Batch> {
-    match read {
-        Read::Changes { after, .. } if after.era() != batch.revision.era() => {
-            Err(forgot(format!("after {after} comes {}", batch.revision)))
-        }
-        _ => Ok(batch),
-    }
-}
-
-/// Returns the error of a platform that no longer has the changes that were asked for.
-pub fn forgot(message: impl Into<String>) -> Error {
-    Error::new(Code::PlatformForgot, message)
-}
--- a/src/opaque/values/source.rs
+++ b/src/opaque/values/source.rs
@@ -2,9 +2,10 @@
 
 use futures_util::future::LocalBoxFuture;
 
+use crate::code::Code;
 use crate::config::revision::Revision;
 use crate::config::stamp::Stamp;
-use crate::error::Result;
+use crate::error::{Error, Result};
 
 /// One published value; without a text it is no longer published.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -63,3 +64,23 @@
     /// Performs a read.
     pub read: Box<dyn Fn(Read) -> Reading>,
 }
+
+/// Passes a batch that belongs to the history of the platform which was asked for.
+///
+/// # Errors
+///
+/// Returns code 5005 for changes after a revision of another history: what the platform took since it came back from an
+/// older copy may have lower numbers, which a watch from there passes over.
+pub(crate) fn of_one_history(read: Read, batch: Batch) -> Result<Batch> {
+    match read {
+        Read::Changes { after, .. } if after.era() != batch.revision.era() => {
+            Err(forgot(format!("after {after} comes {}", batch.revision)))
+        }
+        _ => Ok(batch),
+    }
+}
+
+/// Returns the error of a platform that no longer has the changes that were asked for.
+pub fn forgot(message: impl Into<String>) -> Error {
+    Error::new(Code::PlatformForgot, message)
+}
