Leave figures of runs out of comments

Cause: comments beside constants told what a run had shown, on code that has changed since. Comments only.

--- a/src/opaque/finding/flow_search.rs
+++ b/src/opaque/finding/flow_search.rs
@@ -3,9 +3,8 @@
 //! After a restart of all processes while the platform answers nobody, no process knows a route or a backend
 //! server, and yet every backend server may hold its flows. Which agents run is known from what they say:
 //! they greet the seeds while they start, and seeds pass the list on to balancers that ask. A packet that
-//! opens nothing is then shown to agents until one says that its backend server holds the flow: of 809 requests in
-//! the two seconds around such a restart 483 were in time with this, and none without. Nothing is reset and nothing
-//! is opened on such knowledge. See docs/OPAQUE.md, "Serving without a configuration".
+//! opens nothing is then shown to agents until one says that its backend server holds the flow. Nothing is reset and
+//! nothing is opened on such knowledge. See docs/OPAQUE.md, "Serving without a configuration".
 
 use std::net::Ipv4Addr;
 
--- a/src/opaque/values/directory.rs
+++ b/src/opaque/values/directory.rs
@@ -215,8 +215,8 @@
     /// Returns for how long one that vanished without draining may still come back, in milliseconds.
     ///
     /// One whose address a newer one has taken does not come back. After a loss of power of all hosts
-    /// these are the old entries of all backend servers: waiting for them cost 1,500 resets in two
-    /// seconds at 56 agents.
+    /// these are the old entries of all backend servers, and a wait for them would keep all callers from
+    /// being told that their flows have ended.
     pub fn lapse_ms(&self) -> u64 {
         self.lapse_end_ms.saturating_sub(self.clock_ms)
     }
--- a/src/opaque/values/freshness.rs
+++ b/src/opaque/values/freshness.rs
@@ -26,7 +26,7 @@
 /// of this many is served but for one time in five thousand.
 const QUICK_STEPS: u64 = 8;
 /// How much more patience each process after those has, in milliseconds. While the platform answers
-/// nobody, each further reader only adds refused calls: with short steps 75 processes made 275 in 4.4 s.
+/// nobody, each further reader only adds refused calls.
 const LATE_STEP_MS: u64 = 600;
 /// How much of it a process has once the one before it said that it can't read.
 const TURNED_AWAY_MS: u64 = 300;
--- a/src/opaque/values/known_balancers.rs
+++ b/src/opaque/values/known_balancers.rs
@@ -2,8 +2,7 @@
 //!
 //! A balancer that starts knows the platform and its seeds, which are balancers too. Where all of them were
 //! killed while the platform answers nobody, only agents still hold a configuration: greeted by them, balancers
-//! serve 20 ms after their start, and 4.4 s after it without, when the platform is back. See docs/OPAQUE.md, "How
-//! values travel".
+//! serve as soon as they have started, and not when the platform is back. See docs/OPAQUE.md, "How values travel".
 
 use std::net::Ipv4Addr;
 
@@ -19,7 +18,7 @@
 /// often, and one that was killed needs longer to start.
 const QUIET_MS: u64 = 250;
 /// The most balancers that are remembered: those of a site of some hundred hosts. What is told to all of them
-/// costs a hundredth of a millisecond each, at the moment when an agent has the least time.
+/// is told at the moment when an agent has the least time.
 const MAX_BALANCERS: usize = 32;
 /// How many agents greet a balancer: a few, so that one lives and is not cut off.
 const GREETERS: usize = 3;
