Build the directory's tables once for all changes that come together

Cause: at a start entries, services and each evacuation came into force at once, and the tables were built anew for each of them. Change: a process reads what its values in force tell (`ValueChange`), and the directory takes them all before it builds. Nothing reads the directory in between: it is borrowed for the whole change, and the log line of an evacuation counts entries, which are in place by then as before. Setters that tests and others call build at once as before. Ruled out: a flag that holds rebuilds back, which a caller could forget. Conclusion: what is seen is the same; the time gained was not measured.

--- a/src/opaque/processes/node.rs
+++ b/src/opaque/processes/node.rs
@@ -7,24 +7,17 @@
 use compio::BufResult;
 use compio::net::UdpSocket;
 
-use crate::config::backend_entry::BackendValue;
-use crate::config::cold_starts::{COLD_STARTS_NAME, cold_starts};
-use crate::config::config_store::StoredValue;
-use crate::config::deadlines::{DEADLINES_NAME, deadlines};
-use crate::config::evacuation::Evacuation;
-use crate::config::route_table::RouteTable;
-use crate::config::service_names::{SERVICES_NAME, service_names};
 use crate::controllers::control::Control;
 use crate::error::{Error, Result};
+use crate::opaque::Adapter;
 use crate::opaque::finding::flow_search::FlowSearch;
 use crate::opaque::packets::action::Action;
 use crate::opaque::packets::message::{Message, MessageKind, UNKNOWN_LOAD};
 use crate::opaque::packets::segment::WireFormat;
-use crate::opaque::values::backend_change::BackendChange;
 use crate::opaque::values::directory::Directory;
 use crate::opaque::values::freshness::BEAT_MS;
 use crate::opaque::values::published::PublishedValues;
-use crate::opaque::{Adapter, BACKEND_PREFIX, ROUTES_NAME};
+use crate::opaque::values::value_change::ValueChange;
 use crate::process::udp::{self, BUFFER_BYTES};
 
 /// How often what is remembered is tidied, in milliseconds.
@@ -105,14 +98,10 @@
         let now_ms = self.control.now_ms();
         let mut directory = self.directory.borrow_mut();
         let store = self.control.store.borrow();
-        let values: Vec<&StoredValue> = names.iter().filter_map(|name| store.get(name)).collect();
-        let backends: Vec<BackendChange<'_>> = values.iter().filter_map(backend_change).collect();
-        let has_backends = !backends.is_empty();
-        // The others say something of backend servers, which a process that starts learns with them.
-        directory.apply_all(backends, now_ms);
-        for value in values {
-            apply(&mut directory, value);
-        }
+        let values = names.iter().filter_map(|name| store.get(name));
+        let changes: Vec<ValueChange<'_>> = values.filter_map(ValueChange::of).collect();
+        let has_backends = changes.iter().any(ValueChange::is_of_backend);
+        directory.take(changes, now_ms);
         let metrics = &self.control.metrics.opaque;
         metrics.entries_unusable.set(directory.unusable() as i64);
         let evacuated = directory.evacuated_zones().len();
@@ -256,43 +245,3 @@
         log::debug!("event=packet_dropped error={error}");
     }
 }
-
-/// Returns the change of a backend server that a value in force tells; the store has parsed its text already, when
-/// it took it.
-fn backend_change<'a>(value: &&'a StoredValue) -> Option<BackendChange<'a>> {
-    let id = value.name.strip_prefix(BACKEND_PREFIX)?;
-    let backend = BackendValue::parse(&value.text).ok()?;
-    Some(BackendChange {
-        id,
-        value: backend,
-        revision: value.revision,
-    })
-}
-
-/// Lets a directory take a value in force that is not of one backend server.
-fn apply(directory: &mut Directory, value: &StoredValue) {
-    let text = value.text.as_str();
-    match value.name.as_str() {
-        ROUTES_NAME => {
-            if let Ok(routes) = RouteTable::parse(text) {
-                directory.set_routes(routes);
-            }
-        }
-        SERVICES_NAME => directory.set_services(service_names(text)),
-        COLD_STARTS_NAME => {
-            if let Ok(starts) = cold_starts(text) {
-                directory.set_cold_starts(starts);
-            }
-        }
-        DEADLINES_NAME => {
-            if let Ok(deadlines) = deadlines(text) {
-                directory.set_deadlines(deadlines);
-            }
-        }
-        name => {
-            if let Some(Evacuation { zone, is_in_force }) = Evacuation::of(name, text) {
-                directory.set_evacuated(zone, is_in_force, value.revision);
-            }
-        }
-    }
-}
--- a/src/opaque/values/directory.rs
+++ b/src/opaque/values/directory.rs
@@ -5,6 +5,7 @@
 use crate::config::backend_entry::{Backend, BackendState};
 use crate::config::cold_starts::ColdStart;
 use crate::config::deadlines::Deadline;
+use crate::config::evacuation::Evacuation;
 use crate::config::hosts::{Host, HostList, HostRole, HostState};
 use crate::config::revision::Revision;
 use crate::config::route_table::RouteTable;
@@ -17,6 +18,7 @@
 use crate::opaque::values::own_backend::OwnBackend;
 use crate::opaque::values::published_entries::PublishedEntries;
 use crate::opaque::values::published_entry::{LAPSE_MS, PublishedEntry};
+use crate::opaque::values::value_change::ValueChange;
 
 /// What is published of backend servers, what operators told, and the tables that follow from both.
 #[derive(Debug, Default)]
@@ -61,6 +63,51 @@
         self.rebuild();
     }
 
+    /// Takes changes of values in force, and builds the tables once for all of them.
+    ///
+    /// Those of backend servers come first: the others say something of them, which a process that starts learns
+    /// with them.
+    pub(crate) fn take(&mut self, changes: Vec<ValueChange<'_>>, now_ms: u64) {
+        let (of_backends, others): (Vec<_>, Vec<_>) =
+            changes.into_iter().partition(ValueChange::is_of_backend);
+        let mut is_outdated = false;
+        for change in of_backends.into_iter().chain(others) {
+            is_outdated |= self.take_one(change, now_ms);
+        }
+        if is_outdated {
+            self.rebuild();
+        }
+    }
+
+    /// Takes a change; says whether the tables must be built anew for it.
+    fn take_one(&mut self, change: ValueChange<'_>, now_ms: u64) -> bool {
+        match change {
+            ValueChange::Backend(change) => {
+                self.entries.put(change, now_ms);
+                true
+            }
+            ValueChange::Services(services) => {
+                self.told.set_services(services);
+                true
+            }
+            ValueChange::Evacuation(evacuation, revision) => {
+                self.note_evacuated(evacuation, revision)
+            }
+            ValueChange::Routes(routes) => {
+                self.set_routes(routes);
+                false
+            }
+            ValueChange::ColdStarts(starts) => {
+                self.set_cold_starts(starts);
+                false
+            }
+            ValueChange::Deadlines(deadlines) => {
+                self.set_deadlines(deadlines);
+                false
+            }
+        }
+    }
+
     /// Returns how many values name no backend server to use.
     pub fn unusable(&self) -> usize {
         self.entries.unusable()
@@ -82,11 +129,22 @@
     ///
     /// Says so in the log where that changed. See docs/OPERATORS.md, "Empty a zone".
     pub fn set_evacuated(&mut self, zone: &str, is_evacuated: bool, revision: impl Into<Revision>) {
-        if !self.told.set_evacuated(zone, is_evacuated) {
-            return;
+        let evacuation = Evacuation {
+            zone,
+            is_in_force: is_evacuated,
+        };
+        if self.note_evacuated(evacuation, revision.into()) {
+            self.rebuild();
         }
-        let revision = revision.into();
-        let event = if is_evacuated {
+    }
+
+    /// Notes an evacuation or its end; says whether that is a change.
+    fn note_evacuated(&mut self, evacuation: Evacuation<'_>, revision: Revision) -> bool {
+        let Evacuation { zone, is_in_force } = evacuation;
+        if !self.told.set_evacuated(zone, is_in_force) {
+            return false;
+        }
+        let event = if is_in_force {
             "zone_evacuated"
         } else {
             "zone_taken_back"
@@ -94,7 +152,7 @@
         let is_in_zone = |entry: &&PublishedEntry| entry.backend.zone == zone;
         let servers = self.entries.iter().filter(is_in_zone).count();
         log::info!("event={event} zone={zone:?} servers={servers} revision={revision}");
-        self.rebuild();
+        true
     }
 
     /// Returns the availability zones that operators evacuated, in order of their names.
--- a/src/opaque/values/mod.rs
+++ b/src/opaque/values/mod.rs
@@ -16,3 +16,4 @@
 pub(crate) mod restoration;
 pub(crate) mod settling;
 pub(crate) mod source;
+pub(crate) mod value_change;
--- /dev/null
+++ b/src/opaque/values/value_change.rs
@@ -0,0 +1,60 @@
+//! What a value in force tells the directory.
+
+use crate::config::backend_entry::BackendValue;
+use crate::config::cold_starts::{COLD_STARTS_NAME, ColdStart, cold_starts};
+use crate::config::config_store::StoredValue;
+use crate::config::deadlines::{DEADLINES_NAME, Deadline, deadlines};
+use crate::config::evacuation::Evacuation;
+use crate::config::revision::Revision;
+use crate::config::route_table::RouteTable;
+use crate::config::service_id::ServiceId;
+use crate::config::service_names::{SERVICES_NAME, service_names};
+use crate::opaque::values::backend_change::BackendChange;
+use crate::opaque::{BACKEND_PREFIX, ROUTES_NAME};
+
+/// A change of what is published, by the kind of the value.
+#[derive(Debug)]
+pub(crate) enum ValueChange<'a> {
+    Backend(BackendChange<'a>),
+    Routes(RouteTable),
+    Services(Vec<ServiceId>),
+    ColdStarts(Vec<ColdStart>),
+    Deadlines(Vec<Deadline>),
+    Evacuation(Evacuation<'a>, Revision),
+}
+
+impl<'a> ValueChange<'a> {
+    /// Reads a value in force; `None` where it is of a kind that this version does not know.
+    ///
+    /// The store has parsed its text already, when it took it, so that no text is unsound here.
+    pub(crate) fn of(value: &'a StoredValue) -> Option<Self> {
+        let text = value.text.as_str();
+        match value.name.as_str() {
+            ROUTES_NAME => RouteTable::parse(text).ok().map(Self::Routes),
+            SERVICES_NAME => Some(Self::Services(service_names(text))),
+            COLD_STARTS_NAME => cold_starts(text).ok().map(Self::ColdStarts),
+            DEADLINES_NAME => deadlines(text).ok().map(Self::Deadlines),
+            name => match name.strip_prefix(BACKEND_PREFIX) {
+                Some(id) => backend_change(id, value),
+                None => {
+                    let evacuation = Evacuation::of(name, text)?;
+                    Some(Self::Evacuation(evacuation, value.revision))
+                }
+            },
+        }
+    }
+
+    /// Tells whether this is of one backend server.
+    pub(crate) fn is_of_backend(&self) -> bool {
+        matches!(self, Self::Backend(_))
+    }
+}
+
+fn backend_change<'a>(id: &'a str, value: &StoredValue) -> Option<ValueChange<'a>> {
+    let backend = BackendValue::parse(&value.text).ok()?;
+    Some(ValueChange::Backend(BackendChange {
+        id,
+        value: backend,
+        revision: value.revision,
+    }))
+}
