Say that a process is ready in one place

Change: `readiness::announce`. No behaviour changes. Ruled out: one start for both, which share only its order; one struct of options for two commands of the operators' client, which its parser can't flatten.

--- a/src/opaque/processes/entry.rs
+++ b/src/opaque/processes/entry.rs
@@ -69,11 +69,7 @@
         let now_ms = tidied.node.control.now_ms();
         tidied.forwarder.borrow_mut().expire(now_ms);
     });
-    ready.set(true);
-    log::info!(
-        "event=ready revision={}",
-        control.store.borrow().digest().highest
-    );
+    readiness::announce(&control, &ready);
     stop.await;
     ready.set(false);
     log::info!("event=leaving grace_ms={}", LEAVING.as_millis());
--- a/src/opaque/processes/readiness.rs
+++ b/src/opaque/processes/readiness.rs
@@ -36,3 +36,10 @@
     compio::runtime::spawn(http_server::serve(listener, answer)).detach();
     Ok(ready)
 }
+
+/// Says that a process takes traffic from now on.
+pub(crate) fn announce(control: &Control, ready: &Ready) {
+    ready.set(true);
+    let revision = control.store.borrow().digest().highest;
+    log::info!("event=ready revision={revision}");
+}
--- a/src/opaque/processes/side.rs
+++ b/src/opaque/processes/side.rs
@@ -80,11 +80,7 @@
     node.start(&[MessageKind::Beat, MessageKind::Greeting])
         .await;
     side.subscribe();
-    ready.set(true);
-    log::info!(
-        "event=ready revision={}",
-        control.store.borrow().digest().highest
-    );
+    readiness::announce(&control, &ready);
     stop.await;
     side.decide(|keeper, scene| Ok(keeper.leave(scene)));
     log::info!("event=leaving grace_ms={}", LEAVING.as_millis());
