--- a/src/config/backend_entry.rs
+++ b/src/config/backend_entry.rs
@@ -29,6 +29,23 @@
     Draining,
 }
 
+impl BackendState {
+    const ALL: [Self; 2] = [Self::Ready, Self::Draining];
+
+    /// Returns the word for this state in published texts.
+    fn word(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::Draining => "draining",
+        }
+    }
+
+    fn of(word: &str) -> Option<Self> {
+        let mut states = Self::ALL.into_iter();
+        states.find(|state| state.word() == word)
+    }
+}
+
 /// Why a published entry names no backend server to use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UnusableReason {
@@ -133,11 +150,7 @@
         } = BackendFields::of(text).ok_or_else(malformed)?;
         let started_unix_ms = started_unix_ms.map(str::parse).transpose();
         let cold_ms: u32 = cold_ms.unwrap_or("0").parse().map_err(|_| malformed())?;
-        let state = match state {
-            "ready" => BackendState::Ready,
-            "draining" => BackendState::Draining,
-            _ => return Err(malformed()),
-        };
+        let state = BackendState::of(state).ok_or_else(malformed)?;
         if !table::is_name(zone) {
             return Err(malformed());
         }
@@ -207,10 +220,7 @@
     slots: u64,
     state: BackendState,
 ) -> String {
-    let state = match state {
-        BackendState::Ready => "ready",
-        BackendState::Draining => "draining",
-    };
+    let state = state.word();
     format!("{service},{address},{zone},{slots},{state}")
 }
 
