Look at the clock only where a sender is unsettled

Cause: the split of what keeps values new asked for the time with each message. Change: the guard stands before it again, as it did; an evacuation derives only what is used. No behaviour changes.

--- a/src/config/evacuation.rs
+++ b/src/config/evacuation.rs
@@ -11,7 +11,7 @@
 pub const EVACUATED_TEXT: &str = "yes";
 
 /// What a published value says of an availability zone.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub(crate) struct Evacuation<'a> {
     /// The availability zone.
     pub(crate) zone: &'a str,
--- a/src/opaque/values/published.rs
+++ b/src/opaque/values/published.rs
@@ -364,11 +364,12 @@
     pub(crate) fn noticed(self: &Rc<Self>, from: Ipv4Addr, message: &Message) {
         // Less by what rounding added, so that two can't keep each other unsettled.
         let unsettled_ms = u64::from(message.unsettled_ms.saturating_sub(UNSETTLED_UNIT_MS));
-        let now_ms = self.control.now_ms();
-        let clock_ms = self.lapse_clock_ms();
-        let mut settling = self.settling.borrow_mut();
-        settling.wait_with(unsettled_ms, clock_ms, now_ms);
-        drop(settling);
+        if unsettled_ms > 0 {
+            let now_ms = self.control.now_ms();
+            let clock_ms = self.lapse_clock_ms();
+            let mut settling = self.settling.borrow_mut();
+            settling.wait_with(unsettled_ms, clock_ms, now_ms);
+        }
         let digest = message.digest;
         if digest.highest > self.control.store.borrow().digest().highest {
             if !self.has_routes() && !self.pulling.get() {
--- a/src/opaque/values/settling.rs
+++ b/src/opaque/values/settling.rs
@@ -57,7 +57,7 @@
     ///
     /// A process that saw it vanish remembers whom to ask, and need not wait.
     pub(crate) fn wait_with(&mut self, unsettled_ms: u64, clock_ms: u64, now_ms: u64) {
-        if unsettled_ms > 0 && self.has_missed(unsettled_ms, now_ms) {
+        if self.has_missed(unsettled_ms, now_ms) {
             self.unsettle(unsettled_ms, clock_ms, now_ms);
         }
     }
