--- a/src/opaque/processes/side.rs
+++ b/src/opaque/processes/side.rs
@@ -20,7 +20,7 @@
 use crate::opaque::processes::backend_watch::{self, BackendSign};
 use crate::opaque::processes::readiness;
 use crate::opaque::processes::ticker::Ticker;
-use crate::opaque::values::published::START_SETTLE_MS;
+use crate::opaque::values::settling::START_SETTLE_MS;
 use crate::opaque::{Adapter, Node};
 use crate::process::udp::{self, BUFFER_BYTES};
 
@@ -80,11 +80,7 @@
     node.start(&[MessageKind::Beat, MessageKind::Greeting])
         .await;
     side.subscribe();
-    ready.set(true);
-    log::info!(
-        "event=ready revision={}",
-        control.store.borrow().digest().highest
-    );
+    readiness::announce(&control, &ready);
     stop.await;
     side.decide(|keeper, scene| Ok(keeper.leave(scene)));
     log::info!("event=leaving grace_ms={}", LEAVING.as_millis());
