Account for openers from the log lines of all processes

Cause: an opener that nobody takes costs its caller 200 ms or more and shows at no single process; whether room was there elsewhere could not be told.

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use endivedyke::{Code, EXIT_USAGE, Error, Result};
+use endivedyke::{Code, EXIT_USAGE, Error, Result, parse_log};
 use gumdrop::Options;
 
 use crate::backend_server::{self, BackendOptions};
@@ -14,6 +14,9 @@
 use crate::load::{self, LoadPlan};
 use crate::load_report;
 use crate::opaque::{OpaqueLoadPlan, run_opaque_load, run_opaque_quickstart, run_soak};
+use crate::opener_account::{
+    OpenerAccount, UntoldFacts, csv_of_openers, lines_dropped, table_of_openers,
+};
 use crate::quickstart::run_quickstart;
 use crate::runtime::block_on;
 use crate::{config_service, fabric};
@@ -42,6 +45,8 @@
     OpaqueLoad(OpaqueLoadOptions),
     #[options(help = "random faults on opaque flows, and the promises checked")]
     Soak(SoakOptions),
+    #[options(help = "openers LOG...: what became of openers, by log lines")]
+    Openers(OpenersOptions),
     #[options(help = "stand in for the fabric")]
     Fabric(FabricOptions),
     #[options(help = "stand in for the platform's configuration service")]
@@ -78,6 +83,27 @@
     logs: Option<PathBuf>,
 }
 
+#[derive(Debug, Options)]
+struct OpenersOptions {
+    #[options(help = "print this help and exit")]
+    help: bool,
+    #[options(no_short, help = "a row for each opener in place of the table")]
+    csv: bool,
+    #[options(
+        no_short,
+        help = "the slots of a backend server whose agent does not tell them",
+        default = "2"
+    )]
+    slots: u32,
+    #[options(
+        no_short,
+        help = "availability zones that names of processes contain, split by commas"
+    )]
+    zones: String,
+    #[options(free, help = "files of log lines, of one process or of many")]
+    logs: Vec<PathBuf>,
+}
+
 #[derive(Debug, Options)]
 struct OpaqueLoadOptions {
     #[options(help = "print this help and exit")]
@@ -222,6 +248,7 @@
         Some(Command::Quickstart(_)) => quickstart(),
         Some(Command::Soak(options)) => soak(&options),
         Some(Command::OpaqueLoad(options)) => opaque_load(&options),
+        Some(Command::Openers(options)) => print_openers(&options),
         Some(Command::Experiment(options)) => experiments::run(&options),
         Some(Command::Load(options)) => run_load(&options),
         Some(Command::Fabric(options)) => run_fabric(&options),
@@ -302,6 +329,43 @@
     Err(Error::new(Code::OutcomeUnknown, message))
 }
 
+fn print_openers(options: &OpenersOptions) -> Result<()> {
+    if options.logs.is_empty() {
+        return Err(Error::new(Code::Usage, "openers LOG..."));
+    }
+    let mut logs = Vec::new();
+    for path in &options.logs {
+        let bytes = std::fs::read(path)?;
+        logs.push((
+            path.display().to_string(),
+            String::from_utf8_lossy(&bytes).into_owned(),
+        ));
+    }
+    let lines = logs.iter().flat_map(|(name, text)| parse_log(name, text));
+    let lines: Vec<_> = lines.collect();
+    let zones: Vec<&str> = options
+        .zones
+        .split(',')
+        .filter(|zone| !zone.is_empty())
+        .collect();
+    let untold = UntoldFacts {
+        slots: options.slots,
+        zones: &zones,
+    };
+    let account = OpenerAccount::of(&lines, &untold);
+    let text = if options.csv {
+        csv_of_openers(&account)
+    } else {
+        table_of_openers(&account)
+    };
+    print!("{text}");
+    let dropped: u64 = logs.iter().map(|(_, text)| lines_dropped(text)).sum();
+    if dropped > 0 {
+        eprintln!("processes did not write {dropped} lines, so that the counts are too low");
+    }
+    Ok(())
+}
+
 fn opaque_load(options: &OpaqueLoadOptions) -> Result<()> {
     let plan = OpaqueLoadPlan {
         deployment: options.deployment.clone(),
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -21,6 +21,7 @@
 mod load_report;
 mod loopback_net;
 pub mod opaque;
+mod opener_account;
 mod proc_stat;
 mod process;
 mod quickstart;
@@ -36,6 +37,10 @@
 pub use crate::cli::run;
 pub use crate::imbalance::{ImbalanceRow, run as run_imbalance};
 pub use crate::loopback_net::LoopbackNet;
+pub use crate::opener_account::{
+    OpenerAccount, OpenerEnd, OpenerOutcome, UntoldFacts, csv_of_openers, lines_dropped,
+    table_of_openers,
+};
 pub use crate::process::{Process, binary};
 pub use crate::quickstart::{QuickstartReport, run_quickstart};
 pub use crate::relay_model::{RelayOutcome, RelayPlan, run as run_relay};
--- a/lab/src/opaque/callers.rs
+++ b/lab/src/opaque/callers.rs
@@ -15,7 +15,7 @@
 const TICK: Duration = Duration::from_millis(2);
 const MAX_PACKET_BYTES: usize = 2_048;
 /// When copies of an opener are sent, in milliseconds after the first.
-const COPIES_MS: [u64; 2] = [200, 600];
+pub(crate) const COPIES_MS: [u64; 2] = [200, 600];
 /// How long an opener may stay without an answer, in milliseconds.
 const OPEN_TIMEOUT_MS: u64 = 1_400;
 /// How far from the next expected number a reset of an open flow may be.
--- a/lab/src/opaque/mod.rs
+++ b/lab/src/opaque/mod.rs
@@ -13,6 +13,7 @@
 mod soak;
 mod store;
 
+pub(crate) use crate::opaque::callers::COPIES_MS;
 pub(crate) use crate::opaque::load::{OpaqueLoadPlan, run as run_opaque_load};
 
 pub use crate::opaque::callers::{CallPlan, CallTally};
