Count offers of an opener also by its balancer's lines

Cause: agents' lines are dropped at a crest; a balancer's line of an offer tells how many agents had the opener before. Ruled out: reckoning offers from hops alone, since a decline goes back to the balancer. Change: `opener_offered` counts; the end of an opener is found by plain conditions.

--- a/lab/src/opener_account.rs
+++ b/lab/src/opener_account.rs
@@ -20,6 +20,8 @@
 const REFUSALS: [Code; 2] = [Code::NoRoom, Code::ServiceEvacuated];
 /// The codes of refusals that no free slot could have prevented.
 const NOT_FOR_ROOM: [Code; 2] = [Code::RouteUnknown, Code::ServiceEvacuated];
+/// What a balancer writes when it offers an opener to an agent.
+const OFFERED: &str = "opener_offered";
 /// How a process tells how many lines it did not write; such a line has no time.
 const LINES_DROPPED: &str = "event=lines_dropped count=";
 
@@ -186,7 +188,7 @@
             reason: reason.unwrap_or_default(),
             first_ms: first.time_ms,
             took_ms: is_taken(last).then(|| took_ms(first, last)),
-            offers: told.iter().filter(|line| is_answer(line)).count(),
+            offers: offers(told),
             needless,
         })
     }
@@ -195,14 +197,31 @@
 fn end_of(told: &[&LogLine<'_>], last: &LogLine<'_>, obstacles: &[&LogLine<'_>]) -> OpenerEnd {
     let queued = told.iter().any(|line| line.event == "opener_queued");
     let dropped = told.iter().any(|line| line.event == "opener_dropped");
-    match () {
-        () if is_refusal(last) => OpenerEnd::Refused,
-        () if !is_taken(last) && dropped => OpenerEnd::Dropped,
-        () if !is_taken(last) => OpenerEnd::Unfinished,
-        () if queued || copy(last) > 0 => OpenerEnd::Waited,
-        () if number(last, "hops") > Some(0) || !obstacles.is_empty() => OpenerEnd::OfferedOn,
-        () => OpenerEnd::AtOnce,
+    if is_refusal(last) {
+        return OpenerEnd::Refused;
     }
+    if !is_taken(last) {
+        return if dropped {
+            OpenerEnd::Dropped
+        } else {
+            OpenerEnd::Unfinished
+        };
+    }
+    if queued || copy(last) > 0 {
+        return OpenerEnd::Waited;
+    }
+    if number(last, "hops") > Some(0) || offers(told) > 1 || !obstacles.is_empty() {
+        return OpenerEnd::OfferedOn;
+    }
+    OpenerEnd::AtOnce
+}
+
+/// Returns to how many agents an opener was offered, by their lines or those of its balancer.
+fn offers(told: &[&LogLine<'_>]) -> usize {
+    let answered = told.iter().filter(|line| is_answer(line)).count();
+    let offered = told.iter().filter(|line| line.event == OFFERED);
+    let offered = offered.filter_map(|line| number(line, "offers")).max();
+    answered.max(offered.unwrap_or(0) as usize)
 }
 
 /// Returns the time from an opener's first line until it was taken, or for how long its caller had sent copies if
@@ -230,8 +249,8 @@
 }
 
 fn is_of_opener(line: &LogLine<'_>) -> bool {
-    let is_named = line.field("flow").is_some();
-    is_named && (is_taken(line) || is_obstacle(line) || line.event == "opener_dequeued")
+    let is_step = || matches!(line.event, "opener_dequeued" | OFFERED);
+    line.field("flow").is_some() && (is_taken(line) || is_obstacle(line) || is_step())
 }
 
 fn is_taken(line: &LogLine<'_>) -> bool {
--- a/lab/tests/opener_account.rs
+++ b/lab/tests/opener_account.rs
@@ -74,6 +74,19 @@
     assert_eq!(waited.2, Some(12));
 }
 
+#[test]
+fn a_balancer_tells_offers_that_no_agent_tells() {
+    let offered = "event=opener_offered flow={} host=10.0.0.2 offers=3";
+    let taken = "event=opener_taken flow={} copy=0 hops=0 busy=0";
+    let lines = [(1_000, "b-1", offered), (1_004, "a-2", taken)];
+    let (end, offers) = account_of(&lines, |account| {
+        let opener = &account.openers[0];
+        (opener.end, opener.offers)
+    });
+    assert_eq!((end, offers), (OpenerEnd::OfferedOn, 3));
+    assert_eq!(end_of(&lines).2, Some(4));
+}
+
 #[test]
 fn a_copy_has_waited_though_no_line_shows_the_first() {
     let copy = "event=opener_taken flow={} copy=2 hops=0 busy=0";
