Let the soak rush, slow servers down and let them hang, with callers of one attempt

Cause: the soak brought about failures of processes, links and the store, and no load: callers were always as many, servers as fast, and none hung while it said that it was well. Ruled out: the new faults in old seeds (a kept seed goes on playing what it played); a server that does not even accept flows, which a frozen process is already. Change: from seed 5000 on the store tells a latency objective of 300 ms and a timeout of 1,500 ms of each route, callers give up after it, and three faults more are drawn: a slow server (8 times the work), a hanging one (it accepts flows and requests and answers none), a rush (5 times the callers for one to two seconds). Checked as before, and that each request ended. Callers keep to their limit by themselves, so that this last check is about the stand-in as well.

--- a/lab/src/opaque/backend.rs
+++ b/lab/src/opaque/backend.rs
@@ -51,6 +51,17 @@
     pub(crate) work_ms: u64,
 }
 
+/// How a backend server works on requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Pace {
+    /// As its settings say.
+    Usual,
+    /// Each request takes this many times as long.
+    Slow(u64),
+    /// It accepts connections, flows and requests, and neither begins nor answers any.
+    Hanging,
+}
+
 struct HalfOpen {
     caller: SocketAddrV4,
     called: SocketAddrV4,
@@ -80,6 +91,7 @@
     ended: Vec<(SocketAddrV4, SocketAddrV4)>,
     next_sequence: u32,
     draining: bool,
+    pace: Pace,
     journal: Rc<RefCell<BackendJournal>>,
     open_flows: OpenFlows,
 }
@@ -124,6 +136,7 @@
             ended: Vec::new(),
             next_sequence: rand::random(),
             draining: false,
+            pace: Pace::Usual,
             journal: journal.clone(),
             open_flows: open_flows.clone(),
         }));
@@ -163,6 +176,11 @@
         self.server.borrow().draining
     }
 
+    /// Sets how the server works from now on, also on requests that run.
+    pub(crate) fn set_pace(&self, pace: Pace) {
+        self.server.borrow_mut().pace = pace;
+    }
+
     /// Returns the connections that were accepted, which close with their last owner.
     pub(crate) fn connections(&self) -> Connections {
         self.connections.clone()
@@ -295,6 +313,11 @@
     /// Starts, ends and refuses requests.
     fn work(&mut self) {
         let now_ms = self.now_ms();
+        let work_ms = match self.pace {
+            Pace::Usual => self.spec.work_ms,
+            Pace::Slow(times) => self.spec.work_ms * times,
+            Pace::Hanging => return,
+        };
         for flow in &mut self.flows {
             if flow.work.is_none()
                 && let Some(id) = flow.take_request()
@@ -317,7 +340,7 @@
                 continue;
             };
             match work.started_ms {
-                Some(started_ms) if now_ms >= started_ms + self.spec.work_ms => {
+                Some(started_ms) if now_ms >= started_ms + work_ms => {
                     let answer = answer(&self.spec.service, &work.id);
                     flow.end.send(answer.as_bytes());
                     flow.work = None;
--- a/lab/src/opaque/callers.rs
+++ b/lab/src/opaque/callers.rs
@@ -22,8 +22,8 @@
 const RESET_WINDOW: u32 = 76_800;
 /// How often a request is tried again.
 const RETRIES: u32 = 2;
-/// How long a request may take with all its tries, in milliseconds.
-const LIMIT_MS: u64 = 3_000;
+/// How long a request may take with all its tries, in milliseconds, where operators tell nothing else.
+pub(crate) const LIMIT_MS: u64 = 3_000;
 
 /// What callers do.
 #[derive(Debug, Clone)]
@@ -38,6 +38,8 @@
     pub claims: usize,
     /// The pause between two requests of a caller, in milliseconds.
     pub pause_ms: u64,
+    /// How long a request may take with all its tries, in milliseconds.
+    pub limit_ms: u64,
 }
 
 /// What callers saw.
@@ -80,6 +82,8 @@
 struct CallerState {
     plan: usize,
     repeatable: bool,
+    /// Whether it begins requests only while callers rush.
+    rushes: bool,
     port: u16,
     stage: Stage,
     request: Option<Request>,
@@ -101,6 +105,7 @@
     next_port: u16,
     next_id: u64,
     stopping: bool,
+    rushing: bool,
     tally: CallTally,
     open_flows: OpenFlows,
 }
@@ -131,10 +136,11 @@
             next_port: 1_024,
             next_id: 0,
             stopping: false,
+            rushing: false,
             tally: CallTally::default(),
             open_flows: open_flows.clone(),
         }));
-        callers.borrow_mut().populate();
+        callers.borrow_mut().populate(false);
         let running = callers.clone();
         compio::runtime::spawn(async move {
             loop {
@@ -146,6 +152,23 @@
         Ok(Self { callers })
     }
 
+    /// Lets several times as many callers call from now on; the first rush says how many times.
+    pub(crate) fn start_rush(&self, times: usize) {
+        let mut callers = self.callers.borrow_mut();
+        callers.rushing = true;
+        if callers.callers.iter().any(|caller| caller.rushes) {
+            return;
+        }
+        for _ in 1..times {
+            callers.populate(true);
+        }
+    }
+
+    /// Lets the callers that came for a rush begin no further request.
+    pub(crate) fn end_rush(&self) {
+        self.callers.borrow_mut().rushing = false;
+    }
+
     /// Lets requests that run end, starts no new one, and returns what was seen.
     pub(crate) async fn finish(&self) -> CallTally {
         self.callers.borrow_mut().stopping = true;
@@ -172,7 +195,9 @@
         self.started.elapsed().as_millis() as u64
     }
 
-    fn populate(&mut self) {
+    /// Adds the callers of all plans.
+    fn populate(&mut self, rushes: bool) {
+        let now_ms = self.now_ms();
         for plan in 0..self.plans.len() {
             let (feeds, claims) = (self.plans[plan].feeds, self.plans[plan].claims);
             for index in 0..feeds + claims {
@@ -180,9 +205,10 @@
                 self.callers.push(CallerState {
                     plan,
                     repeatable: index < feeds,
+                    rushes,
                     port: 0,
                     stage: Stage::Idle {
-                        until_ms: pause_ms * index as u64 / (feeds + claims) as u64,
+                        until_ms: now_ms + pause_ms * index as u64 / (feeds + claims) as u64,
                     },
                     request: None,
                 });
@@ -342,10 +368,11 @@
 
     fn try_again(&mut self, index: usize) {
         let now_ms = self.now_ms();
+        let limit_ms = self.plans[self.callers[index].plan].limit_ms;
         let request = self.callers[index].request.as_mut();
         let goes_on = request.is_some_and(|request| {
             request.tries += 1;
-            request.tries <= RETRIES && now_ms < request.first_ms + LIMIT_MS
+            request.tries <= RETRIES && now_ms < request.first_ms + limit_ms
         });
         if goes_on {
             self.open(index);
@@ -393,16 +420,18 @@
     /// Does what time asks of a caller.
     fn advance(&mut self, index: usize) {
         let now_ms = self.now_ms();
+        let may_begin = self.may_begin(index);
+        let limit_ms = self.plans[self.callers[index].plan].limit_ms;
         let late = self.callers[index]
             .request
             .as_ref()
-            .is_some_and(|request| now_ms >= request.first_ms + LIMIT_MS);
+            .is_some_and(|request| now_ms >= request.first_ms + limit_ms);
         if late {
             self.fail(index);
             return;
         }
         match &mut self.callers[index].stage {
-            Stage::Idle { until_ms } if now_ms >= *until_ms && !self.stopping => {
+            Stage::Idle { until_ms } if now_ms >= *until_ms && may_begin => {
                 self.begin(index);
                 self.open(index);
             }
@@ -429,7 +458,10 @@
     fn advance_open(&mut self, index: usize, now_ms: u64) {
         let idle = self.callers[index].request.is_none();
         let pause_ms = self.plans[self.callers[index].plan].pause_ms;
-        if idle && !self.stopping && rand::random_range(0..=pause_ms) < TICK.as_millis() as u64 {
+        if idle
+            && self.may_begin(index)
+            && rand::random_range(0..=pause_ms) < TICK.as_millis() as u64
+        {
             self.begin(index);
             self.send_request(index);
         }
@@ -443,6 +475,11 @@
         }
     }
 
+    /// Tells whether a caller may begin requests at this time.
+    fn may_begin(&self, index: usize) -> bool {
+        !self.stopping && (self.rushing || !self.callers[index].rushes)
+    }
+
     fn begin(&mut self, index: usize) {
         self.next_id += 1;
         self.tally.requests += 1;
--- a/lab/src/opaque/site.rs
+++ b/lab/src/opaque/site.rs
@@ -20,7 +20,7 @@
 
 use crate::loopback_net::LoopbackNet;
 use crate::opaque::backend::{BackendHandle, BackendJournal, Connections, OpenFlows};
-use crate::opaque::callers::{CallPlan, CallTally, CallersHandle};
+use crate::opaque::callers::{CallPlan, CallTally, CallersHandle, LIMIT_MS};
 use crate::opaque::proxy::ProxyHandle;
 use crate::opaque::routers::Routers;
 use crate::opaque::store::StoreHandle;
@@ -70,6 +70,8 @@
     services: Vec<ServiceSpec>,
     /// How many new flows a second a cold backend server bears, as operators tell; 0 where they do not.
     cold_flows_per_s: f64,
+    /// The latency objective and the timeout of all routes, in milliseconds, as operators tell; none where they do not.
+    deadline_ms: Option<(u64, u64)>,
     log_to_pipe: bool,
     log_folder: Option<PathBuf>,
 }
@@ -81,6 +83,7 @@
             balancers,
             services: Vec::new(),
             cold_flows_per_s: 0.0,
+            deadline_ms: None,
             log_to_pipe: false,
             log_folder: None,
         }
@@ -103,6 +106,12 @@
         self
     }
 
+    /// Tells the latency objective and the timeout of all routes, and lets callers wait for no longer.
+    pub fn deadline(mut self, objective_ms: u64, timeout_ms: u64) -> Self {
+        self.deadline_ms = Some((objective_ms, timeout_ms));
+        self
+    }
+
     /// Lets processes write log lines to pipes that nobody reads.
     pub fn unread_logs(mut self) -> Self {
         self.log_to_pipe = true;
@@ -276,13 +285,18 @@
             .chain(idle)
             .map(|(called, service)| {
                 let address = self.called(called);
-                json!({
+                let mut route = json!({
                     "name": format!("r-{called}"),
                     "host": address.ip().to_string(),
                     "prefix": format!("/{}/", address.port()),
                     "service": self.spec.services[service].name,
                     "kind": "safe",
-                })
+                });
+                if let Some((objective_ms, timeout_ms)) = self.spec.deadline_ms {
+                    route["aimMs"] = json!(objective_ms);
+                    route["timeoutMs"] = json!(timeout_ms);
+                }
+                route
             })
             .collect();
         let told = |service: &ServiceSpec| {
@@ -330,6 +344,21 @@
             feeds,
             claims,
             pause_ms: 50,
+            limit_ms: self.spec.deadline_ms.map_or(LIMIT_MS, |(_, ms)| ms),
+        }
+    }
+
+    /// Lets several times as many callers call.
+    pub fn start_rush(&self, times: usize) {
+        if let Some(callers) = &self.callers {
+            callers.start_rush(times);
+        }
+    }
+
+    /// Ends a rush of callers.
+    pub fn end_rush(&self) {
+        if let Some(callers) = &self.callers {
+            callers.end_rush();
         }
     }
 
--- a/lab/src/opaque/site/faults.rs
+++ b/lab/src/opaque/site/faults.rs
@@ -2,7 +2,7 @@
 
 use serde_json::json;
 
-use crate::opaque::backend::BackendHandle;
+use crate::opaque::backend::{BackendHandle, Pace};
 use crate::opaque::site::{APP_PORT, OpaqueSite};
 
 /// What the keys start with by which operators evacuate zones.
@@ -30,6 +30,27 @@
         Some(backend.id)
     }
 
+    /// Lets a backend server take several times as long for each request.
+    pub fn slow_backend(&self, index: usize, times: u64) {
+        self.set_pace(index, Pace::Slow(times));
+    }
+
+    /// Lets a backend server accept requests and answer none; it goes on to say that it is well.
+    pub fn hang_backend(&self, index: usize) {
+        self.set_pace(index, Pace::Hanging);
+    }
+
+    /// Lets a backend server that is slow or hangs work as usual again.
+    pub fn restore_pace(&self, index: usize) {
+        self.set_pace(index, Pace::Usual);
+    }
+
+    fn set_pace(&self, index: usize, pace: Pace) {
+        if let Some(backend) = &self.backends[index] {
+            backend.set_pace(pace);
+        }
+    }
+
     /// Removes a backend server's entry from the store.
     pub fn expire_entry(&self, id: &str) {
         self.store.remove(&format!("servers/{id}"));
--- a/lab/src/opaque/soak.rs
+++ b/lab/src/opaque/soak.rs
@@ -12,7 +12,9 @@
 
 use crate::opaque::callers::CallTally;
 use crate::opaque::site::{OpaqueSite, OpaqueSiteBuilder};
-use crate::opaque::soak::faults::{EVACUATION_SEED, Fault, Heal, RESTORE_SEED, faults_of};
+use crate::opaque::soak::faults::{
+    EVACUATION_SEED, Fault, Heal, ONE_ATTEMPT_SEED, RESTORE_SEED, faults_of,
+};
 use crate::opaque::store::{StoreCopy, StoreFault};
 use crate::process::Process;
 
@@ -34,6 +36,14 @@
 const WRITE_AGAIN_MS: std::ops::Range<u64> = 0..2_000;
 /// How long after that entries of ended servers still stand in the copy, in milliseconds: three signs of life.
 const DEAD_ENTRIES_MS: u64 = 3_600;
+/// How many times as long a slow backend server takes for a request.
+const SLOW_TIMES: u64 = 8;
+/// How many times as many callers call in a rush, and for how long, in milliseconds.
+const RUSH_TIMES: usize = 5;
+const RUSH_MS: std::ops::Range<u64> = 1_000..2_000;
+/// What operators tell of routes whose callers have time for one attempt only: the latency objective and the timeout,
+/// in milliseconds. An attempt that nobody answers lasts 1,400.
+const DEADLINE_MS: (u64, u64) = (300, 1_500);
 /// How long the site has to recover after the last fault: lapsed entries, suspicions and patience.
 const RECOVERY: Duration = Duration::from_secs(6);
 /// How long requests are counted after that.
@@ -64,6 +74,9 @@
 /// Returns code 1101 where a promise was broken and 5001 where a process does not come up.
 pub async fn run_soak(seed: u64, seconds: u64, logs: Option<&Path>) -> Result<String> {
     let mut builder = OpaqueSiteBuilder::new(BALANCERS).service("panel-front", BACKENDS, 4, 8);
+    if seed >= ONE_ATTEMPT_SEED {
+        builder = builder.deadline(DEADLINE_MS.0, DEADLINE_MS.1);
+    }
     if let Some(folder) = logs {
         builder = builder.logs_to(folder);
     }
@@ -205,6 +218,19 @@
                 self.heals.push((due_ms, Heal::RestoreStore));
                 self.heals.push((due_ms, Heal::Store));
             }
+            Fault::SlowBackend => {
+                self.site.slow_backend(index, SLOW_TIMES);
+                self.heals.push((due_ms, Heal::Pace(index)));
+            }
+            Fault::HangBackend => {
+                self.site.hang_backend(index);
+                self.heals.push((due_ms, Heal::Pace(index)));
+            }
+            Fault::Rush => {
+                let end_ms = self.now_ms() + self.random.random_range(RUSH_MS);
+                self.site.start_rush(RUSH_TIMES);
+                self.heals.push((end_ms, Heal::Rush));
+            }
             Fault::KillAll => self.kill_all(due_ms)?,
             Fault::KillAllInSilence => {
                 self.site.store().set_fault(Some(StoreFault::Silent));
@@ -290,7 +316,24 @@
                 self.site.expire_dead_entries();
                 Ok(())
             }
-            // An overlapping fault of the store goes on until its own end.
+            // Overlapping faults of one kind go on until the last one's end.
+            Heal::Pace(index)
+                if self
+                    .heals
+                    .iter()
+                    .any(|(_, other)| *other == Heal::Pace(index)) =>
+            {
+                Ok(())
+            }
+            Heal::Pace(index) => {
+                self.site.restore_pace(index);
+                Ok(())
+            }
+            Heal::Rush if self.heals.iter().any(|(_, other)| *other == Heal::Rush) => Ok(()),
+            Heal::Rush => {
+                self.site.end_rush();
+                Ok(())
+            }
             Heal::Store if self.heals.iter().any(|(_, other)| *other == Heal::Store) => Ok(()),
             Heal::Store => {
                 self.site.store().set_fault(None);
@@ -373,6 +416,7 @@
             .filter(|id| ran.binary_search(id).is_err());
         let asked = tally.requests - before.requests;
         let answered = tally.answered - before.answered;
+        let ended = tally.answered + tally.failed + tally.wrong;
         let broken = [
             ("answers that were not their request's", tally.wrong),
             (
@@ -387,6 +431,10 @@
             ("claims answered that did not run", lost.count() as u64),
             ("openers at servers of an evacuated zone", evacuated),
             ("processes with an older configuration", behind),
+            (
+                "requests neither answered nor failed within their limit",
+                tally.requests.saturating_sub(ended),
+            ),
             // Requests that began before the calm may end in it, so that more are answered than asked.
             (
                 "requests of the calm at the end not answered",
--- a/lab/src/opaque/soak/faults.rs
+++ b/lab/src/opaque/soak/faults.rs
@@ -30,21 +30,27 @@
     ForeignEntry,
     Evacuate,
     RestoreStore,
+    SlowBackend,
+    HangBackend,
+    Rush,
 }
 
 /// From which seed zones are evacuated, also at the end, when no process has an excuse.
 pub(super) const EVACUATION_SEED: u64 = 3_000;
 /// From which seed the store comes back from older copies, and the newest configuration is looked for at the end.
 pub(super) const RESTORE_SEED: u64 = 4_000;
+/// From which seed callers have time for one attempt only and rush, and backend servers are slow or hang.
+pub(super) const ONE_ATTEMPT_SEED: u64 = 5_000;
 /// From which seed how many of the faults are drawn, so that a kept seed goes on playing what it played.
-const DRAWN_FAULTS: [(u64, usize); 5] = [
+const DRAWN_FAULTS: [(u64, usize); 6] = [
+    (ONE_ATTEMPT_SEED, 31),
     (RESTORE_SEED, 28),
     (EVACUATION_SEED, 27),
     (2_000, 26),
     (1_000, 23),
     (0, 22),
 ];
-const FAULTS: [Fault; 28] = [
+const FAULTS: [Fault; 31] = [
     Fault::KillBalancer,
     Fault::StopBalancer,
     Fault::FreezeBalancer,
@@ -73,6 +79,9 @@
     Fault::ForeignEntry,
     Fault::Evacuate,
     Fault::RestoreStore,
+    Fault::SlowBackend,
+    Fault::HangBackend,
+    Fault::Rush,
 ];
 
 /// Returns the faults that a seed draws from.
@@ -97,6 +106,8 @@
     RestoreStore,
     WriteAgain,
     ExpireDeadEntries,
+    Pace(usize),
+    Rush,
     Store,
     Link,
     Serve,
