Tell when a backend server takes requests and serves none

Cause: a backend server that hangs keeps each caller of an open flow for a whole timeout, one after the other, while its process listens and its health is good. Nothing in the product told it from a busy one. Change: a watch that is told of each request and each answer of one backend server, learns how long its answers take, and says that it stands still after four times that and at least a second without any service, with as many whole requests waiting as it has slots (three at least) and further ones coming in. A pause of the agent begins the measurement anew. Nobody asks it yet. Ruled out: refusals as a sign of life. Conclusion: what the agent does with it comes next.

--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -13,4 +13,5 @@
 pub(crate) mod retry_budget;
 pub(crate) mod slot_queue;
 pub(crate) mod slots;
+pub(crate) mod stall;
 pub(crate) mod suspicion;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,10 @@
 pub use crate::decisions::placement::{Candidates, candidates, ranked};
 pub use crate::decisions::retry_budget::RetryBudget;
 pub use crate::decisions::slots::{Arrival, Next, Refusal, RequestId, Slots};
+pub use crate::decisions::stall::{
+    LEAST_SILENCE_MS, LOOK_MS, PROBE_MS as STALL_PROBE_MS, RAMP_MS as STALL_RAMP_MS, Stall,
+    StallWatch,
+};
 pub use crate::decisions::suspicion::{ANSWER_TIMEOUT_MS, SUSPICION_MS, Suspicion};
 pub use crate::error::{Error, Result};
 pub use crate::explain::{LogLine, explain, parse_log};
