Reset flows without a request while a backend server serves nothing

Cause: each open flow of a backend server that hangs costs its caller one request and its timeout, one after the other. Callers with time for one attempt lose it, and what may not run twice is lost for good. Change: where the deadlines of an address leave time for one attempt, its agent ends the idle flows of a backend server that stands still (code 4016, at most 32 a look), hands openers on but for a probe of an idempotent route at a time, and after the first answer forgets load and failures of the stall and lets the room grow back within a second. Flows with a request stay.

--- a/src/opaque/finding/flow_book.rs
+++ b/src/opaque/finding/flow_book.rs
@@ -81,6 +81,12 @@
     pub(crate) caller_next: Option<u32>,
     /// The number after the last byte that the backend server sent, where one was seen.
     pub(crate) backend_next: Option<u32>,
+    /// Whether a request came in several packets, or one behind another: which of them an answer ends can't be told.
+    pub(crate) mixes_requests: bool,
+    /// Whether the last packet of the backend server may be followed by more of the same answer.
+    pub(crate) answer_goes_on: bool,
+    /// Whether its caller was told that it has ended, while its backend server still holds it.
+    pub(crate) told_ended: bool,
 }
 
 impl Flow {
@@ -95,6 +101,9 @@
             shown: false,
             caller_next: None,
             backend_next: None,
+            mixes_requests: false,
+            answer_goes_on: false,
+            told_ended: false,
         }
     }
 
@@ -123,6 +132,15 @@
         segment.payload_bytes > 0 || overtook
     }
 
+    /// Tells whether it carries no request, which shows only once one was answered under the agent's eyes and its
+    /// caller has acknowledged the answer.
+    fn is_idle(&self) -> bool {
+        let acknowledged = self.backend_next == Some(self.caller_acknowledgement);
+        let is_clear = !self.mixes_requests && !self.answer_goes_on;
+        let was_answered = self.caller_next.is_some() && self.running.is_none() && acknowledged;
+        self.is_open() && self.shown && was_answered && is_clear
+    }
+
     /// Tells whether the flow is open at the backend server.
     fn is_open(&self) -> bool {
         self.holding == Holding::Open && !self.closed
@@ -280,6 +298,27 @@
         remains
     }
 
+    /// Returns at most `most` flows without a request, out of those that `may_end`, whose callers are to be told
+    /// that they have ended; each is returned once.
+    pub(crate) fn end_idle(
+        &mut self,
+        most: usize,
+        may_end: impl Fn(&FlowKey) -> bool,
+    ) -> Vec<EndedFlow> {
+        let mut ended = Vec::new();
+        self.flows.retain(|key, flow| {
+            if ended.len() < most && !flow.told_ended && flow.is_idle() && may_end(key) {
+                flow.told_ended = true;
+                ended.push(EndedFlow {
+                    key: *key,
+                    acknowledgement: flow.caller_acknowledgement,
+                });
+            }
+            true
+        });
+        ended
+    }
+
     /// Forgets flows of which nothing was heard for long, counts anew, and returns how many requests
     /// have become overdue.
     pub(crate) fn expire(&mut self, now_ms: u64) -> u32 {
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -8,6 +8,7 @@
 mod declines;
 mod openers;
 mod questions;
+mod stall;
 mod told;
 
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -15,6 +16,7 @@
 use crate::code::Code;
 use crate::config::revision::Revision;
 use crate::config::service_id::ServiceId;
+use crate::decisions::stall::StallWatch;
 use crate::decisions::suspicion::Suspicion;
 use crate::error::Result;
 use crate::opaque::finding::flow_book::{Flow, FlowBook, Holding, Running};
@@ -73,6 +75,7 @@
     steady_load: MeanLoad,
     outcomes: RecentOutcomes,
     failing: bool,
+    stall: StallWatch<FlowKey>,
     cold_rate: ColdRate,
     /// Since when the backend server may be cold without its entry telling so yet.
     maybe_cold_since_ms: Option<u64>,
@@ -115,6 +118,7 @@
             steady_load: MeanLoad::over(STEADY_SPAN_MS),
             outcomes: RecentOutcomes::default(),
             failing: false,
+            stall: StallWatch::new(),
             cold_rate: ColdRate::default(),
             maybe_cold_since_ms: None,
             was_evacuated: false,
@@ -145,7 +149,7 @@
     pub fn load_permille(&mut self, scene: &Scene<'_>) -> u16 {
         self.load.changed(self.flows.busy(), scene.now_ms);
         self.steady_load.changed(self.flows.busy(), scene.now_ms);
-        if self.outcomes.is_failing(scene.now_ms) {
+        if self.outcomes.is_failing(scene.now_ms) || self.is_stalled(scene.now_ms) {
             // What fails at once looks idle, and would attract what others could serve.
             return FAILING_LOAD;
         }
@@ -298,7 +302,7 @@
         actions: &mut Vec<Action>,
     ) {
         let key = segment.flow_from_caller();
-        if self.deliver_held(scene.now_ms, segment, packet, actions) {
+        if self.deliver_held(scene, segment, packet, actions) {
             return;
         }
         let holding = self.flows.get(&key).map(|flow| flow.holding.clone());
@@ -319,21 +323,24 @@
     /// Hands a packet to the backend server if the flow is known to be held there.
     fn deliver_held(
         &mut self,
-        now_ms: u64,
+        scene: &Scene<'_>,
         segment: &Segment,
         packet: &[u8],
         actions: &mut Vec<Action>,
     ) -> bool {
+        let now_ms = scene.now_ms;
         let key = segment.flow_from_caller();
         let request_id = self.wire.request_id;
         let held = self.flows.update(&key, now_ms, |flow| {
             if !chosen_here(flow, segment) {
-                return false;
+                return None;
             }
             flow.seen_ms = now_ms;
             flow.caller_acknowledgement = segment.acknowledgement;
             // A packet that is sent again is no request of its own, also when its answer has begun.
-            if flow.takes_new_data(segment) {
+            let is_new = flow.takes_new_data(segment);
+            if is_new {
+                flow.mixes_requests |= flow.running.is_some();
                 match &mut flow.running {
                     Some(running) => running.since_ms = now_ms,
                     None => {
@@ -345,13 +352,14 @@
                     }
                 }
             }
-            true
+            Some(is_new)
         });
-        let held = held == Some(true);
-        if held {
-            actions.push(Action::ToBackend(packet.to_vec()));
-        }
-        held
+        let Some(is_new) = held.flatten() else {
+            return false;
+        };
+        self.note_handed_over(scene, segment, is_new);
+        actions.push(Action::ToBackend(packet.to_vec()));
+        true
     }
 
     /// Hands a packet of an unknown flow to the backend server, which returns it if it must.
--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 
 use crate::opaque::finding::flow_book::{Flow, Holding, Running};
+use crate::opaque::keeper::stall::may_go_on;
 use crate::opaque::keeper::{BACKEND_TIMEOUT_MS, Keeper, Scene, tell};
 use crate::opaque::packets::action::Action;
 use crate::opaque::packets::message::MessageKind;
@@ -38,6 +39,7 @@
             // A late copy of an opener whose flow has opened already, here or elsewhere.
             _ if segment.opens => {}
             holding => {
+                self.stall.withdrawn(key);
                 let lost = self.flows.update(&key, scene.now_ms, |flow| {
                     flow.holding = Holding::Absent;
                     flow.running.take()
@@ -67,6 +69,9 @@
                 flow.shown = true;
                 self.remember(key, flow, now_ms);
             }
+            if segment.payload_bytes > 0 {
+                self.note_progress(key, now_ms);
+            }
             return;
         }
         let broke_ms = self.broke_ms;
@@ -83,18 +88,30 @@
             }
             flow.closed |= segment.ends || segment.resets;
             let outlived = broke_ms.is_some_and(|broke_ms| flow.since_ms < broke_ms);
+            let seen = flow.backend_next;
             let answers = flow.takes_answer(segment);
+            let brings = segment.payload_bytes > 0 && flow.backend_next != seen;
+            if brings {
+                flow.answer_goes_on = may_go_on(segment);
+            }
             let running = flow.running.take_if(|_| answers || flow.closed);
-            (outlived, running.map(|running| (running, answers)))
+            (outlived, brings, running.map(|running| (running, answers)))
         });
-        let (outlived, answered) = answered.unwrap_or_default();
+        let (outlived, brings, answered) = answered.unwrap_or_default();
         if outlived {
             // Its process lives: it closed an idle connection.
             self.broke_ms = None;
         }
+        let status = (self.wire.status)(packet);
+        let is_error = status.is_some_and(|status| status >= FIRST_SERVER_ERROR_STATUS);
+        if brings && !is_error {
+            self.note_progress(key, now_ms);
+        } else if answered.is_some() {
+            self.stall.withdrawn(key);
+        }
         match answered {
             Some((running, true)) => {
-                self.note_answer(&key, &running, (self.wire.status)(packet), now_ms);
+                self.note_answer(&key, &running, status, now_ms);
             }
             Some((running, false)) => {
                 self.metrics.requests_lost.inc();
--- a/src/opaque/keeper/backend_life.rs
+++ b/src/opaque/keeper/backend_life.rs
@@ -83,6 +83,7 @@
         // Whatever came in until now was for the process that has ended.
         let remains = self.flows.take_remains(u64::MAX, scene.now_ms);
         self.pending.clear();
+        self.stall.forget();
         log::info!(
             "event=backend_ended flows={} openers={} last_packet_ms_ago={} revision={}",
             remains.flows.len(),
@@ -153,6 +154,7 @@
     fn forget_outcomes(&mut self) {
         self.outcomes = RecentOutcomes::default();
         self.failing = false;
+        self.stall.forget();
         self.silent_since_ms = None;
     }
 
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -60,6 +60,10 @@
     /// It is cold, and was handed as many new flows as it bears.
     ColdRate,
     Silent,
+    /// The backend server takes requests and serves none.
+    Stalled,
+    /// It has just served again after a stall, and is filled up slowly.
+    Recovering,
     Failing,
     Crowded,
     /// Who handed the opener over knows a newer configuration, by which it may belong here.
@@ -226,6 +230,12 @@
         if self.silent_since_ms.is_some() {
             return self.probe(scene, NotTaken::Silent);
         }
+        if self.is_stalled(scene.now_ms) && self.others_may_do_better(scene, key, opening) {
+            if !self.may_probe_stalled(scene, key) {
+                return Err(NotTaken::Stalled);
+            }
+            return self.probe(scene, NotTaken::Stalled);
+        }
         if self.outcomes.is_failing(scene.now_ms) && self.others_may_do_better(scene, key, opening)
         {
             let routes = scene.directory.routes();
@@ -238,6 +248,11 @@
         if place.limit.is_some_and(|limit| busy >= limit) {
             return Err(NotTaken::Crowded);
         }
+        if self.is_refilled(place.limit, scene.now_ms)
+            && self.others_may_do_better(scene, key, opening)
+        {
+            return Err(NotTaken::Recovering);
+        }
         Ok(())
     }
 
--- a/src/opaque/keeper/questions.rs
+++ b/src/opaque/keeper/questions.rs
@@ -51,7 +51,7 @@
         actions: &mut Vec<Action>,
     ) {
         let key = segment.flow_from_caller();
-        if self.deliver_held(scene.now_ms, segment, packet, actions) {
+        if self.deliver_held(scene, segment, packet, actions) {
             tell(MessageKind::Found, &key, asker, actions);
             return;
         }
--- a/src/opaque/processes/side.rs
+++ b/src/opaque/processes/side.rs
@@ -12,6 +12,7 @@
 use crate::code::Code;
 use crate::config::service_id::ServiceId;
 use crate::controllers::control::Control;
+use crate::decisions::stall::LOOK_MS;
 use crate::error::{Error, Result};
 use crate::opaque::finding::lookup::MAX_ASKED;
 use crate::opaque::keeper::{Keeper, KeeperIdentity, Scene};
@@ -130,6 +131,9 @@
         let greet = move || side.decide(|keeper, scene| Ok(keeper.greet(scene)));
         self.node.control.timers.every(GREET_MS, greet);
         let side = self.clone();
+        let look = move || side.decide(|keeper, scene| Ok(keeper.look_for_stall(scene)));
+        self.node.control.timers.every(LOOK_MS, look);
+        let side = self.clone();
         let lifetime_ms = self.node.control.settings.opaque.flow_lifetime_ms();
         self.node.control.timers.every(TIDY_MS, move || {
             let now_ms = side.node.control.now_ms();
--- a/src/process/opaque_metrics.rs
+++ b/src/process/opaque_metrics.rs
@@ -29,6 +29,7 @@
     pub(crate) requests_busy: Gauge,
     pub(crate) request_seconds: Histogram,
     pub(crate) requests_lost: Counter,
+    pub(crate) backend_stalls: Counter,
     pub(crate) packets_returned: Counter,
     pub(crate) lookups_started: Counter,
     pub(crate) lookups_found: Counter,
@@ -62,6 +63,7 @@
             requests_busy: Gauge::default(),
             request_seconds: times(),
             requests_lost: Counter::default(),
+            backend_stalls: Counter::default(),
             packets_returned: Counter::default(),
             lookups_started: Counter::default(),
             lookups_found: Counter::default(),
@@ -114,7 +116,7 @@
         );
     }
 
-    fn counters(&self) -> [(&'static str, &'static str, &Counter); 16] {
+    fn counters(&self) -> [(&'static str, &'static str, &Counter); 17] {
         [
             (
                 "packets_shown",
@@ -156,6 +158,11 @@
                 "Requests whose backend server ended",
                 &self.requests_lost,
             ),
+            (
+                "backend_stalls",
+                "How often the backend server took requests and served none",
+                &self.backend_stalls,
+            ),
             (
                 "packets_returned",
                 "Packets that the backend server handed back",
--- a/tests/opaque/builder.rs
+++ b/tests/opaque/builder.rs
@@ -27,11 +27,17 @@
     set_mark,
     restore,
     request_id: |_| None,
-    status: |_| None,
+    status,
     reset,
 };
 
 const HEADER_BYTES: usize = 25;
+/// The first byte of the data of an answer that refuses a request.
+const REFUSES: u8 = 0x35;
+
+fn status(packet: &[u8]) -> Option<u16> {
+    (packet.get(HEADER_BYTES) == Some(&REFUSES)).then_some(503)
+}
 
 fn decode(packet: &[u8]) -> Result<Segment> {
     if !(HEADER_BYTES..2_000).contains(&packet.len()) {
@@ -177,6 +183,12 @@
     from_backend(key, spec)
 }
 
+/// Returns a packet with data of a backend server as one that refuses a request.
+pub(crate) fn refusal(mut packet: Vec<u8>) -> Vec<u8> {
+    packet[HEADER_BYTES] = REFUSES;
+    packet
+}
+
 /// Returns a packet as a backend server hands it back.
 pub(crate) fn bounced(mut packet: Vec<u8>) -> Vec<u8> {
     packet[0] |= BOUNCED;
@@ -424,6 +436,10 @@
         self.with(|keeper, scene| keeper.load_permille(scene));
     }
 
+    pub(crate) fn look_for_stall(&mut self) -> Vec<Action> {
+        self.with(|keeper, scene| keeper.look_for_stall(scene))
+    }
+
     pub(crate) fn refuse(&mut self) -> Vec<Action> {
         self.with(|keeper, scene| keeper.backend_refuses(scene))
     }
--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -25,4 +25,5 @@
 mod restored_platform;
 mod reused_addresses;
 mod route_table;
+mod stalls;
 mod unusable_entries;
