--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod service_time;
 pub(crate) mod slot_queue;
 pub(crate) mod slots;
+pub(crate) mod stall;
 pub(crate) mod suspicion;
 pub(crate) mod wait_queue;
 pub(crate) mod waiting;
--- a/src/decisions/service_time.rs
+++ b/src/decisions/service_time.rs
@@ -5,6 +5,10 @@
 /// The weight of the newest request in the mean.
 const WEIGHT_OF_NEW: f64 = 0.1;
 
+/// How many times the mean service time all slots together may be occupied without an answer before what waits is
+/// better off elsewhere: a single slow request is answered past by the other slots.
+const STUCK_FACTOR: f64 = 8.0;
+
 /// The mean service time of the last requests.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ServiceTime {
@@ -69,6 +73,11 @@
         self.service.mean_ms().max(self.slot_ms)
     }
 
+    /// Tells whether no answer has come for so long that none may come.
+    pub(crate) fn is_stuck(&self) -> bool {
+        self.slot_ms > STUCK_FACTOR * self.service.mean_ms()
+    }
+
     fn advance(&mut self, now_ms: u64) {
         let passed_ms = now_ms.saturating_sub(self.at_ms) as f64;
         self.slot_ms += passed_ms * f64::from(self.occupied);
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -9,6 +9,7 @@
 mod held_requests;
 mod openers;
 mod questions;
+mod stall;
 mod told;
 mod waiting;
 
@@ -18,6 +19,7 @@
 use crate::config::revision::Revision;
 use crate::config::service_id::ServiceId;
 use crate::decisions::service_time::SlotTime;
+use crate::decisions::stall::StallWatch;
 use crate::decisions::suspicion::Suspicion;
 use crate::decisions::wait_queue::WaitQueue;
 use crate::error::Result;
@@ -94,6 +96,7 @@
     waiting: WaitQueue<WaitingWork>,
     outcomes: RecentOutcomes,
     failing: bool,
+    stall: StallWatch<FlowKey>,
     cold_rate: ColdRate,
     /// Since when the backend server may be cold without its entry telling so yet.
     maybe_cold_since_ms: Option<u64>,
@@ -138,6 +141,7 @@
             waiting: WaitQueue::default(),
             outcomes: RecentOutcomes::default(),
             failing: false,
+            stall: StallWatch::new(),
             cold_rate: ColdRate::default(),
             maybe_cold_since_ms: None,
             was_evacuated: false,
@@ -169,7 +173,7 @@
         self.load.changed(self.flows.busy(), scene.now_ms);
         self.steady_load.changed(self.flows.busy(), scene.now_ms);
         self.note_slots(scene);
-        if self.outcomes.is_failing(scene.now_ms) {
+        if self.outcomes.is_failing(scene.now_ms) || self.is_stalled(scene.now_ms) {
             // What fails at once looks idle, and would attract what others could serve.
             return FAILING_LOAD;
         }
@@ -371,6 +375,7 @@
             if !flow.takes_new_data(segment) {
                 return Delivery::Known;
             }
+            flow.mixes_requests |= flow.running.is_some();
             match &mut flow.running {
                 Some(running) => running.since_ms = now_ms,
                 None if is_held_back && was_open => return Delivery::Waits,
@@ -383,6 +388,8 @@
             Delivery::Waits => self.hold_back(scene, segment, packet, actions),
             Delivery::Known if self.takes_waiting(segment, packet) => {}
             Delivery::Known | Delivery::Handed => {
+                let is_new = matches!(delivery, Some(Delivery::Handed));
+                self.note_handed_over(scene, segment, is_new);
                 actions.push(Action::ToBackend(packet.to_vec()));
             }
         }
--- a/src/opaque/keeper/held_requests.rs
+++ b/src/opaque/keeper/held_requests.rs
@@ -30,7 +30,8 @@
         let Some(slots) = self.own_slots(scene) else {
             return false;
         };
-        if self.silent_since_ms.is_some() || self.admits_any(scene).is_err() {
+        let is_stuck = self.silent_since_ms.is_some() || self.is_stalled(scene.now_ms);
+        if is_stuck || self.admits_any(scene).is_err() {
             return false;
         }
         let has_room = f64::from(self.flows.busy_now(scene.now_ms)) < Self::handed_at_most(slots);
@@ -103,10 +104,11 @@
     ) {
         let request_id = self.wire.request_id;
         let id = packets.first().and_then(|packet| request_id(packet));
+        let id = id.map(str::to_owned);
         if waited_ms >= LOGGED_MS {
             log::info!(
                 "event=request_dequeued request={} flow={key} waited_ms={waited_ms} waiting={} busy={}",
-                id.unwrap_or("unknown"),
+                id.as_deref().unwrap_or("unknown"),
                 self.waiting.len(),
                 self.flows.busy()
             );
@@ -115,10 +117,15 @@
         let counts_ms = deadline.map_or(ABANDONED_MS, |deadline| deadline.timeout_ms.into());
         self.flows.update(key, scene.now_ms, |flow| {
             if flow.holding == Holding::Open && flow.running.is_none() {
-                flow.running = Some(Running::new(id, counts_ms, scene.now_ms));
+                flow.running = Some(Running::new(id.as_deref(), counts_ms, scene.now_ms));
             }
         });
-        actions.extend(packets.into_iter().map(Action::ToBackend));
+        for packet in packets {
+            if let Ok(segment) = (self.wire.decode)(&packet) {
+                self.note_handed_over(scene, &segment, segment.payload_bytes > 0);
+            }
+            actions.push(Action::ToBackend(packet));
+        }
     }
 
     fn release(&mut self, scene: &Scene<'_>, key: &FlowKey, actions: &mut Vec<Action>) {
--- a/src/opaque/keeper/waiting.rs
+++ b/src/opaque/keeper/waiting.rs
@@ -160,6 +160,9 @@
             return;
         }
         self.end_overdue(scene, actions);
+        if self.slot_time.is_stuck() {
+            self.pass_on_openers(scene, actions);
+        }
         let slots = self.own_slots(scene).unwrap_or_default();
         while f64::from(self.flows.busy_now(scene.now_ms)) < Self::handed_at_most(slots) {
             let pace = self.pace(slots);
@@ -215,6 +218,17 @@
         }
     }
 
+    /// Passes all openers that wait on to other agents.
+    fn pass_on_openers(&mut self, scene: &Scene<'_>, actions: &mut Vec<Action>) {
+        let is_opener =
+            |waiting: &Waiting<WaitingWork>| matches!(waiting.item.kind, WorkKind::Opener(_));
+        for waiting in self.waiting.take_if(is_opener) {
+            if let WorkKind::Opener(opening) = waiting.item.kind {
+                self.hand_on(scene, &waiting.item.key, opening, actions);
+            }
+        }
+    }
+
     /// Passes all openers that wait on to other agents, and hands all requests over, as where the process stops or
     /// the backend server takes nothing new.
     pub(super) fn pass_on_waiting(&mut self, scene: &Scene<'_>, actions: &mut Vec<Action>) {
--- a/src/process/opaque_metrics.rs
+++ b/src/process/opaque_metrics.rs
@@ -36,6 +36,7 @@
     pub(crate) openers_refused: Counter,
     pub(crate) openers_waiting: Gauge,
     pub(crate) opener_wait_seconds: Histogram,
+    pub(crate) backend_stalls: Counter,
     pub(crate) packets_returned: Counter,
     pub(crate) lookups_started: Counter,
     pub(crate) lookups_found: Counter,
@@ -76,6 +77,7 @@
             openers_refused: Counter::default(),
             openers_waiting: Gauge::default(),
             opener_wait_seconds: times(),
+            backend_stalls: Counter::default(),
             packets_returned: Counter::default(),
             lookups_started: Counter::default(),
             lookups_found: Counter::default(),
@@ -133,7 +135,7 @@
         );
     }
 
-    fn counters(&self) -> [(&'static str, &'static str, &Counter); 21] {
+    fn counters(&self) -> [(&'static str, &'static str, &Counter); 22] {
         [
             (
                 "packets_shown",
@@ -200,6 +202,11 @@
                 "Requests on open flows that waited for a slot of the backend server",
                 &self.requests_held_back,
             ),
+            (
+                "backend_stalls",
+                "How often the backend server took requests and served none",
+                &self.backend_stalls,
+            ),
             (
                 "packets_returned",
                 "Packets that the backend server handed back",
