Count requests that wait for room as news of a backend server that stands still

Cause: an agent holds back what its backend server has no slot for, so that a server which stands still is handed nothing after the first requests. The watch asks for a request that came in meanwhile, and saw none. Change: what waits counts as one.

--- a/src/decisions/stall.rs
+++ b/src/decisions/stall.rs
@@ -111,6 +111,14 @@
         }
     }
 
+    /// Notes that a request came in which waits for room before it is handed over.
+    ///
+    /// It shows that whoever hands requests over is not cut off, and nothing of the backend server.
+    pub fn came_in(&mut self, now_ms: u64) {
+        self.look_at_clock(now_ms);
+        self.newest_ms = now_ms;
+    }
+
     /// Notes that a request no longer waits: it was refused or failed, or its caller gave it up.
     pub fn withdrawn(&mut self, flow: K) {
         if let Ok(index) = self.position(flow) {
--- a/src/opaque/keeper/held_requests.rs
+++ b/src/opaque/keeper/held_requests.rs
@@ -63,6 +63,7 @@
             return;
         }
         self.metrics.requests_held_back.inc();
+        self.stall.came_in(scene.now_ms);
         let work = WaitingWork {
             key,
             kind: WorkKind::Request(packets),
