--- a/src/opaque/keeper/declines.rs
+++ b/src/opaque/keeper/declines.rs
@@ -22,7 +22,7 @@
 
 /// The wait that an agent tells which has room and more to do than the mean, in milliseconds: any agent that has
 /// room and no more than the mean is better, and any that has no room is worse.
-const ABOVE_MEAN_MS: u16 = 1;
+const ABOVE_MEAN_MS: u16 = 20;
 
 /// Why an agent leaves an opener to others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
