--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -92,6 +92,8 @@
     /// The load over a longer time, by which flows are shared out.
     steady_load: MeanLoad,
     slot_time: SlotTime,
+    /// The fewest requests at which the backend server refused one for want of room.
+    shed_at: Option<u32>,
     /// Openers and requests that wait for a slot of the backend server.
     waiting: WaitQueue<WaitingWork>,
     outcomes: RecentOutcomes,
@@ -138,6 +140,7 @@
             load: MeanLoad::over(RECENT_SPAN_MS),
             steady_load: MeanLoad::over(STEADY_SPAN_MS),
             slot_time: SlotTime::default(),
+            shed_at: None,
             waiting: WaitQueue::default(),
             outcomes: RecentOutcomes::default(),
             failing: false,
--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -146,6 +146,8 @@
         if status == Some(OVERLOADED_STATUS) && self.is_full(scene, key) {
             // In a rush it would seem to fail, and be left idle as soon as it has room again.
             self.metrics.requests_shed.inc();
+            let busy = self.flows.busy();
+            self.shed_at = Some(self.shed_at.map_or(busy, |least| least.min(busy)));
         } else if broken {
             self.note_failed(now_ms);
         } else {
--- a/src/opaque/keeper/held_requests.rs
+++ b/src/opaque/keeper/held_requests.rs
@@ -2,10 +2,9 @@
 //!
 //! Load pattern: more is asked for than all slots can do, and most of it on flows that are bound to their servers.
 //! In the server's own queue an urgent request stands behind all others, and where that is full the server refuses
-//! it. Here the urgent goes first and nothing is refused. What waits is handed over whole and in order, at the latest
-//! while its caller still waits. See docs/design/waiting-openers.md.
+//! it. Here the urgent goes first and nothing is refused. What waits is handed over whole and in order while its
+//! caller waits. See docs/design/waiting-openers.md.
 
-use crate::config::deadlines::Deadline;
 use crate::opaque::finding::flow_book::{ABANDONED_MS, Holding, Running};
 use crate::opaque::keeper::waiting::{WaitingWork, WorkKind, waiting_of};
 use crate::opaque::keeper::{Keeper, Scene};
@@ -20,9 +19,9 @@
 impl Keeper {
     /// Tells whether a request that begins now on an open flow has to wait.
     pub(super) fn is_held_back(&mut self, scene: &Scene<'_>, key: &FlowKey) -> bool {
-        if scene.directory.deadline(key.called).is_none() {
+        let Some(deadline) = scene.directory.deadline(key.called) else {
             return false;
-        }
+        };
         if self.is_waiting_at(key) {
             // Its packets stay in order.
             return true;
@@ -34,8 +33,8 @@
         if is_stuck || self.admits_any(scene).is_err() {
             return false;
         }
-        let has_room = f64::from(self.flows.busy_now(scene.now_ms)) < Self::handed_at_most(slots);
-        !has_room || !self.waiting.is_empty()
+        let most = self.handed_at_most(slots, deadline.objective_ms, true);
+        f64::from(self.flows.busy_now(scene.now_ms)) >= most
     }
 
     /// Lets a packet wait that begins a request, or goes on with one that waits.
@@ -68,7 +67,7 @@
             key,
             kind: WorkKind::Request(packets),
         };
-        let longest_ms = longest_wait_ms(&deadline);
+        let longest_ms = u64::from(deadline.timeout_ms);
         self.waiting
             .push(waiting_of(scene, work, 0, longest_ms, &deadline));
         self.serve_waiting(scene, actions);
@@ -147,9 +146,3 @@
         }
     }
 }
-
-/// Returns for how long a request may wait, in milliseconds: an objective less than its caller does, so that an answer
-/// can still reach it.
-fn longest_wait_ms(deadline: &Deadline) -> u64 {
-    u64::from(deadline.timeout_ms.saturating_sub(deadline.objective_ms))
-}
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -266,7 +266,6 @@
             return self.probe(scene, NotTaken::Failing);
         }
         let busy = match place.deadline {
-            Some(_) if !self.waiting.is_empty() => return Err(NotTaken::Crowded),
             Some(_) => self.flows.busy_now(scene.now_ms),
             None => self.flows.busy(),
         };
@@ -359,7 +358,7 @@
         let deadline = scene.directory.deadline(key.called);
         let limit = |slots: u32| match (deadline, kind) {
             (Some(_), MessageKind::Offer) => f64::from(slots),
-            (Some(_), _) => Self::handed_at_most(slots),
+            (Some(deadline), _) => self.handed_at_most(slots, deadline.objective_ms, is_urgent),
             (None, _) => f64::from(slots) * per_slot,
         };
         OwnPlace {
--- a/src/opaque/keeper/waiting.rs
+++ b/src/opaque/keeper/waiting.rs
@@ -14,9 +14,12 @@
 use crate::opaque::packets::message::MessageKind;
 use crate::opaque::packets::segment::FlowKey;
 
-/// How many requests more than its slots a backend server is handed, for each slot: from an opener to its request a
-/// round trip to the caller passes, for which the slot would stand idle.
-const RESERVE_PER_SLOT: f64 = 0.5;
+/// For which part of the latency objective what is handed over may wait in the backend server's own queue: with
+/// little there slots stand idle between an opener and its request, and with much what is urgent waits behind all.
+const QUEUED_PART: f64 = 0.2;
+/// The same for openers of a route that is more urgent than another one to the same service, and for requests on open
+/// flows, which can't go elsewhere.
+const URGENT_QUEUED_PART: f64 = 0.33;
 /// How many latency objectives an opener may wait for: after that a new attempt has the better chance, while its
 /// caller has time for one.
 const MAX_OBJECTIVES: u64 = 2;
@@ -40,6 +43,19 @@
     Request(Vec<Vec<u8>>),
 }
 
+/// Whether a backend server may be handed more.
+#[derive(Debug)]
+struct Room {
+    for_urgent: bool,
+    for_others: bool,
+}
+
+impl Room {
+    fn has_room(&self, is_urgent: bool) -> bool {
+        self.for_others || (is_urgent && self.for_urgent)
+    }
+}
+
 impl Keeper {
     /// Returns the slots of the own backend server.
     pub(super) fn own_slots(&self, scene: &Scene<'_>) -> Option<u32> {
@@ -74,8 +90,32 @@
     }
 
     /// Returns from how many requests on a backend server is handed nothing that can wait.
-    pub(super) fn handed_at_most(slots: u32) -> f64 {
-        f64::from(slots) * (1.0 + RESERVE_PER_SLOT)
+    pub(super) fn handed_at_most(&self, slots: u32, objective_ms: u32, is_urgent: bool) -> f64 {
+        let part = match is_urgent {
+            true => URGENT_QUEUED_PART,
+            false => QUEUED_PART,
+        };
+        let queued_ms = part * f64::from(objective_ms);
+        let most = f64::from(slots) * (1.0 + queued_ms / self.slot_time.service_ms());
+        let refused_at = self.shed_at.map_or(f64::INFINITY, f64::from);
+        most.min(refused_at).max(f64::from(slots))
+    }
+
+    /// Tells whether the backend server may be handed what waits.
+    fn may_go(&self, scene: &Scene<'_>, work: &WaitingWork, may_open: bool, most: &Room) -> bool {
+        let is_urgent = match work.kind {
+            WorkKind::Request(_) => true,
+            WorkKind::Opener(_) if !may_open => return false,
+            WorkKind::Opener(_) => self.is_urgent(scene, &work.key),
+        };
+        most.has_room(is_urgent)
+    }
+
+    /// Tells whether a flow's route is more urgent than another one to the same service.
+    fn is_urgent(&self, scene: &Scene<'_>, key: &FlowKey) -> bool {
+        let routes = scene.directory.routes();
+        let route = routes.get(key.called);
+        route.is_some_and(|route| routes.is_urgent(route, self.identity.service))
     }
 
     /// Tells whether something of a flow waits here.
@@ -164,18 +204,31 @@
             self.pass_on_openers(scene, actions);
         }
         let slots = self.own_slots(scene).unwrap_or_default();
-        while f64::from(self.flows.busy_now(scene.now_ms)) < Self::handed_at_most(slots) {
+        loop {
             let pace = self.pace(slots);
             let may_open = self.has_cold_rate(scene);
-            let may_go = |work: &WaitingWork| may_open || matches!(work.kind, WorkKind::Request(_));
-            let Some(waiting) = self.waiting.pop_if(&pace, scene.now_ms, may_go) else {
+            let room = self.room(scene, slots, pace.objective_ms);
+            let mut waiting = std::mem::take(&mut self.waiting);
+            let may_go = |work: &WaitingWork| self.may_go(scene, work, may_open, &room);
+            let next = waiting.pop_if(&pace, scene.now_ms, may_go);
+            self.waiting = waiting;
+            let Some(next) = next else {
                 break;
             };
-            self.end_wait(scene, waiting, actions);
+            self.end_wait(scene, next, actions);
         }
         self.metrics.openers_waiting.set(self.waiting.len() as i64);
     }
 
+    fn room(&mut self, scene: &Scene<'_>, slots: u32, objective_ms: u32) -> Room {
+        let busy = f64::from(self.flows.busy_now(scene.now_ms));
+        let most = |is_urgent| self.handed_at_most(slots, objective_ms, is_urgent);
+        Room {
+            for_urgent: busy < most(true),
+            for_others: busy < most(false),
+        }
+    }
+
     fn end_wait(
         &mut self,
         scene: &Scene<'_>,
@@ -245,8 +298,8 @@
         self.metrics.openers_waiting.set(0);
     }
 
-    /// Refuses openers whose callers would have left before they are served, and hands requests over whose callers
-    /// would have.
+    /// Refuses openers whose callers would have left before they are served, and drops requests whose callers have: a
+    /// caller that still waits sends them again.
     fn end_overdue(&mut self, scene: &Scene<'_>, actions: &mut Vec<Action>) {
         let is_overdue = |waiting: &Waiting<WaitingWork>| waiting.deadline_ms <= scene.now_ms;
         for waiting in self.waiting.take_if(is_overdue) {
@@ -255,9 +308,10 @@
                 WorkKind::Opener(opening) => {
                     self.refuse(scene, &key, &opening, "waited", actions);
                 }
-                WorkKind::Request(packets) => {
+                WorkKind::Request(_) => {
+                    self.metrics.requests_given_up.inc();
                     let waited_ms = scene.now_ms - waiting.since_ms;
-                    self.hand_request(scene, &key, packets, waited_ms, actions);
+                    log::info!("event=request_given_up flow={key} waited_ms={waited_ms}");
                 }
             }
         }
--- a/src/process/opaque_metrics.rs
+++ b/src/process/opaque_metrics.rs
@@ -31,6 +31,7 @@
     pub(crate) requests_lost: Counter,
     pub(crate) requests_shed: Counter,
     pub(crate) requests_held_back: Counter,
+    pub(crate) requests_given_up: Counter,
     pub(crate) openers_offered: Counter,
     pub(crate) openers_queued: Counter,
     pub(crate) openers_refused: Counter,
@@ -72,6 +73,7 @@
             requests_lost: Counter::default(),
             requests_shed: Counter::default(),
             requests_held_back: Counter::default(),
+            requests_given_up: Counter::default(),
             openers_offered: Counter::default(),
             openers_queued: Counter::default(),
             openers_refused: Counter::default(),
@@ -135,7 +137,7 @@
         );
     }
 
-    fn counters(&self) -> [(&'static str, &'static str, &Counter); 22] {
+    fn counters(&self) -> [(&'static str, &'static str, &Counter); 23] {
         [
             (
                 "packets_shown",
@@ -202,6 +204,11 @@
                 "Requests on open flows that waited for a slot of the backend server",
                 &self.requests_held_back,
             ),
+            (
+                "requests_given_up",
+                "Requests that waited for a slot until their callers had left",
+                &self.requests_given_up,
+            ),
             (
                 "backend_stalls",
                 "How often the backend server took requests and served none",
