--- a/src/opaque/keeper/waiting.rs
+++ b/src/opaque/keeper/waiting.rs
@@ -16,10 +16,10 @@
 
 /// For which part of the latency objective what is handed over may wait in the backend server's own queue: with
 /// little there slots stand idle between an opener and its request, and with much what is urgent waits behind all.
-const QUEUED_PART: f64 = 0.2;
+const QUEUED_PART: f64 = 0.1;
 /// The same for openers of a route that is more urgent than another one to the same service, and for requests on open
 /// flows, which can't go elsewhere.
-const URGENT_QUEUED_PART: f64 = 0.33;
+const URGENT_QUEUED_PART: f64 = 0.2;
 /// How many latency objectives an opener may wait for: after that a new attempt has the better chance, while its
 /// caller has time for one.
 const MAX_OBJECTIVES: u64 = 2;
