--- a/src/decisions/service_time.rs
+++ b/src/decisions/service_time.rs
@@ -70,9 +70,10 @@
 
     /// Returns the service time to expect, in milliseconds.
     ///
-    /// While no answer comes it grows: a server that stands still must not look as fast as it was.
+    /// While no answer comes it grows with the time that all slots were occupied: a server that stands still must not
+    /// look as fast as it was, and what has begun at many slots at once ends later than the mean says.
     pub fn service_ms(&self) -> f64 {
-        self.service.mean_ms().max(self.silent_ms())
+        self.service.mean_ms().max(self.slot_ms)
     }
 
     /// Tells whether no answer has come for so long that none may come.
--- a/src/opaque/keeper/held_requests.rs
+++ b/src/opaque/keeper/held_requests.rs
@@ -32,7 +32,7 @@
         if self.is_stuck(scene) || self.admits_any(scene).is_err() {
             return false;
         }
-        let most = self.handed_at_most(slots, deadline.objective_ms, true, scene.now_ms);
+        let most = self.handed_at_most(slots, deadline.objective_ms, scene.now_ms);
         f64::from(self.flows.busy_now(scene.now_ms)) >= most
     }
 
--- a/src/opaque/keeper/waiting.rs
+++ b/src/opaque/keeper/waiting.rs
@@ -15,11 +15,8 @@
 use crate::opaque::packets::segment::FlowKey;
 
 /// For which part of the latency objective what is handed over may wait in the backend server's own queue: with
-/// little there slots stand idle between an opener and its request, and with much what is urgent waits behind all.
-const QUEUED_PART: f64 = 0.1;
-/// The same for openers of a route that is more urgent than another one to the same service, and for requests on open
-/// flows, which can't go elsewhere.
-const URGENT_QUEUED_PART: f64 = 0.2;
+/// less, slots stand idle between an opener and its request; with more, what is urgent waits behind all.
+const QUEUED_PART: f64 = 0.2;
 /// For how long a refusal of the backend server tells how much it takes, in milliseconds: some rushes, and less than
 /// it takes until its limits are changed.
 const SHED_COUNTS_MS: u64 = 10_000;
@@ -46,19 +43,6 @@
     Request(Vec<Vec<u8>>),
 }
 
-/// Whether a backend server may be handed more.
-#[derive(Debug)]
-struct Room {
-    for_urgent: bool,
-    for_others: bool,
-}
-
-impl Room {
-    fn has_room(&self, is_urgent: bool) -> bool {
-        self.for_others || (is_urgent && self.for_urgent)
-    }
-}
-
 impl Keeper {
     /// Returns the slots of the own backend server.
     pub(super) fn own_slots(&self, scene: &Scene<'_>) -> Option<u32> {
@@ -93,18 +77,8 @@
     }
 
     /// Returns from how many requests on a backend server is handed nothing that can wait.
-    pub(super) fn handed_at_most(
-        &self,
-        slots: u32,
-        objective_ms: u32,
-        is_urgent: bool,
-        now_ms: u64,
-    ) -> f64 {
-        let part = match is_urgent {
-            true => URGENT_QUEUED_PART,
-            false => QUEUED_PART,
-        };
-        let queued_ms = part * f64::from(objective_ms);
+    pub(super) fn handed_at_most(&self, slots: u32, objective_ms: u32, now_ms: u64) -> f64 {
+        let queued_ms = QUEUED_PART * f64::from(objective_ms);
         let most = f64::from(slots) * (1.0 + queued_ms / self.slot_time.service_ms());
         let refused_at = self.shed_at(now_ms).map_or(f64::INFINITY, f64::from);
         most.min(refused_at).max(f64::from(slots))
@@ -116,23 +90,6 @@
         (now_ms < refused_ms + SHED_COUNTS_MS).then_some(least)
     }
 
-    /// Tells whether the backend server may be handed what waits.
-    fn may_go(&self, scene: &Scene<'_>, work: &WaitingWork, may_open: bool, most: &Room) -> bool {
-        let is_urgent = match work.kind {
-            WorkKind::Request(_) => true,
-            WorkKind::Opener(_) if !may_open => return false,
-            WorkKind::Opener(_) => self.is_urgent(scene, &work.key),
-        };
-        most.has_room(is_urgent)
-    }
-
-    /// Tells whether a flow's route is more urgent than another one to the same service.
-    fn is_urgent(&self, scene: &Scene<'_>, key: &FlowKey) -> bool {
-        let routes = scene.directory.routes();
-        let route = routes.get(key.called);
-        route.is_some_and(|route| routes.is_urgent(route, self.identity.service))
-    }
-
     /// Tells whether something of a flow waits here.
     pub(super) fn is_waiting_at(&self, key: &FlowKey) -> bool {
         self.waiting.iter().any(|waiting| waiting.item.key == *key)
@@ -224,15 +181,11 @@
         }
         self.end_overdue(scene, actions);
         let slots = self.own_slots(scene).unwrap_or_default();
-        loop {
+        while self.has_room(scene, slots) {
             let pace = self.pace(slots);
             let may_open = self.has_cold_rate(scene);
-            let room = self.room(scene, slots, pace.objective_ms);
-            let mut waiting = std::mem::take(&mut self.waiting);
-            let may_go = |work: &WaitingWork| self.may_go(scene, work, may_open, &room);
-            let next = waiting.pop_if(&pace, scene.now_ms, may_go);
-            self.waiting = waiting;
-            let Some(next) = next else {
+            let may_go = |work: &WaitingWork| may_open || matches!(work.kind, WorkKind::Request(_));
+            let Some(next) = self.waiting.pop_if(&pace, scene.now_ms, may_go) else {
                 break;
             };
             self.end_wait(scene, next, actions);
@@ -240,14 +193,11 @@
         self.metrics.openers_waiting.set(self.waiting.len() as i64);
     }
 
-    fn room(&mut self, scene: &Scene<'_>, slots: u32, objective_ms: u32) -> Room {
+    /// Tells whether the backend server may be handed something that waits.
+    fn has_room(&mut self, scene: &Scene<'_>, slots: u32) -> bool {
+        let objective_ms = self.pace(slots).objective_ms;
         let busy = f64::from(self.flows.busy_now(scene.now_ms));
-        let now_ms = scene.now_ms;
-        let most = |is_urgent| self.handed_at_most(slots, objective_ms, is_urgent, now_ms);
-        Room {
-            for_urgent: busy < most(true),
-            for_others: busy < most(false),
-        }
+        busy < self.handed_at_most(slots, objective_ms, scene.now_ms)
     }
 
     fn end_wait(
--- a/tests/waiting.rs
+++ b/tests/waiting.rs
@@ -181,7 +181,7 @@
     assert!((39.0..41.0).contains(&service_ms), "{service_ms}");
     slots.changed(12, 2, 4_000);
     slots.changed(12, 2, 4_300);
-    assert!(slots.service_ms() >= 300.0, "no answer for 300 ms");
+    assert!(slots.service_ms() >= 600.0, "no answer for 300 ms");
     assert!(slots.is_stuck());
 }
 
