--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -358,9 +358,7 @@
         let deadline = scene.directory.deadline(key.called);
         let limit = |slots: u32| match (deadline, kind) {
             (Some(_), MessageKind::Offer) => f64::from(slots),
-            (Some(deadline), _) => {
-                self.handed_at_most(slots, deadline.objective_ms, is_urgent, scene.now_ms)
-            }
+            (Some(deadline), _) => self.handed_at_most(slots, deadline.objective_ms, scene.now_ms),
             (None, _) => f64::from(slots) * per_slot,
         };
         OwnPlace {
