End what waits too long before what is stuck; tests of what waits and of offers

Cause: an agent that wakes late passed stale openers on to others, since its backend server looked stuck to it. Seen by the test of it, red before. Change: what waits behind a pause is refused first. Tests of the queue and of offers at an agent and at a balancer; the ramp after a stall is tested by the room that the agent has where callers have time for one attempt, which follows from the service time.

--- a/src/opaque/keeper/waiting.rs
+++ b/src/opaque/keeper/waiting.rs
@@ -175,11 +175,12 @@
         if self.waiting.is_empty() {
             return;
         }
+        // What waits behind a pause of this process is too late for others as well.
+        self.end_overdue(scene, actions);
         if self.is_stuck(scene) || self.admits_any(scene).is_err() {
             self.pass_on_waiting(scene, actions);
             return;
         }
-        self.end_overdue(scene, actions);
         let slots = self.own_slots(scene).unwrap_or_default();
         while self.has_room(scene, slots) {
             let pace = self.pace(slots);
