--- a/src/decisions/offers.rs
+++ b/src/decisions/offers.rs
@@ -66,7 +66,10 @@
         (_, Some(best)) if !best.was_offered && may_ask => Some(best.offered()),
         (_, Some(best)) => Some(Offer::Assigned(best.host)),
         (Some(next), None) => Some(Offer::Assigned(next.host)),
-        (None, None) => None,
+        // All were asked and none has said anything of late.
+        (None, None) => candidates
+            .first()
+            .map(|candidate| Offer::Assigned(candidate.host)),
     }
 }
 
--- a/src/decisions/service_time.rs
+++ b/src/decisions/service_time.rs
@@ -9,6 +9,9 @@
 /// elsewhere: a single slow request is answered past by the other slots.
 const STUCK_FACTOR: f64 = 4.0;
 
+/// The least such time, in milliseconds: with one or two slots a few slow requests are no sign of anything.
+const LEAST_STUCK_MS: f64 = 100.0;
+
 /// The mean service time of the last requests.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ServiceTime {
@@ -78,7 +81,7 @@
 
     /// Tells whether no answer has come for so long that none may come.
     pub fn is_stuck(&self) -> bool {
-        self.silent_ms() > STUCK_FACTOR * self.service.mean_ms()
+        self.silent_ms() > LEAST_STUCK_MS.max(STUCK_FACTOR * self.service.mean_ms())
     }
 
     /// Returns for how long all slots were occupied without an answer, in milliseconds.
--- a/src/decisions/slots.rs
+++ b/src/decisions/slots.rs
@@ -59,7 +59,7 @@
         Self {
             slots,
             busy: 0,
-            queue: WaitQueue::default(),
+            queue: WaitQueue::of(usize::MAX),
             service: ServiceTime::default(),
         }
     }
@@ -119,7 +119,8 @@
             priority: 0,
             since_ms: now_ms,
             objective_ms: u32::MAX,
-            due_ms: deadline_ms,
+            // None is late before its deadline, so that they are served by arrival.
+            due_ms: u64::MAX,
             deadline_ms,
         };
         if !self.queue.push(waiting) {
--- a/src/decisions/wait_queue.rs
+++ b/src/decisions/wait_queue.rs
@@ -65,17 +65,27 @@
 #[derive(Debug)]
 pub struct WaitQueue<T> {
     entries: Vec<Entry<T>>,
+    most: usize,
 }
 
 impl<T> Default for WaitQueue<T> {
     fn default() -> Self {
         Self {
             entries: Vec::new(),
+            most: MAX_WAITING,
         }
     }
 }
 
 impl<T> WaitQueue<T> {
+    /// Makes a queue in which at most so many wait.
+    pub(crate) fn of(most: usize) -> Self {
+        Self {
+            entries: Vec::new(),
+            most,
+        }
+    }
+
     /// Returns how many wait.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -88,7 +98,7 @@
 
     /// Tells whether one more may wait.
     pub fn has_room(&self) -> bool {
-        self.entries.len() < MAX_WAITING
+        self.entries.len() < self.most
     }
 
     /// Adds one at the end; says whether there was room.
--- a/src/opaque/finding/flow_book.rs
+++ b/src/opaque/finding/flow_book.rs
@@ -198,7 +198,7 @@
 }
 
 /// Tells whether one number of a flow's bytes comes after another; numbers wrap.
-fn is_after(number: u32, other: u32) -> bool {
+pub(crate) fn is_after(number: u32, other: u32) -> bool {
     (1..=u32::MAX / 2).contains(&number.wrapping_sub(other))
 }
 
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -55,6 +55,8 @@
     /// The agents to which it was offered by what they would let it wait; none where it was not.
     offered: Vec<Ipv4Addr>,
     sent_ms: u64,
+    /// Whether an agent to which it was offered said nothing.
+    was_missed: bool,
     /// For how long its caller had waited before the first copy, in milliseconds.
     waited_ms: u64,
     packet: Vec<u8>,
@@ -156,6 +158,7 @@
             declined: 0,
             offered: Vec::new(),
             sent_ms: now_ms,
+            was_missed: false,
             waited_ms,
             packet: packet.clone(),
         });
@@ -313,7 +316,7 @@
             .front()
             .is_some_and(|watched| watched.due_ms <= now_ms)
         {
-            let Some(watched) = self.watched.pop_front() else {
+            let Some(mut watched) = self.watched.pop_front() else {
                 break;
             };
             if self.is_answered(&watched) {
@@ -332,6 +335,7 @@
             );
             if watched.is_offer() {
                 self.forget_hint(&watched);
+                watched.was_missed = true;
                 let next = self.offer_next(directory, suspicion, watched, now_ms);
                 actions.extend(next.ok());
                 continue;
--- a/src/opaque/forwarder/offers.rs
+++ b/src/opaque/forwarder/offers.rs
@@ -56,6 +56,7 @@
             declined: 0,
             offered: Vec::new(),
             sent_ms: now_ms,
+            was_missed: false,
             waited_ms,
             packet,
         };
@@ -86,6 +87,8 @@
         let offer = choose(&candidates).ok_or_else(none)?;
         let mut message = self.message(watched.waited_ms);
         let host = match offer {
+            // One that says nothing may be of a version that knows no offers.
+            Offer::MayDecline(host, _) if watched.was_missed => host,
             Offer::MayDecline(host, most_ms) => {
                 message.kind = MessageKind::Offer;
                 message.hops = wait_units(most_ms);
--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -114,7 +114,10 @@
         }
         match answered {
             Some((running, true)) => {
-                self.slot_time.answered(now_ms);
+                if !is_error {
+                    // A refusal says nothing of how long requests take.
+                    self.slot_time.answered(now_ms);
+                }
                 self.note_slots(scene);
                 self.note_answer(scene, &key, &running, status);
             }
--- a/src/opaque/keeper/backend_life.rs
+++ b/src/opaque/keeper/backend_life.rs
@@ -1,6 +1,7 @@
 //! What an agent believes of the process of its backend server: listening, ended, restarted, failing.
 
 use crate::code::Code;
+use crate::decisions::service_time::SlotTime;
 use crate::opaque::finding::flow_book::Remains;
 use crate::opaque::keeper::{Keeper, Scene};
 use crate::opaque::openers::recent_outcomes::RecentOutcomes;
@@ -86,6 +87,7 @@
         let remains = self.flows.take_remains(u64::MAX, scene.now_ms);
         self.pending.clear();
         self.stall.forget();
+        self.forget_slot_times();
         log::info!(
             "event=backend_ended flows={} openers={} last_packet_ms_ago={} revision={}",
             remains.flows.len(),
@@ -159,9 +161,16 @@
         self.outcomes = RecentOutcomes::default();
         self.failing = false;
         self.stall.forget();
+        self.forget_slot_times();
         self.silent_since_ms = None;
     }
 
+    /// Forgets how long requests took and how many were too many, after a stall or a process that has ended.
+    pub(super) fn forget_slot_times(&mut self) {
+        self.slot_time = SlotTime::default();
+        self.shed_at = None;
+    }
+
     /// Notes that a request failed at the backend server.
     pub(super) fn note_failed(&mut self, now_ms: u64) {
         self.outcomes.note_failed(now_ms);
--- a/src/opaque/keeper/held_requests.rs
+++ b/src/opaque/keeper/held_requests.rs
@@ -5,7 +5,7 @@
 //! it. Here the urgent goes first and nothing is refused. What waits is handed over whole and in order while its
 //! caller waits. See docs/design/waiting-openers.md.
 
-use crate::opaque::finding::flow_book::{ABANDONED_MS, Holding, Running};
+use crate::opaque::finding::flow_book::{ABANDONED_MS, Holding, Running, is_after};
 use crate::opaque::keeper::waiting::{WaitingWork, WorkKind, waiting_of};
 use crate::opaque::keeper::{Keeper, Scene};
 use crate::opaque::packets::action::Action;
@@ -19,13 +19,13 @@
 impl Keeper {
     /// Tells whether a request that begins now on an open flow has to wait.
     pub(super) fn is_held_back(&mut self, scene: &Scene<'_>, key: &FlowKey) -> bool {
-        let Some(deadline) = scene.directory.deadline(key.called) else {
-            return false;
-        };
         if self.is_waiting_at(key) {
             // Its packets stay in order.
             return true;
         }
+        let Some(deadline) = scene.directory.deadline(key.called) else {
+            return false;
+        };
         let Some(slots) = self.own_slots(scene) else {
             return false;
         };
@@ -74,8 +74,8 @@
 
     /// Takes a packet without new data on a flow whose request waits; says whether it goes no further now.
     ///
-    /// A copy of what waits is dropped, the end of the caller's data stays behind it, and a caller that broke its
-    /// flow off asks for nothing any more.
+    /// A copy of what waits is dropped, other data and the end of the caller's data wait in their order, and a caller
+    /// that broke its flow off asks for nothing any more.
     pub(super) fn takes_waiting(&mut self, segment: &Segment, packet: &[u8]) -> bool {
         let key = segment.flow_from_caller();
         if segment.resets {
@@ -83,13 +83,23 @@
             self.waiting.take_if(|waiting| waiting.item.key == key);
             return false;
         }
+        let decode = self.wire.decode;
         let Some(packets) = self.waiting_packets(&key) else {
             return false;
         };
-        if segment.ends {
-            packets.push(packet.to_vec());
+        if !segment.ends && segment.payload_bytes == 0 {
+            return false;
+        }
+        let is_copy = packets.iter().any(|known| known == packet);
+        if !is_copy && packets.len() < MAX_PACKETS {
+            // One that was overtaken on its way goes before those that came first.
+            let comes_after = |known: &Vec<u8>| {
+                decode(known).is_ok_and(|known| is_after(known.sequence, segment.sequence))
+            };
+            let index = packets.iter().position(comes_after);
+            packets.insert(index.unwrap_or(packets.len()), packet.to_vec());
         }
-        segment.ends || segment.payload_bytes > 0
+        true
     }
 
     /// Hands a request over that has waited.
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -153,14 +153,18 @@
             }
             Ok(()) => {
                 let balancer = opening.balancer;
-                self.take_opener(scene, &key, opening, actions);
-                self.say_taken(scene, &key, balancer, actions);
-            }
-            Err(NotTaken::Crowded) if is_offer && self.is_wait_taken(scene, message) => {
-                if let Some(deadline) = deadline {
-                    self.wait_or_refuse(scene, &key, opening, &deadline, actions);
+                if self.take_opener(scene, &key, opening, actions) {
+                    self.say_taken(scene, &key, balancer, actions);
                 }
             }
+            Err(NotTaken::Crowded)
+                if is_offer
+                    && let Some(deadline) = deadline
+                    && self.is_wait_taken(scene, message)
+                    && self.may_wait(scene, &key, &opening, &deadline) =>
+            {
+                self.wait_or_refuse(scene, &key, opening, &deadline, actions);
+            }
             Err(reason) if is_offer => {
                 let declined = match reason {
                     NotTaken::Crowded => Declined::Busy,
@@ -202,14 +206,14 @@
         );
     }
 
-    /// Hands an opener to the backend server.
+    /// Hands an opener to the backend server; says whether there was room to note its flow.
     pub(super) fn take_opener(
         &mut self,
         scene: &Scene<'_>,
         key: &FlowKey,
         opening: Opening,
         actions: &mut Vec<Action>,
-    ) {
+    ) -> bool {
         self.cold_rate.take();
         let packet = opening.packet.clone();
         log::info!(
@@ -223,12 +227,13 @@
         );
         let flow = Flow::new(Holding::Opening(opening), scene.now_ms);
         if !self.remember(*key, flow, scene.now_ms) {
-            return;
+            return false;
         }
         self.metrics.openers_taken.inc();
         self.lookups.forget(key);
         self.pending.push(*key);
         actions.push(Action::ToBackend(packet));
+        true
     }
 
     fn check_opener(
--- a/src/opaque/keeper/stall.rs
+++ b/src/opaque/keeper/stall.rs
@@ -114,6 +114,7 @@
 
     /// Forgets load and failures of a stall, which would keep a backend server idle for seconds that works again.
     fn forget_what_hung(&mut self) {
+        self.forget_slot_times();
         self.load = MeanLoad::over(RECENT_SPAN_MS);
         self.steady_load = MeanLoad::over(STEADY_SPAN_MS);
         self.outcomes = RecentOutcomes::default();
--- a/src/opaque/keeper/waiting.rs
+++ b/src/opaque/keeper/waiting.rs
@@ -107,7 +107,7 @@
         let balancer = opening.balancer;
         let waiting = opener_of(scene, key, &opening, deadline);
         let prospect = self.prospect(scene, &waiting, &opening, deadline);
-        if !prospect.waits() || self.waiting.len() >= self.max_waiting(scene, deadline) {
+        if !prospect.waits() || !self.has_place(scene, deadline) {
             self.refuse(scene, key, &opening, "no_time", actions);
             return;
         }
@@ -126,6 +126,23 @@
         self.serve_waiting(scene, actions);
     }
 
+    /// Tells whether an opener would be let wait here.
+    pub(super) fn may_wait(
+        &mut self,
+        scene: &Scene<'_>,
+        key: &FlowKey,
+        opening: &Opening,
+        deadline: &Deadline,
+    ) -> bool {
+        let waiting = opener_of(scene, key, opening, deadline);
+        let prospect = self.prospect(scene, &waiting, opening, deadline);
+        prospect.waits() && self.has_place(scene, deadline)
+    }
+
+    fn has_place(&self, scene: &Scene<'_>, deadline: &Deadline) -> bool {
+        self.waiting.has_room() && self.waiting.len() < self.max_waiting(scene, deadline)
+    }
+
     /// Returns how many may wait: as many as can be served before a caller gives up.
     fn max_waiting(&self, scene: &Scene<'_>, deadline: &Deadline) -> usize {
         let slots = self.own_slots(scene).unwrap_or_default();
@@ -173,6 +190,7 @@
     /// Hands over what waits while the backend server has room, and ends the wait of what has waited long enough.
     pub(super) fn serve_waiting(&mut self, scene: &Scene<'_>, actions: &mut Vec<Action>) {
         if self.waiting.is_empty() {
+            self.metrics.openers_waiting.set(0);
             return;
         }
         // What waits behind a pause of this process is too late for others as well.
@@ -219,7 +237,7 @@
             WorkKind::Opener(opening)
                 if scene.directory.service_of(&key) != Some(self.identity.service) =>
             {
-                self.hand_on(scene, &key, opening, actions);
+                self.hand_on(scene, &key, aged(opening, waited_ms), actions);
             }
             WorkKind::Opener(mut opening) => {
                 log::info!(
@@ -229,7 +247,10 @@
                     self.slot_time.service_ms()
                 );
                 opening.since_ms = scene.now_ms;
-                self.take_opener(scene, &key, opening, actions);
+                let passed_on = opening.clone();
+                if !self.take_opener(scene, &key, opening, actions) {
+                    self.hand_on(scene, &key, aged(passed_on, waited_ms), actions);
+                }
             }
         }
     }
@@ -248,10 +269,12 @@
     pub(super) fn pass_on_waiting(&mut self, scene: &Scene<'_>, actions: &mut Vec<Action>) {
         for waiting in self.waiting.take_if(|_| true) {
             let WaitingWork { key, kind } = waiting.item;
+            let waited_ms = scene.now_ms - waiting.since_ms;
             match kind {
-                WorkKind::Opener(opening) => self.hand_on(scene, &key, opening, actions),
+                WorkKind::Opener(opening) => {
+                    self.hand_on(scene, &key, aged(opening, waited_ms), actions);
+                }
                 WorkKind::Request(packets) => {
-                    let waited_ms = scene.now_ms - waiting.since_ms;
                     self.hand_request(scene, &key, packets, waited_ms, actions);
                 }
             }
@@ -306,6 +329,13 @@
     }
 }
 
+/// Returns an opener that has waited here, as others should see it.
+fn aged(mut opening: Opening, waited_ms: u64) -> Opening {
+    let waited_ms = u16::try_from(waited_ms).unwrap_or(u16::MAX);
+    opening.waited_ms = opening.waited_ms.saturating_add(waited_ms);
+    opening
+}
+
 /// Returns how an opener waits that came now.
 fn opener_of(
     scene: &Scene<'_>,
--- a/tests/opaque/stalls.rs
+++ b/tests/opaque/stalls.rs
@@ -321,6 +321,7 @@
     });
     let [none, half, whole] = steps;
     assert_eq!(none, 1, "{steps:?}");
+    assert!(none < half && half < whole, "{steps:?}");
     assert!(half.abs_diff(whole / 2) <= 1, "{steps:?}");
     assert!(whole >= SLOTS, "{steps:?}");
 }
--- a/tests/opaque/waiting.rs
+++ b/tests/opaque/waiting.rs
@@ -302,3 +302,33 @@
     assert!(hosts_told(&actions, MessageKind::Holds).is_empty());
     assert_eq!(hosts_told(&actions, MessageKind::HandOn).len(), 1);
 }
+
+#[test]
+fn a_packet_that_was_overtaken_waits_in_its_place() {
+    let mut agent = full_agent();
+    for port in 200..300 {
+        agent.answer_from_backend(&flow(port));
+    }
+    let part = |port: u16, sequence: u32| {
+        let spec = PacketSpec {
+            flags: ACK,
+            sequence,
+            acknowledgement: 561,
+            data_bytes: 40,
+        };
+        from_caller(&flow(port), spec)
+    };
+    let port = first_that_waits(&mut agent);
+    agent.deliver(&from_caller_with(port, RST, 181));
+    let port = port + 1;
+    let (first, second) = (next_request(port), part(port, 181));
+    assert!(!reaches_backend(&agent.deliver(&second)));
+    assert!(!reaches_backend(&agent.deliver(&first)), "overtaken");
+    assert!(!reaches_backend(&agent.deliver(&first)), "and its copy");
+    let mut actions = Vec::new();
+    for port in 1..=FULL {
+        agent.now_ms += 5;
+        actions.extend(answer(&mut agent, port));
+    }
+    assert_eq!(handed(&actions), [first.as_slice(), second.as_slice()]);
+}
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -42,6 +42,22 @@
     assert_eq!(next.run, Some(RequestId(3)));
 }
 
+#[test]
+fn those_that_wait_run_in_the_order_of_their_arrival() {
+    let mut slots = Slots::new(1);
+    slots.arrive(RequestId(1), 9_000, 0);
+    slots.arrive(RequestId(2), 9_000, 0);
+    slots.arrive(RequestId(3), 60, 0);
+    slots.finished(20);
+    assert_eq!(slots.next(30).run, Some(RequestId(2)));
+    slots.finished(20);
+    assert_eq!(
+        slots.next(50).run,
+        Some(RequestId(3)),
+        "its deadline has not passed"
+    );
+}
+
 #[test]
 fn a_lower_limit_lets_running_requests_end() {
     let mut slots = Slots::new(3);
