Use what stood already for slots, cold starts, failures and known retries

Cause: a reading of the whole change. The row of an agent's own backend server was looked up in four places beside own_slots; whether it is cold, for how long a request counts, what is a server's failure, how long something waits behind others, and how retries are counted stood twice each; an opener that was offered was judged twice, with a copy of its packet each time; each packet of a caller with one attempt searched all that is published, also with room. Ruled out: fewer looks at what waits for packets without data, since that would count requests anew less often and change the load that is told. Change: one piece each. let_wait gives an opener back where it can't wait, and its caller declines or refuses it. What is published is searched only without room. Conclusion: decides as before.

--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -146,10 +146,7 @@
             }
             host => host?,
         };
-        let waited_ms = self.retries.waited_ms(&flow, attempt > 0, now_ms);
-        self.metrics
-            .retries_known
-            .inc_by(u64::from(waited_ms > 0 && attempt == 0));
+        let waited_ms = self.caller_waited_ms(&flow, attempt, now_ms);
         self.watch(Watched {
             due_ms: now_ms + TAKEN_TIMEOUT_MS,
             flow,
@@ -167,6 +164,15 @@
         Ok(Action::ToPeer(host, message, packet))
     }
 
+    /// Returns for how long the caller of an opener had waited before its first copy, and counts known retries.
+    fn caller_waited_ms(&mut self, flow: &FlowKey, attempt: usize, now_ms: u64) -> u64 {
+        let waited_ms = self.retries.waited_ms(flow, attempt > 0, now_ms);
+        self.metrics
+            .retries_known
+            .inc_by(u64::from(waited_ms > 0 && attempt == 0));
+        waited_ms
+    }
+
     /// Returns the mean load of the backend servers among which a flow's agent was chosen, by which that agent
     /// knows whether it has more to do than others.
     fn mean_load(&mut self, directory: &Directory, flow: &FlowKey, now_ms: u64) -> u16 {
--- a/src/opaque/forwarder/offers.rs
+++ b/src/opaque/forwarder/offers.rs
@@ -43,10 +43,7 @@
     ) -> Result<Action> {
         let flow = segment.flow_from_caller();
         let attempt = segment.acknowledgement as usize;
-        let waited_ms = self.retries.waited_ms(&flow, attempt > 0, now_ms);
-        self.metrics
-            .retries_known
-            .inc_by(u64::from(waited_ms > 0 && attempt == 0));
+        let waited_ms = self.caller_waited_ms(&flow, attempt, now_ms);
         self.watched.retain(|watched| watched.flow != flow);
         let mut watched = Watched {
             due_ms: now_ms + TAKEN_TIMEOUT_MS,
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -16,6 +16,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use crate::code::Code;
+use crate::config::deadlines::Deadline;
 use crate::config::revision::Revision;
 use crate::config::service_id::ServiceId;
 use crate::decisions::service_time::SlotTime;
@@ -180,9 +181,8 @@
             // What fails at once looks idle, and would attract what others could serve.
             return FAILING_LOAD;
         }
-        let table = scene.directory.table(self.identity.service);
-        let row = table.and_then(|table| table.row_on(self.identity.host));
-        row.map_or(UNKNOWN_LOAD, |row| self.load.permille(row.slots))
+        let slots = self.own_slots(scene);
+        slots.map_or(UNKNOWN_LOAD, |slots| self.load.permille(slots))
     }
 
     /// Returns the flows open at the backend server.
@@ -362,7 +362,7 @@
         let request_id = self.wire.request_id;
         let is_held_back = self.is_held_back(scene, &key);
         let deadline = scene.directory.deadline(key.called);
-        let counts_ms = deadline.map_or(ABANDONED_MS, |deadline| deadline.timeout_ms.into());
+        let counts_ms = counts_ms(deadline);
         let delivery = self.flows.update(&key, now_ms, |flow| {
             let was_open = flow.holding == Holding::Open;
             if !chosen_here(flow, segment) {
@@ -439,6 +439,12 @@
     }
 }
 
+/// Returns how long a request without an answer counts as work, in milliseconds: as long as its caller waits, where
+/// that is told.
+fn counts_ms(deadline: Option<Deadline>) -> u64 {
+    deadline.map_or(ABANDONED_MS, |deadline| deadline.timeout_ms.into())
+}
+
 /// Tells whether a caller's packet belongs to a flow that is held here, and opens it if so.
 ///
 /// The caller opens a flow at the backend server whose number it acknowledges first.
--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -106,7 +106,7 @@
             self.broke_ms = None;
         }
         let status = (self.wire.status)(packet);
-        let is_error = status.is_some_and(|status| status >= FIRST_SERVER_ERROR_STATUS);
+        let is_error = is_server_error(status);
         if brings && !is_error {
             self.note_progress(key, now_ms);
         } else if answered.is_some() {
@@ -145,14 +145,13 @@
         self.metrics
             .request_seconds
             .observe(took_ms as f64 / 1_000.0);
-        let broken = status.is_some_and(|status| status >= FIRST_SERVER_ERROR_STATUS);
         if status == Some(OVERLOADED_STATUS) && self.is_full(scene, key) {
             // In a rush it would seem to fail, and be left idle as soon as it has room again.
             self.metrics.requests_shed.inc();
             let busy = self.flows.busy();
             let least = self.shed_at(now_ms).map_or(busy, |least| least.min(busy));
             self.shed_at = Some((least, now_ms));
-        } else if broken {
+        } else if is_server_error(status) {
             self.note_failed(now_ms);
         } else {
             self.note_served(now_ms);
@@ -205,3 +204,8 @@
         true
     }
 }
+
+/// Tells whether an answer is the backend server's failure; one whose status does not show is an ordinary one.
+fn is_server_error(status: Option<u16>) -> bool {
+    status.is_some_and(|status| status >= FIRST_SERVER_ERROR_STATUS)
+}
--- a/src/opaque/keeper/declines.rs
+++ b/src/opaque/keeper/declines.rs
@@ -128,8 +128,7 @@
     /// Returns the requests for each slot of the backend server over the last ten seconds, in thousandths, once
     /// that can be told.
     fn steady_permille(&self, scene: &Scene<'_>) -> Option<u16> {
-        let table = scene.directory.table(self.identity.service)?;
-        let row = table.row_on(self.identity.host)?;
-        self.steady_load.permille_since_begun(row.slots)
+        let slots = self.own_slots(scene)?;
+        self.steady_load.permille_since_begun(slots)
     }
 }
--- a/src/opaque/keeper/held_requests.rs
+++ b/src/opaque/keeper/held_requests.rs
@@ -5,9 +5,9 @@
 //! it. Here the urgent goes first and nothing is refused. What waits is handed over whole and in order while its
 //! caller waits. See docs/design/waiting-openers.md.
 
-use crate::opaque::finding::flow_book::{ABANDONED_MS, Holding, Running, is_after};
+use crate::opaque::finding::flow_book::{Holding, Running, is_after};
 use crate::opaque::keeper::waiting::{WaitingWork, WorkKind, waiting_of};
-use crate::opaque::keeper::{Keeper, Scene};
+use crate::opaque::keeper::{Keeper, Scene, counts_ms};
 use crate::opaque::packets::action::Action;
 use crate::opaque::packets::segment::{FlowKey, Segment};
 
@@ -29,11 +29,13 @@
         let Some(slots) = self.own_slots(scene) else {
             return false;
         };
-        if self.is_stuck(scene) || self.admits_any(scene).is_err() {
+        if self.is_stuck(scene) {
             return false;
         }
         let most = self.handed_at_most(slots, deadline.objective_ms, scene.now_ms);
-        f64::from(self.flows.busy_now(scene.now_ms)) >= most
+        let is_full = f64::from(self.flows.busy_now(scene.now_ms)) >= most;
+        // What is published is searched for each packet only where there is no room.
+        is_full && self.admits_any(scene).is_ok()
     }
 
     /// Lets a packet wait that begins a request, or goes on with one that waits.
@@ -122,8 +124,7 @@
                 self.flows.busy()
             );
         }
-        let deadline = scene.directory.deadline(key.called);
-        let counts_ms = deadline.map_or(ABANDONED_MS, |deadline| deadline.timeout_ms.into());
+        let counts_ms = counts_ms(scene.directory.deadline(key.called));
         self.flows.update(key, scene.now_ms, |flow| {
             if flow.holding == Holding::Open && flow.running.is_none() {
                 flow.running = Some(Running::new(id.as_deref(), counts_ms, scene.now_ms));
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -76,8 +76,6 @@
 struct OwnPlace {
     /// Whether it is still slow after its start.
     is_cold: bool,
-    /// How many new flows it bears a second while it is cold; none where it is warm or operators told no rate.
-    cold_flows_per_s: Option<f64>,
     /// The number of requests from which the opener is not taken; none where no table has it.
     limit: Option<f64>,
     /// How long its caller waits, where that is told.
@@ -158,12 +156,16 @@
                 }
             }
             Err(NotTaken::Crowded)
-                if is_offer
-                    && let Some(deadline) = deadline
-                    && self.is_wait_taken(scene, message)
-                    && self.may_wait(scene, &key, &opening, &deadline) =>
+                if let Some(deadline) = deadline
+                    && (!is_offer || self.is_wait_taken(scene, message)) =>
             {
-                self.wait_or_refuse(scene, &key, opening, &deadline, actions);
+                match self.let_wait(scene, &key, opening, &deadline, actions) {
+                    Ok(()) => {}
+                    Err(_) if is_offer => {
+                        self.decline(scene, &key, message, Declined::Busy, actions);
+                    }
+                    Err(opening) => self.refuse(scene, &key, &opening, "no_time", actions),
+                }
             }
             Err(reason) if is_offer => {
                 let declined = match reason {
@@ -172,9 +174,6 @@
                 };
                 self.decline(scene, &key, message, declined, actions);
             }
-            Err(NotTaken::Crowded) if let Some(deadline) = deadline => {
-                self.wait_or_refuse(scene, &key, opening, &deadline, actions);
-            }
             Err(reason) => {
                 self.log_not_taken(scene, &key, &opening, &place, reason);
                 if message.kind == MessageKind::Deliver && !message.host.is_unspecified() {
@@ -248,9 +247,7 @@
             return Err(NotTaken::OtherService);
         }
         self.is_published(scene)?;
-        if let Some(flows_per_s) = place.cold_flows_per_s
-            && !self.cold_rate.has_room(flows_per_s, scene.now_ms)
-        {
+        if !self.has_cold_rate(scene) {
             return Err(NotTaken::ColdRate);
         }
         if self.silent_since_ms.is_some() {
@@ -315,9 +312,7 @@
 
     /// Tells whether the backend server is warm, or may be handed one more flow while it is cold.
     pub(super) fn has_cold_rate(&mut self, scene: &Scene<'_>) -> bool {
-        let published = scene.directory.own(self.identity.backend);
-        let is_cold = published.is_some_and(|own| scene.now_ms < own.cold_until_ms);
-        let flows_per_s = self.cold_flows_per_s(scene, is_cold);
+        let flows_per_s = self.cold_flows_per_s(scene);
         flows_per_s.is_none_or(|flows_per_s| self.cold_rate.has_room(flows_per_s, scene.now_ms))
     }
 
@@ -345,8 +340,7 @@
         opening: &Opening,
         kind: MessageKind,
     ) -> OwnPlace {
-        let published = scene.directory.own(self.identity.backend);
-        let is_cold = published.is_some_and(|own| scene.now_ms < own.cold_until_ms);
+        let is_cold = self.is_cold(scene);
         let service = self.identity.service;
         let routes = scene.directory.routes();
         let route = routes.get(key.called);
@@ -357,8 +351,6 @@
             (true, false) => COLD_PER_SLOT,
             (true, true) => COLD_URGENT_PER_SLOT,
         };
-        let table = scene.directory.table(service);
-        let row = table.and_then(|table| table.row_on(self.identity.host));
         let per_slot = per_slot[opening.age_step()];
         let deadline = scene.directory.deadline(key.called);
         let limit = |slots: u32| match (deadline, kind) {
@@ -368,19 +360,24 @@
         };
         OwnPlace {
             is_cold,
-            cold_flows_per_s: self.cold_flows_per_s(scene, is_cold),
-            limit: row.map(|row| limit(row.slots)),
+            limit: self.own_slots(scene).map(limit),
             deadline,
         }
     }
 
     /// Returns how many new flows the backend server bears a second, if it is cold or may be.
-    fn cold_flows_per_s(&self, scene: &Scene<'_>, is_cold: bool) -> Option<f64> {
+    fn cold_flows_per_s(&self, scene: &Scene<'_>) -> Option<f64> {
         let start = scene.directory.cold_start(self.identity.service)?;
         let maybe_since_ms = self.maybe_cold_since_ms;
         let may_be_cold =
             maybe_since_ms.is_some_and(|since_ms| scene.now_ms < since_ms + start.cold_ms);
-        (is_cold || may_be_cold).then_some(start.flows_per_s)
+        (may_be_cold || self.is_cold(scene)).then_some(start.flows_per_s)
+    }
+
+    /// Tells whether the backend server is published as slow after its start.
+    fn is_cold(&self, scene: &Scene<'_>) -> bool {
+        let published = scene.directory.own(self.identity.backend);
+        published.is_some_and(|own| scene.now_ms < own.cold_until_ms)
     }
 
     /// Passes an opener to the agent after this one in the flow's order, if there is one left.
--- a/src/opaque/keeper/stall.rs
+++ b/src/opaque/keeper/stall.rs
@@ -34,10 +34,8 @@
     /// Looks whether the backend server stands still, and ends what loses nothing by it; due each
     /// [`crate::decisions::stall::LOOK_MS`].
     pub fn look_for_stall(&mut self, scene: &Scene<'_>) -> Vec<Action> {
-        let table = scene.directory.table(self.identity.service);
-        let row = table.and_then(|table| table.row_on(self.identity.host));
         // A backend server that no table has gets no opener, and its flows end soon.
-        let Some(slots) = row.map(|row| row.slots) else {
+        let Some(slots) = self.own_slots(scene) else {
             return Vec::new();
         };
         if let Some(stall) = self.stall.look(slots, scene.now_ms) {
--- a/src/opaque/keeper/waiting.rs
+++ b/src/opaque/keeper/waiting.rs
@@ -69,11 +69,15 @@
         let Some(slots) = self.own_slots(scene) else {
             return 0;
         };
-        let busy = self.flows.busy_now(scene.now_ms);
-        let there = busy + self.waiting.in_time(&self.pace(slots), scene.now_ms);
+        let before = self.waiting.in_time(&self.pace(slots), scene.now_ms);
+        self.wait_behind_ms(scene, slots, before).min(MAX_TOLD_MS) as u16
+    }
+
+    /// Returns for how long something waits for a slot that `before` others of those that wait go before.
+    fn wait_behind_ms(&mut self, scene: &Scene<'_>, slots: u32, before: u32) -> u64 {
+        let there = self.flows.busy_now(scene.now_ms) + before;
         let ahead = (there + 1).saturating_sub(slots);
-        let wait_ms = wait_ms(ahead, self.slot_time.service_ms(), slots);
-        wait_ms.min(MAX_TOLD_MS) as u16
+        wait_ms(ahead, self.slot_time.service_ms(), slots)
     }
 
     /// Returns from how many requests on a backend server is handed nothing that can wait.
@@ -95,21 +99,20 @@
         self.waiting.iter().any(|waiting| waiting.item.key == *key)
     }
 
-    /// Lets an opener wait for a slot, or refuses it at once where it would wait for nothing.
-    pub(super) fn wait_or_refuse(
+    /// Lets an opener wait for a slot, or gives it back where it would wait for nothing.
+    pub(super) fn let_wait(
         &mut self,
         scene: &Scene<'_>,
         key: &FlowKey,
         opening: Opening,
         deadline: &Deadline,
         actions: &mut Vec<Action>,
-    ) {
+    ) -> Result<(), Opening> {
         let balancer = opening.balancer;
         let waiting = opener_of(scene, key, &opening, deadline);
         let prospect = self.prospect(scene, &waiting, &opening, deadline);
         if !prospect.waits() || !self.has_place(scene, deadline) {
-            self.refuse(scene, key, &opening, "no_time", actions);
-            return;
+            return Err(opening);
         }
         self.metrics.openers_queued.inc();
         log::info!(
@@ -124,19 +127,7 @@
         self.waiting.push(waiting);
         self.say_taken(scene, key, balancer, actions);
         self.serve_waiting(scene, actions);
-    }
-
-    /// Tells whether an opener would be let wait here.
-    pub(super) fn may_wait(
-        &mut self,
-        scene: &Scene<'_>,
-        key: &FlowKey,
-        opening: &Opening,
-        deadline: &Deadline,
-    ) -> bool {
-        let waiting = opener_of(scene, key, opening, deadline);
-        let prospect = self.prospect(scene, &waiting, opening, deadline);
-        prospect.waits() && self.has_place(scene, deadline)
+        Ok(())
     }
 
     fn has_place(&self, scene: &Scene<'_>, deadline: &Deadline) -> bool {
@@ -165,13 +156,11 @@
             objective_ms: deadline.objective_ms,
         };
         let before = self.waiting.ahead_of(waiting, &pace, scene.now_ms);
-        let there = self.flows.busy_now(scene.now_ms) + before;
-        let ahead = (there + 1).saturating_sub(slots);
         let oldest_ms = self.waiting.iter().map(|waiting| waiting.since_ms).min();
         Prospect {
             age_ms: opening.age_ms(),
             attempt_age_ms: opening.copy_age_ms(),
-            wait_ms: wait_ms(ahead, service_ms, slots),
+            wait_ms: self.wait_behind_ms(scene, slots, before),
             service_ms,
             objective_ms: deadline.objective_ms,
             timeout_ms: deadline.timeout_ms,
@@ -302,7 +291,7 @@
     }
 
     /// Tells a caller that its opener is not taken; no server has it.
-    fn refuse(
+    pub(super) fn refuse(
         &self,
         scene: &Scene<'_>,
         key: &FlowKey,
