--- a/src/decisions/known_waits.rs
+++ b/src/decisions/known_waits.rs
@@ -7,22 +7,21 @@
 /// The age at which such a word no longer counts, in milliseconds: about the service time of the users' requests,
 /// after which a slot is free that was not, or the other way round.
 const FRESH_MS: u64 = 30;
+/// The weight of the newest word in the level.
+const WEIGHT_OF_NEW: f64 = 0.1;
+/// The time in which the level halves without a word, in milliseconds: a rush may be over, and agents that are not
+/// asked don't say so.
+const LEVEL_HALF_LIFE_MS: f64 = 200.0;
 
 #[derive(Debug, Clone, Copy)]
 struct KnownWait {
     host: Ipv4Addr,
     wait_ms: u16,
     heard_ms: u64,
-    /// Whether a flow went there since.
+    /// Whether a flow went there since, which voids a word of room.
     used: bool,
 }
 
-/// The weight of the newest word in the level.
-const WEIGHT_OF_NEW: f64 = 0.1;
-/// The time in which the level halves without a word, in milliseconds: a rush may be over, and agents that are not
-/// asked don't say so.
-const LEVEL_HALF_LIFE_MS: f64 = 200.0;
-
 /// The mean of the waits that were told lately.
 #[derive(Debug, Default, Clone, Copy)]
 struct Level {
--- a/src/decisions/offers.rs
+++ b/src/decisions/offers.rs
@@ -12,8 +12,8 @@
 pub(crate) const MAX_NEAR: usize = 3;
 /// How many agents of other availability zones it may be offered to.
 pub(crate) const MAX_FAR: usize = 2;
-/// How many agents an opener is offered to before it is assigned: of four busy for 85 % of the time one has a slot
-/// free in half of all cases, and each further one costs the caller a round trip.
+/// How many agents an opener is offered to before it is assigned: of a few busy ones one mostly has a slot free, and
+/// each further one costs the caller a round trip.
 const MAX_OFFERS: usize = 5;
 /// How much shorter the wait in another availability zone must be, in milliseconds: the way there and back, which the
 /// opener and each request of its flow make.
--- a/src/decisions/service_time.rs
+++ b/src/decisions/service_time.rs
@@ -8,7 +8,6 @@
 /// How many times the mean service time all slots may be occupied without an answer before what waits is better off
 /// elsewhere: a single slow request is answered past by the other slots.
 const STUCK_FACTOR: f64 = 4.0;
-
 /// The least such time, in milliseconds: with one or two slots a few slow requests are no sign of anything.
 const LEAST_STUCK_MS: f64 = 100.0;
 
--- a/src/decisions/wait_queue.rs
+++ b/src/decisions/wait_queue.rs
@@ -3,7 +3,8 @@
 //! Load pattern: for some seconds more is asked for than can be served, by callers of different urgency, some of
 //! whom ask ten times as often as others and some of whom have waited too long already. In the order of arrival
 //! all would be late. Here what can still be in time goes before what can't, the more urgent before the less, each
-//! caller's first before another one's second, and then the earliest due, or the newest where the queue is long. See docs/design/waiting-openers.md.
+//! caller's first before another one's second, and then the earliest due, or the newest where the queue is long. See
+//! docs/design/waiting-openers.md.
 
 /// The most that waits: with the shortest requests of a few milliseconds, more would wait past any deadline.
 const MAX_WAITING: usize = 256;
@@ -61,7 +62,7 @@
     turn: u32,
 }
 
-/// What waits for a slot, in order of arrival.
+/// What waits for a slot, kept in order of arrival.
 #[derive(Debug)]
 pub struct WaitQueue<T> {
     entries: Vec<Entry<T>>,
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -41,6 +41,7 @@
 /// How long a backend server may take to answer an opener or to return a packet, in milliseconds:
 /// it does so in under one, and the agent itself may wait for its share of a core.
 const BACKEND_TIMEOUT_MS: u64 = 50;
+
 /// What an agent looks at while it decides.
 pub struct Scene<'a> {
     /// The published backend servers and routes.
--- a/src/opaque/keeper/declines.rs
+++ b/src/opaque/keeper/declines.rs
@@ -20,8 +20,8 @@
 /// The least of that margin, in thousandths of a slot: of two idle backend servers none is the lighter one.
 const MIN_MARGIN_PERMILLE: f64 = 20.0;
 
-/// The wait that an agent tells which has room and more to do than the mean, in milliseconds: any agent that has
-/// room and no more than the mean is better, and any that has no room is worse.
+/// The wait that an agent tells which has room and more to do than the mean, in milliseconds: more than the way to
+/// another availability zone, so that flows that live for long don't stay in the one with more callers.
 const ABOVE_MEAN_MS: u16 = 20;
 
 /// Why an agent leaves an opener to others.
