Show that the lab's backend server lets some requests starve

Cause: its queue is scanned in the order of flows, so that a request behind busy flows is overtaken again and again.

--- a/lab/tests/opaque_site.rs
+++ b/lab/tests/opaque_site.rs
@@ -506,6 +506,23 @@
     });
 }
 
+#[test]
+fn a_backend_server_of_the_lab_serves_its_queue_in_order_of_arrival() {
+    run(async {
+        let mut site = site(1).await;
+        // More than slots, and fewer than slots and places in the queue.
+        site.call(&[site.plan(0, 11, 0)]).expect("callers");
+        sleep_ms(500).await;
+        site.slow_backend(0, 40);
+        // Longer than callers wait, so that one that others overtake again and again gives up.
+        sleep_ms(4_500).await;
+        let tally = site.finish().await;
+        assert_promises(&site, &tally);
+        let seen = (tally.answered, tally.shed);
+        assert_eq!(seen, (tally.requests, 0), "{}", summary(&tally));
+    });
+}
+
 #[test]
 fn what_a_hanging_backend_server_holds_fails_in_time_and_nothing_runs_twice() {
     run(async {
