Let the lab's backend server serve its queue in order of arrival

Cause of the test that was known red (a_slow_backend_server_answers_late_and_loses_nothing): the stand-in scanned its flows in a fixed order for a request to start, so that one behind busy flows was overtaken until its caller left. In three failed runs the request had reached the server and been acknowledged there, and it was started 1.2 s later or never. Ruled out: openers passed on and dropped in silence, requests that wait at the agent (none of the three was held, dropped or given up there). Change: requests start in the order in which they came.

--- a/lab/src/opaque/backend.rs
+++ b/lab/src/opaque/backend.rs
@@ -78,6 +78,8 @@
 
 struct Work {
     id: String,
+    /// How many requests had come before it.
+    turn: u64,
     started_ms: Option<u64>,
 }
 
@@ -90,6 +92,7 @@
     /// Flows that have ended here, whose last packets still get an answer.
     ended: Vec<(SocketAddrV4, SocketAddrV4)>,
     next_sequence: u32,
+    next_turn: u64,
     draining: bool,
     pace: Pace,
     journal: Rc<RefCell<BackendJournal>>,
@@ -135,6 +138,7 @@
             flows: Vec::new(),
             ended: Vec::new(),
             next_sequence: rand::random(),
+            next_turn: 0,
             draining: false,
             pace: Pace::Usual,
             journal: journal.clone(),
@@ -324,10 +328,15 @@
             {
                 flow.work = Some(Work {
                     id,
+                    turn: self.next_turn,
                     started_ms: None,
                 });
+                self.next_turn += 1;
             }
         }
+        // The queue is served in order of arrival, so that nobody is overtaken for ever.
+        let turn = |flow: &ServerFlow| flow.work.as_ref().map_or(0, |work| work.turn);
+        self.flows.sort_by_key(turn);
         let running = |flow: &&ServerFlow| {
             flow.work
                 .as_ref()
