Ask no more of two zones than they can bear in a test of cold servers

On a busy machine their slots really fill. Traced with logs: each of the refused met Crowded at both warm agents with all three copies, and ColdRate at the third one. Ruled out: a cold start of all (cold=false throughout), a refusal while a slot was free. The refusal is true and at once; what the test asks is that nobody is refused without need, so that it must not ask for too much. Change: as many callers as the slots of two zones. All checks stay.

--- a/lab/tests/opaque_evacuation.rs
+++ b/lab/tests/opaque_evacuation.rs
@@ -13,6 +13,8 @@
 
 /// How many balancers, and how many agents, the site of each test has.
 const PROCESSES: usize = 3;
+/// How many requests each backend server runs at once.
+const SLOTS: usize = 4;
 
 /// Returns how many openers the agent of a backend server has taken.
 async fn taken(site: &OpaqueSite, index: usize) -> f64 {
@@ -133,17 +135,22 @@
 
 /// How many new flows a second a cold server bears in this test; callers ask for many times as many.
 const COLD_FLOWS_PER_S: f64 = 12.0;
+/// How many callers ask at once there: while a zone is evacuated the slots of the other two zones bear them all, so
+/// that nobody is refused for want of room, however slowly the machine works.
+const COLD_CALLERS: usize = 2 * SLOTS;
 /// What may come beside the rate in any time: a quarter of a second saved up, and a rounded flow.
 const SAVED_UP: f64 = 4.0;
 
 #[test]
 fn servers_of_a_zone_that_is_taken_back_get_new_flows_at_the_rate_of_cold_ones() {
     run(async {
-        let builder = OpaqueSiteBuilder::new(PROCESSES).service("panel-front", PROCESSES, 4, 5);
+        let builder = OpaqueSiteBuilder::new(PROCESSES);
+        let builder = builder.service("panel-front", PROCESSES, SLOTS, 5);
         let builder = builder.cold_rate(COLD_FLOWS_PER_S);
         let mut site = builder.start().await.expect("starts");
         let zone = site.zone_of(0);
-        site.call(&[site.plan(0, 0, 30)]).expect("callers");
+        site.call(&[site.plan(0, 0, COLD_CALLERS)])
+            .expect("callers");
         // Its entry says for less than this that it is cold.
         sleep_ms(1_000).await;
         site.evacuate(zone);
