--- a/lab/tests/common/opaque.rs
+++ b/lab/tests/common/opaque.rs
@@ -1,9 +1,22 @@
 //! What the tests with sites of opaque flows share.
 
+use std::time::Duration;
+
 use endivedyke_lab::opaque::{CallTally, OpaqueSite, OpaqueSiteBuilder};
 
 use crate::common::sleep_ms;
 
+/// How long a change may take that every process takes sooner or later; an idle machine needs a second.
+pub const CHANGE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Returns the backend server that holds the most flows; one of them may hold none by the hash.
+pub fn busiest(site: &OpaqueSite, targets: usize) -> usize {
+    let busiest = (0..targets).max_by_key(|index| site.open_flows(*index));
+    let busiest = busiest.expect("a backend server");
+    assert!(site.open_flows(busiest) > 0, "no flow is open");
+    busiest
+}
+
 /// Returns a site with three balancers and one service with this many backend servers.
 pub async fn site(targets: usize) -> OpaqueSite {
     let builder = OpaqueSiteBuilder::new(3).service("panel-front", targets, 4, 5);
--- /dev/null
+++ b/lab/tests/opaque_deadlines.rs
@@ -0,0 +1,114 @@
+//! Callers who have time for one attempt, with real processes.
+
+mod common;
+
+use std::time::Instant;
+
+use common::opaque::{CHANGE_TIMEOUT, assert_promises, busiest, summary};
+use common::{run, sleep_ms};
+use endivedyke_lab::opaque::{OpaqueSite, OpaqueSiteBuilder, run_soak};
+
+/// The latency objective and the timeout of callers that have time for one attempt only, in milliseconds.
+const DEADLINE_MS: (u64, u64) = (300, 1_500);
+
+async fn site_with_deadline() -> OpaqueSite {
+    let (objective_ms, timeout_ms) = DEADLINE_MS;
+    let builder = OpaqueSiteBuilder::new(3).service("panel-front", 3, 4, 5);
+    let builder = builder.deadline(objective_ms, timeout_ms);
+    builder.start().await.expect("the site starts")
+}
+
+#[test]
+fn every_process_knows_the_deadlines_that_the_store_tells() {
+    let folder = tempfile::tempdir().expect("a folder");
+    run(async {
+        let (objective_ms, timeout_ms) = DEADLINE_MS;
+        let builder = OpaqueSiteBuilder::new(2).service("panel-front", 2, 4, 5);
+        let builder = builder.deadline(objective_ms, timeout_ms);
+        let site = builder.logs_to(folder.path()).start().await;
+        let mut site = site.expect("the site starts");
+        // What is there at the start comes into force unnamed, together with all other values.
+        site.route_idle_address();
+        let balancers = [0, 1].map(|index| site.balancer_host(index));
+        let agents = [0, 1].map(|index| site.agent_host(index));
+        for host in balancers.into_iter().chain(agents) {
+            let path = folder.path().join(format!("{host}.log"));
+            let until = Instant::now() + CHANGE_TIMEOUT;
+            let mut log = String::new();
+            while !log.contains("event=value_in_force name=deadlines ") {
+                assert!(Instant::now() < until, "{host}: {log}");
+                sleep_ms(50).await;
+                log = std::fs::read_to_string(&path).expect("log lines");
+            }
+        }
+    });
+}
+
+#[test]
+fn a_rush_of_callers_is_served_and_ends() {
+    run(async {
+        let mut site = site_with_deadline().await;
+        site.call(&[site.plan(0, 4, 4)]).expect("callers");
+        sleep_ms(1_500).await;
+        let before = site.tally().requests;
+        site.start_rush(4);
+        sleep_ms(1_500).await;
+        site.end_rush();
+        let rush = site.tally().requests - before;
+        assert!(rush > 2 * before, "{rush} requests after {before}");
+        sleep_ms(500).await;
+        let after = site.tally().requests;
+        sleep_ms(1_500).await;
+        let calm = site.tally().requests - after;
+        assert!(calm < rush / 2, "{calm} requests after a rush of {rush}");
+        let tally = site.finish().await;
+        assert_promises(&site, &tally);
+        let seen = (tally.answered, tally.wrongly_reset);
+        assert_eq!(seen, (tally.requests, 0), "{}", summary(&tally));
+    });
+}
+
+#[test]
+fn a_slow_backend_server_answers_late_and_loses_nothing() {
+    run(async {
+        let mut site = site_with_deadline().await;
+        site.call(&[site.plan(0, 12, 0)]).expect("callers");
+        sleep_ms(800).await;
+        site.slow_backend(busiest(&site, 3), 40);
+        sleep_ms(1_500).await;
+        let tally = site.finish().await;
+        assert_promises(&site, &tally);
+        assert!(tally.slowest_ms >= 200, "{}", summary(&tally));
+        let seen = (tally.answered, tally.wrongly_reset);
+        assert_eq!(seen, (tally.requests, 0), "{}", summary(&tally));
+    });
+}
+
+#[test]
+fn what_a_hanging_backend_server_holds_fails_in_time_and_nothing_runs_twice() {
+    run(async {
+        let mut site = site_with_deadline().await;
+        site.call(&[site.plan(0, 12, 4)]).expect("callers");
+        sleep_ms(800).await;
+        let busiest = busiest(&site, 3);
+        site.hang_backend(busiest);
+        sleep_ms(3_000).await;
+        site.restore_pace(busiest);
+        sleep_ms(2_500).await;
+        let before = site.tally();
+        assert!(before.failed > 0, "{}", summary(&before));
+        sleep_ms(1_500).await;
+        let tally = site.finish().await;
+        assert_promises(&site, &tally);
+        assert_eq!(tally.wrongly_reset, 0, "{}", summary(&tally));
+        assert_eq!(tally.failed, before.failed, "{}", summary(&tally));
+        let ended = tally.answered + tally.failed;
+        assert_eq!(ended, tally.requests, "{}", summary(&tally));
+    });
+}
+
+#[test]
+fn a_soak_whose_callers_have_one_attempt_breaks_no_promise() {
+    let result = run(run_soak(5_000, 4, None));
+    assert!(result.is_ok(), "{result:?}");
+}
--- a/lab/tests/opaque_evacuation.rs
+++ b/lab/tests/opaque_evacuation.rs
@@ -2,15 +2,12 @@
 
 mod common;
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use common::opaque::{assert_promises, assert_unnoticed, site, summary};
+use common::opaque::{CHANGE_TIMEOUT, assert_promises, assert_unnoticed, site, summary};
 use common::{run, sleep_ms};
 use endivedyke_lab::opaque::{OpaqueSite, OpaqueSiteBuilder, StoreFault, run_soak};
 
-/// How long a change may take that every process takes sooner or later; an idle machine needs a second.
-const CHANGE_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// How many balancers, and how many agents, the site of each test has.
 const PROCESSES: usize = 3;
 /// How many requests each backend server runs at once.
--- a/lab/tests/opaque_restored_store.rs
+++ b/lab/tests/opaque_restored_store.rs
@@ -18,16 +18,14 @@
 mod common;
 
 use std::net::Ipv4Addr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use common::opaque::{assert_promises, assert_unnoticed};
+use common::opaque::{CHANGE_TIMEOUT, assert_promises, assert_unnoticed};
 use common::{run, sleep_ms};
 use endivedyke::Result;
 use endivedyke_lab::Process;
 use endivedyke_lab::opaque::{OpaqueSite, OpaqueSiteBuilder, StoreFault, run_soak};
 
-/// How long a change may take that every process takes sooner or later; an idle machine needs a second.
-const CHANGE_TIMEOUT: Duration = Duration::from_secs(30);
 /// For how long nothing must happen that is to happen no more, in milliseconds.
 const STILL_MS: u64 = 1_500;
 
