--- a/lab/src/opaque/callers.rs
+++ b/lab/src/opaque/callers.rs
@@ -1,5 +1,8 @@
 //! A stand-in for callers: feeds that keep a flow for many requests, and claims with a flow each.
 
+mod call_plan;
+mod call_tally;
+
 use std::cell::RefCell;
 use std::net::{Ipv4Addr, SocketAddrV4, UdpSocket};
 use std::rc::Rc;
@@ -7,6 +10,9 @@
 
 use endivedyke::Result;
 
+pub use crate::opaque::callers::call_plan::CallPlan;
+pub use crate::opaque::callers::call_tally::CallTally;
+
 use crate::opaque::backend::{OpenFlows, answer, header};
 use crate::opaque::flow_end::FlowEnd;
 use crate::opaque::packet::{ACK, Packet, RST, Received, SYN};
@@ -25,48 +31,6 @@
 /// How long a request may take with all its tries, in milliseconds, where operators tell nothing else.
 pub(crate) const LIMIT_MS: u64 = 3_000;
 
-/// What callers do.
-#[derive(Debug, Clone)]
-pub struct CallPlan {
-    /// The service whose answers are expected.
-    pub service: String,
-    /// The address that is called.
-    pub called: SocketAddrV4,
-    /// How many callers keep a feed open and ask on it again and again.
-    pub feeds: usize,
-    /// How many callers send claims that may not run twice, each on a flow of its own.
-    pub claims: usize,
-    /// The pause between two requests of a caller, in milliseconds.
-    pub pause_ms: u64,
-    /// How long a request may take with all its tries, in milliseconds.
-    pub limit_ms: u64,
-}
-
-/// What callers saw.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct CallTally {
-    /// Requests sent.
-    pub requests: u64,
-    /// Requests that got the whole answer of their own.
-    pub answered: u64,
-    /// Requests without an answer within their limit and tries.
-    pub failed: u64,
-    /// Answers that were not their request's, and packets that nobody wrote so.
-    pub wrong: u64,
-    /// Open flows reset by the system.
-    pub reset: u64,
-    /// Openers that the system refused.
-    pub refused: u64,
-    /// Flows reset by the system while a backend server held them.
-    pub wrongly_reset: u64,
-    /// Refusals by a server that did not run the request.
-    pub shed: u64,
-    /// Claims that were answered, by their ids.
-    pub claims: Vec<String>,
-    /// The longest time until an answer, in milliseconds.
-    pub slowest_ms: u64,
-}
-
 enum Stage {
     Idle {
         until_ms: u64,
