Test that lines which tell of dropped ones are read like any other

Cause: a process writes event=lines_dropped without time_ms, and endivedyke explain passes over lines without a time, so that its story never says that lines are missing. Change: the line's text is a function of its own, still as it was, with a test that reads it. Red: tests/log_budget.rs what_was_dropped_is_told_in_a_line_like_any_other fails.

--- a/src/process/clock.rs
+++ b/src/process/clock.rs
@@ -26,7 +26,15 @@
 ///
 /// It counts ticks of the wall clock and wraps after eight years, which no process reaches.
 pub(crate) fn incarnation() -> u32 {
+    (since_epoch().as_millis() / INCARNATION_TICK_MS) as u32
+}
+
+/// Returns the time of the wall clock in milliseconds, by which lines of several processes are put in order.
+pub(crate) fn wall_ms() -> u64 {
+    since_epoch().as_millis() as u64
+}
+
+fn since_epoch() -> Duration {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    let since_epoch = since_epoch.unwrap_or(Duration::ZERO);
-    (since_epoch.as_millis() / INCARNATION_TICK_MS) as u32
+    since_epoch.unwrap_or(Duration::ZERO)
 }
--- a/src/process/log_budget.rs
+++ b/src/process/log_budget.rs
@@ -59,3 +59,8 @@
         std::mem::take(&mut self.dropped)
     }
 }
+
+/// Returns the line that tells how many were dropped.
+pub fn lines_dropped(count: u64, _time_ms: u64) -> String {
+    format!("event=lines_dropped count={count}")
+}
--- a/src/process/log_output.rs
+++ b/src/process/log_output.rs
@@ -7,7 +7,8 @@
 use prometheus_client::metrics::counter::Counter;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
-use crate::process::log_budget::LogBudget;
+use crate::process::clock::wall_ms;
+use crate::process::log_budget::{LogBudget, lines_dropped};
 
 /// The longest line, in bytes: a pipe that says it is writable takes this much without blocking
 /// (`PIPE_BUF` of Linux).
@@ -45,7 +46,7 @@
         let dropped = budget.take_dropped(now_ms);
         let mut line = String::new();
         if dropped > 0 {
-            line = format!("event=lines_dropped count={dropped}\n");
+            line = lines_dropped(dropped, wall_ms()) + "\n";
         }
         line.push_str(&record.args().to_string());
         if !write_now(line) {
--- a/src/process/logging.rs
+++ b/src/process/logging.rs
@@ -1,12 +1,12 @@
 //! Log lines: one for each change of state, with a time, a level and the part that speaks.
 
 use std::path::Path;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use prometheus_client::metrics::counter::Counter;
 
 use crate::code::Code;
 use crate::error::{Error, Result};
+use crate::process::clock::wall_ms;
 use crate::process::log_output::LogOutput;
 
 /// Starts logging from a level on, to a file or else to standard output.
@@ -21,10 +21,9 @@
         // What a platform's adapter says is a crate of its own.
         .level_for("endivedyke_platform", level)
         .format(|out, message, record| {
-            let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-            let time_ms = since_epoch.map_or(0, |time| time.as_millis());
             out.finish(format_args!(
-                "time_ms={time_ms} level={} part={} {message}",
+                "time_ms={} level={} part={} {message}",
+                wall_ms(),
                 record.level(),
                 part(record.target())
             ));
--- a/tests/log_budget.rs
+++ b/tests/log_budget.rs
@@ -1,6 +1,6 @@
 //! How many log lines a process writes.
 
-use endivedyke::LogBudget;
+use endivedyke::{LogBudget, lines_dropped, parse_log};
 
 #[test]
 fn a_flood_is_cut_to_the_budget_and_counted() {
@@ -20,3 +20,13 @@
     let later = (0..10_000).filter(|_| budget.take(false, 10_000)).count();
     assert!((300..=450).contains(&later), "{later}");
 }
+
+#[test]
+fn what_was_dropped_is_told_in_a_line_like_any_other() {
+    let text = lines_dropped(27, 1_700_000_000_123);
+    let lines = parse_log("10.0.0.1", &text);
+    assert_eq!(lines.len(), 1, "{text}");
+    let (time_ms, event) = (lines[0].time_ms, lines[0].event);
+    assert_eq!((time_ms, event), (1_700_000_000_123, "lines_dropped"));
+    assert_eq!(lines[0].field("count"), Some("27"));
+}
