Give lines that tell of dropped ones a time

Cause: LogOutput put the line before the next one without the keys that logging adds to all others; parse_log passes over lines without time_ms. Ruled out: reading lines without a time in explain, since a story is in order of time.

--- a/lab/src/opener_account.rs
+++ b/lab/src/opener_account.rs
@@ -22,7 +22,7 @@
 const NOT_FOR_ROOM: [Code; 2] = [Code::RouteUnknown, Code::ServiceEvacuated];
 /// What a balancer writes when it offers an opener to an agent.
 const OFFERED: &str = "opener_offered";
-/// How a process tells how many lines it did not write; such a line has no time.
+/// How a process tells how many lines it did not write.
 const LINES_DROPPED: &str = "event=lines_dropped count=";
 
 /// How an opener ended.
--- a/src/process/log_budget.rs
+++ b/src/process/log_budget.rs
@@ -60,7 +60,8 @@
     }
 }
 
-/// Returns the line that tells how many were dropped.
-pub fn lines_dropped(count: u64, _time_ms: u64) -> String {
-    format!("event=lines_dropped count={count}")
+/// Returns the line that tells how many were dropped, with the keys of all lines, by which `endivedyke explain`
+/// finds it.
+pub fn lines_dropped(count: u64, time_ms: u64) -> String {
+    format!("time_ms={time_ms} level=INFO part=log_output event=lines_dropped count={count}")
 }
--- a/tests/log_budget.rs
+++ b/tests/log_budget.rs
@@ -1,6 +1,6 @@
 //! How many log lines a process writes.
 
-use endivedyke::{LogBudget, lines_dropped, parse_log};
+use endivedyke::{LogBudget, explain, lines_dropped, parse_log};
 
 #[test]
 fn a_flood_is_cut_to_the_budget_and_counted() {
@@ -30,3 +30,14 @@
     assert_eq!((time_ms, event), (1_700_000_000_123, "lines_dropped"));
     assert_eq!(lines[0].field("count"), Some("27"));
 }
+
+#[test]
+fn an_explanation_says_that_lines_are_missing() {
+    let flow = "100.64.0.7:1027>198.18.0.1:443";
+    let lost = format!(
+        "time_ms=5200 level=WARN part=x event=request_lost request=r-1 flow={flow} reason=closed"
+    );
+    let text = format!("{}\n{lost}\n", lines_dropped(27, 5_150));
+    let story = explain(flow, &[("10.0.0.1".to_owned(), text)]).expect("a story");
+    assert!(story.contains("lines are missing there"), "{story}");
+}
