--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -9,7 +9,6 @@
 pub(crate) mod known_waits;
 pub(crate) mod ledger;
 pub(crate) mod load_board;
-pub(crate) mod load_to_come;
 pub(crate) mod move_share;
 pub(crate) mod offers;
 pub(crate) mod placement;
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -19,7 +19,6 @@
 use crate::config::deadlines::Deadline;
 use crate::config::revision::Revision;
 use crate::config::service_id::ServiceId;
-use crate::decisions::load_to_come::LoadToCome;
 use crate::decisions::service_time::SlotTime;
 use crate::decisions::stall::StallWatch;
 use crate::decisions::suspicion::Suspicion;
@@ -94,8 +93,6 @@
     load: MeanLoad,
     /// The load over a longer time, by which flows are shared out.
     steady_load: MeanLoad,
-    /// What open flows will ask for, by which they are shared out where callers have time for one attempt.
-    load_to_come: LoadToCome,
     slot_time: SlotTime,
     /// The fewest requests at which the backend server refused one for want of room, and when it last did.
     shed_at: Option<(u32, u64)>,
@@ -144,7 +141,6 @@
             flows: FlowBook::new(metrics, identity.flow_lifetime_ms),
             load: MeanLoad::over(RECENT_SPAN_MS),
             steady_load: MeanLoad::over(STEADY_SPAN_MS),
-            load_to_come: LoadToCome::default(),
             slot_time: SlotTime::default(),
             shed_at: None,
             waiting: WaitQueue::default(),
@@ -181,7 +177,6 @@
     pub fn load_permille(&mut self, scene: &Scene<'_>) -> u16 {
         self.load.changed(self.flows.busy(), scene.now_ms);
         self.steady_load.changed(self.flows.busy(), scene.now_ms);
-        self.load_to_come.changed(self.flows.open(), scene.now_ms);
         self.note_slots(scene);
         if self.outcomes.is_failing(scene.now_ms) || self.is_stalled(scene.now_ms) {
             // What fails at once looks idle, and would attract what others could serve.
@@ -356,15 +351,6 @@
         }
     }
 
-    /// Tells whether a request of a flow runs or waits.
-    fn is_asked(&self, key: &FlowKey) -> bool {
-        let runs = self
-            .flows
-            .get(key)
-            .is_some_and(|flow| flow.running.is_some());
-        runs || self.is_waiting_at(key)
-    }
-
     /// Hands a packet to the backend server if the flow is known to be held there, at once or once there is room.
     fn deliver_held(
         &mut self,
@@ -378,7 +364,6 @@
         let is_held_back = self.is_held_back(scene, &key);
         let deadline = scene.directory.deadline(key.called);
         let counts_ms = counts_ms(deadline);
-        let was_asked = self.is_asked(&key);
         let delivery = self.flows.update(&key, now_ms, |flow| {
             let was_open = flow.holding == Holding::Open;
             if !chosen_here(flow, segment) {
@@ -402,10 +387,6 @@
             }
             Delivery::Handed
         });
-        let is_asked = matches!(delivery, Some(Delivery::Handed | Delivery::Waits));
-        if is_asked && !was_asked {
-            self.load_to_come.asked(now_ms);
-        }
         match delivery.unwrap_or(Delivery::Elsewhere) {
             Delivery::Elsewhere => return false,
             Delivery::Waits => self.hold_back(scene, segment, packet, actions),
--- a/src/opaque/keeper/declines.rs
+++ b/src/opaque/keeper/declines.rs
@@ -39,13 +39,7 @@
     /// Tells whether an opener that could be taken should rather go to an agent with less to do.
     ///
     /// Only one whose caller has not waited goes on: each further agent is a risk and some milliseconds.
-    pub(super) fn declines(
-        &self,
-        scene: &Scene<'_>,
-        key: &FlowKey,
-        opening: &Opening,
-        message: &Message,
-    ) -> bool {
+    pub(super) fn declines(&self, scene: &Scene<'_>, opening: &Opening, message: &Message) -> bool {
         let is_fresh = opening.copy == 0 && opening.waited_ms == 0;
         let from_balancer = matches!(message.kind, MessageKind::Deliver | MessageKind::Offer);
         let may_decline = from_balancer && is_fresh;
@@ -54,7 +48,7 @@
         }
         let mean = f64::from(message.load_permille);
         let most = mean + (MARGIN * mean).max(MIN_MARGIN_PERMILLE);
-        let own = self.shared_permille(scene, key);
+        let own = self.steady_permille(scene);
         own.is_some_and(|own| f64::from(own) > most)
     }
 
@@ -83,7 +77,7 @@
             "event=opener_declined flow={key} reason={reason:?} wait_ms={wait_ms} busy={} slots={} load_permille={} mean_permille={} revision={}",
             self.flows.busy(),
             self.own_slots(scene).unwrap_or_default(),
-            self.shared_permille(scene, key).unwrap_or(UNKNOWN_LOAD),
+            self.steady_permille(scene).unwrap_or(UNKNOWN_LOAD),
             message.load_permille,
             scene.revision
         );
@@ -122,7 +116,7 @@
         tell(kind, key, to, actions);
         if let Some(Action::ToPeer(_, message, payload)) = actions.last_mut() {
             message.host = self.identity.host;
-            let mut permille = self.shared_permille(scene, key);
+            let mut permille = self.steady_permille(scene);
             if wait_ms.is_some() {
                 permille.get_or_insert(UNKNOWN_LOAD);
             }
@@ -131,16 +125,6 @@
         }
     }
 
-    /// Returns the load by which flows are shared out over backend servers, in thousandths, once it can be told.
-    fn shared_permille(&self, scene: &Scene<'_>, key: &FlowKey) -> Option<u16> {
-        if scene.directory.deadline(key.called).is_none() {
-            return self.steady_permille(scene);
-        }
-        let slots = self.own_slots(scene)?;
-        self.load_to_come
-            .permille(self.slot_time.service_ms(), slots)
-    }
-
     /// Returns the requests for each slot of the backend server over the last ten seconds, in thousandths, once
     /// that can be told.
     fn steady_permille(&self, scene: &Scene<'_>) -> Option<u16> {
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -146,7 +146,7 @@
                 self.log_not_taken(scene, &key, &opening, &place, NotTaken::Behind);
                 self.metrics.openers_dropped.inc();
             }
-            Ok(()) if self.declines(scene, &key, &opening, message) => {
+            Ok(()) if self.declines(scene, &opening, message) => {
                 self.decline(scene, &key, message, Declined::AboveMean, actions);
             }
             Ok(()) => {
