--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -24,6 +24,7 @@
 mod policies;
 mod queue_model;
 mod queue_plan;
+mod restarts;
 mod restored_platform;
 mod reused_addresses;
 mod route_table;
