Take copies of what a backend server acknowledged for no request

Cause: an agent that has just started knows none of its backend server's flows. The first packet of one is shown to the server without note of its bytes, and an answer of the server names a flow whose request the agent never saw. A copy of that request (by a second question among agents, 20 ms after the first, or by its caller, after 200 ms) looked new, and was counted as a request whose answer never comes: for as long as its caller waits the agent had a slot less, declined openers, held requests back, took its server for slow and stuck, and after a second for failing.

Ruled out: offers to starting agents (every agent was ready within 0.1 s; no-answer waits end with it), and late words of no_time (14 in ten seconds).

Change: what the backend server acknowledged is noted for addresses with a deadline, and bytes before it begin no request. 8 bytes for each flow.

--- a/src/opaque/finding/flow_book.rs
+++ b/src/opaque/finding/flow_book.rs
@@ -101,6 +101,8 @@
     pub(crate) shown: bool,
     /// The number after the last byte that the caller sent, where one was seen.
     pub(crate) caller_next: Option<u32>,
+    /// The next number that the backend server expects, where it said so: copies of what is before it are no request.
+    pub(crate) acknowledged: Option<u32>,
     /// The number after the last byte that the backend server sent, where one was seen.
     pub(crate) backend_next: Option<u32>,
     /// Whether a request came in several packets, or one behind another: which of them an answer ends can't be told.
@@ -122,6 +124,7 @@
             closed: false,
             shown: false,
             caller_next: None,
+            acknowledged: None,
             backend_next: None,
             mixes_requests: false,
             answer_goes_on: false,
@@ -132,14 +135,23 @@
     /// Tells whether a packet of the caller brings data that was not seen before.
     pub(crate) fn takes_new_data(&mut self, segment: &Segment) -> bool {
         let end = segment.end_sequence();
-        let is_new =
-            segment.payload_bytes > 0 && self.caller_next.is_none_or(|next| is_after(end, next));
+        let comes_after = |next: Option<u32>| next.is_none_or(|next| is_after(end, next));
+        let is_new = segment.payload_bytes > 0
+            && comes_after(self.caller_next)
+            && comes_after(self.acknowledged);
         if is_new {
             self.caller_next = Some(end);
         }
         is_new
     }
 
+    /// Notes that the backend server has everything of the caller before this number.
+    pub(crate) fn note_acknowledged(&mut self, next: u32) {
+        if self.acknowledged.is_none_or(|known| is_after(next, known)) {
+            self.acknowledged = Some(next);
+        }
+    }
+
     /// Tells whether a packet of the backend server shows that an answer has begun: it carries data, or
     /// ends the flow behind data that was overtaken on its way.
     pub(crate) fn takes_answer(&mut self, segment: &Segment) -> bool {
--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -65,9 +65,13 @@
     pub(super) fn answer(&mut self, scene: &Scene<'_>, segment: &Segment, packet: &[u8]) {
         let now_ms = scene.now_ms;
         let key = segment.flow_from_backend();
+        // A caller whose agent was away sends again what its backend server has answered long since.
+        let is_told = !segment.resets && scene.directory.deadline(key.called).is_some();
+        let acknowledged = is_told.then_some(segment.acknowledgement);
         if self.flows.get(&key).is_none() {
             if !segment.resets && !segment.accepts {
                 let mut flow = Flow::new(Holding::Open, now_ms);
+                flow.acknowledged = acknowledged;
                 flow.caller_acknowledgement = segment.sequence;
                 flow.shown = true;
                 self.remember(key, flow, now_ms);
@@ -81,6 +85,9 @@
         let answered = self.flows.update(&key, now_ms, |flow| {
             flow.seen_ms = now_ms;
             flow.shown |= !segment.accepts;
+            if let Some(next) = acknowledged {
+                flow.note_acknowledged(next);
+            }
             match &mut flow.holding {
                 Holding::Opening(opening) if segment.accepts => {
                     opening.answered = true;
