Test that openers which come before a configuration are offered with it

One case is red. Balancers have a configuration 30 to 100 ms after their start and drop openers until then: their callers send copies after 200 and 400 ms, which makes them late, and those whose last copy it was fail.

--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -5,16 +5,17 @@
 //! flow".
 
 mod offers;
+mod without_routes;
 
 use std::collections::VecDeque;
 use std::net::Ipv4Addr;
 
 use crate::code::Code;
+use crate::decisions::early_openers::EarlyOpeners;
 use crate::decisions::known_waits::KnownWaits;
 use crate::decisions::suspicion::Suspicion;
 use crate::error::{Error, Result};
 use crate::opaque::finding::flow_map::FlowMap;
-use crate::opaque::finding::flow_search::FlowSearch;
 use crate::opaque::openers::candidates;
 use crate::opaque::openers::expected_retries::ExpectedRetries;
 use crate::opaque::openers::known_loads::KnownLoads;
@@ -78,6 +79,8 @@
     steady_loads: KnownLoads,
     means: ServiceMeans,
     waits: KnownWaits,
+    /// Openers that came before a configuration.
+    early: EarlyOpeners<FlowKey, Vec<u8>>,
     retries: ExpectedRetries,
 }
 
@@ -105,6 +108,7 @@
             steady_loads: KnownLoads::default(),
             means: ServiceMeans::default(),
             waits: KnownWaits::default(),
+            early: EarlyOpeners::default(),
             retries: ExpectedRetries::new(),
         }
     }
@@ -184,40 +188,6 @@
         })
     }
 
-    /// Decides about a caller's packet while no configuration is known: what opens nothing is shown to agents
-    /// until one of them holds its flow, and what opens a flow waits for a configuration.
-    ///
-    /// # Errors
-    ///
-    /// Returns the code for which the packet is dropped.
-    pub fn handle_without_routes(
-        &mut self,
-        search: &mut FlowSearch,
-        packet: &[u8],
-        now_ms: u64,
-    ) -> Result<Vec<Action>> {
-        let segment = (self.wire.decode)(packet)?;
-        let flow = segment.flow_from_caller();
-        if segment.opens {
-            log::info!(
-                "event=opener_waits flow={flow} copy={}",
-                segment.acknowledgement
-            );
-            return Err(Error::new(Code::RouteUnknown, flow.called.to_string()));
-        }
-        if let Some(hint) = self.hints.get_mut(&flow) {
-            hint.seen_ms = now_ms;
-            let host = hint.host;
-            return Ok(vec![self.deliver(host, packet.to_vec(), 0)]);
-        }
-        let find = Message::new(MessageKind::Find);
-        let agents = search.next_agents(&flow, now_ms);
-        self.metrics.packets_shown.inc_by(agents.len() as u64);
-        let agents = agents.into_iter();
-        let shown = agents.map(|host| Action::ToPeer(host, find, packet.to_vec()));
-        Ok(shown.collect())
-    }
-
     /// Notes that an attempt of a caller failed after it had waited for so long.
     pub fn attempt_failed(&mut self, flow: &FlowKey, waited_ms: u16, now_ms: u64) {
         let caller = *flow.caller.ip();
--- /dev/null
+++ b/src/opaque/forwarder/without_routes.rs
@@ -0,0 +1,59 @@
+//! Packets that reach a balancer before it has a configuration.
+
+use crate::code::Code;
+use crate::decisions::suspicion::Suspicion;
+use crate::error::{Error, Result};
+use crate::opaque::finding::flow_search::FlowSearch;
+use crate::opaque::forwarder::Forwarder;
+use crate::opaque::packets::action::Action;
+use crate::opaque::packets::message::{Message, MessageKind};
+use crate::opaque::values::directory::Directory;
+
+impl Forwarder {
+    /// Decides about a caller's packet while no configuration is known: what opens nothing is shown to agents
+    /// until one of them holds its flow, and what opens a flow waits for a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns the code for which the packet goes no further now.
+    pub fn handle_without_routes(
+        &mut self,
+        search: &mut FlowSearch,
+        packet: &[u8],
+        now_ms: u64,
+    ) -> Result<Vec<Action>> {
+        let segment = (self.wire.decode)(packet)?;
+        let flow = segment.flow_from_caller();
+        if segment.opens {
+            let copy = segment.acknowledgement;
+            let is_kept = self.early.keep(flow, copy, packet.to_vec(), now_ms);
+            log::info!("event=opener_waits flow={flow} copy={copy} kept={is_kept}");
+            return Err(Error::new(Code::RouteUnknown, flow.called.to_string()));
+        }
+        if let Some(hint) = self.hints.get_mut(&flow) {
+            hint.seen_ms = now_ms;
+            let host = hint.host;
+            return Ok(vec![self.deliver(host, packet.to_vec(), 0)]);
+        }
+        let find = Message::new(MessageKind::Find);
+        let agents = search.next_agents(&flow, now_ms);
+        self.metrics.packets_shown.inc_by(agents.len() as u64);
+        let agents = agents.into_iter();
+        let shown = agents.map(|host| Action::ToPeer(host, find, packet.to_vec()));
+        Ok(shown.collect())
+    }
+
+    /// Offers the openers that came before a configuration, once one is in force.
+    ///
+    /// Only those whose callers have time for one attempt; the others send copies.
+    pub fn routes_known(
+        &mut self,
+        directory: &Directory,
+        suspicion: &Suspicion,
+        now_ms: u64,
+    ) -> Vec<Action> {
+        let _ = (directory, suspicion);
+        self.early.take(now_ms);
+        Vec::new()
+    }
+}
--- a/tests/opaque/offers.rs
+++ b/tests/opaque/offers.rs
@@ -3,7 +3,9 @@
 use std::net::Ipv4Addr;
 
 use endivedyke::Suspicion;
-use endivedyke::opaque::{Action, Directory, FlowKey, Forwarder, MessageKind, deadlines};
+use endivedyke::opaque::{
+    Action, Directory, FlowKey, FlowSearch, Forwarder, MessageKind, deadlines,
+};
 
 use crate::builder::{CALLED, directory, flow, forwarder, opener};
 
@@ -51,6 +53,22 @@
         sent(&next.expect("offered on"))
     }
 
+    /// Lets an opener come while no configuration is known.
+    fn hears_early(&mut self, key: &FlowKey, copy: u32) {
+        let (mut search, now_ms) = (FlowSearch::new(), self.now_ms);
+        let packet = opener(key, copy);
+        let result = self
+            .forwarder
+            .handle_without_routes(&mut search, &packet, now_ms);
+        assert!(result.is_err(), "nothing opens without a configuration");
+    }
+
+    fn learns_routes(&mut self) -> Vec<Action> {
+        let (directory, suspicion) = (&self.directory, &mut self.suspicion);
+        self.forwarder
+            .routes_known(directory, suspicion, self.now_ms)
+    }
+
     fn passes(&mut self, ms: u64) -> Vec<(Ipv4Addr, MessageKind)> {
         self.now_ms += ms;
         let (directory, suspicion) = (&self.directory, &mut self.suspicion);
@@ -114,3 +132,41 @@
     let (_, kind) = balancer.sends(&flow(1), 0);
     assert_eq!(kind, MessageKind::Deliver);
 }
+
+#[test]
+fn what_came_before_the_configuration_is_offered_with_it() {
+    let mut balancer = Balancer::before(8);
+    balancer.hears_early(&flow(1), 1);
+    balancer.hears_early(&flow(2), 0);
+    balancer.now_ms += 60;
+    let actions = balancer.learns_routes();
+    let offered = actions.iter().map(|action| match action {
+        Action::ToPeer(_, message, packet) => (message.kind, message.waited_ms, packet.clone()),
+        other => panic!("not offered: {other:?}"),
+    });
+    let offered: Vec<_> = offered.collect();
+    let offer = |port, copy| (MessageKind::Offer, 60, opener(&flow(port), copy));
+    assert_eq!(offered, [offer(2, 0), offer(1, 1)]);
+    assert!(balancer.learns_routes().is_empty(), "each is offered once");
+    assert_eq!(
+        balancer.passes(110).len(),
+        2,
+        "they are watched like others"
+    );
+}
+
+#[test]
+fn what_came_before_the_configuration_is_left_to_its_caller_without_a_deadline() {
+    let mut balancer = Balancer::before(8);
+    balancer.directory.set_deadlines(Vec::new());
+    balancer.hears_early(&flow(1), 0);
+    assert!(balancer.learns_routes().is_empty());
+}
+
+#[test]
+fn a_copy_that_came_before_the_configuration_is_not_offered_once_the_next_is_due() {
+    let mut balancer = Balancer::before(8);
+    balancer.hears_early(&flow(1), 0);
+    balancer.now_ms += 200;
+    assert!(balancer.learns_routes().is_empty());
+}
