Offer openers that came before a configuration as soon as it is in force

The balancer keeps the newest copy of each opener (4,096 at most, each until its caller's next copy is due) and offers those of addresses with a deadline in the moment in which its routes come into force, first copies first, with the time for which they were kept told to the agent. Others are left to their callers as before.

--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -136,7 +136,7 @@
         }
         let attempt = segment.acknowledgement as usize;
         if directory.deadline(flow.called).is_some() {
-            return match self.offer(directory, suspicion, &segment, packet, now_ms) {
+            return match self.offer(directory, suspicion, &segment, packet, 0, now_ms) {
                 Err(_) if attempt == 0 && candidates::are_evacuated(directory, &flow) => {
                     self.refuse(&segment, Code::ServiceEvacuated)
                 }
--- a/src/opaque/forwarder/offers.rs
+++ b/src/opaque/forwarder/offers.rs
@@ -32,18 +32,19 @@
     /// Sends a copy of an opener to the agent that has it, or offers it to one.
     ///
     /// Each copy is watched for an answer, also one to the agent that has the opener: it may have ended with all
-    /// that waited there.
+    /// that waited there. One that was kept here for `kept_ms` has waited for so much longer than its copy tells.
     pub(super) fn offer(
         &mut self,
         directory: &Directory,
         suspicion: &Suspicion,
         segment: &Segment,
         packet: Vec<u8>,
+        kept_ms: u64,
         now_ms: u64,
     ) -> Result<Action> {
         let flow = segment.flow_from_caller();
         let attempt = segment.acknowledgement as usize;
-        let waited_ms = self.caller_waited_ms(&flow, attempt, now_ms);
+        let waited_ms = self.caller_waited_ms(&flow, attempt, now_ms) + kept_ms;
         self.watched.retain(|watched| watched.flow != flow);
         let mut watched = Watched {
             due_ms: now_ms + TAKEN_TIMEOUT_MS,
--- a/src/opaque/forwarder/without_routes.rs
+++ b/src/opaque/forwarder/without_routes.rs
@@ -52,8 +52,25 @@
         suspicion: &Suspicion,
         now_ms: u64,
     ) -> Vec<Action> {
-        let _ = (directory, suspicion);
-        self.early.take(now_ms);
-        Vec::new()
+        let early = self.early.take(now_ms);
+        let count = early.len();
+        let mut actions = Vec::new();
+        for opener in early {
+            let Ok(segment) = (self.wire.decode)(&opener.packet) else {
+                continue;
+            };
+            let called = segment.destination;
+            let has_route = directory.routes().get(called).is_some();
+            if !has_route || directory.deadline(called).is_none() {
+                continue;
+            }
+            let (packet, kept_ms) = (opener.packet, opener.kept_ms);
+            let offer = self.offer(directory, suspicion, &segment, packet, kept_ms, now_ms);
+            actions.extend(offer.ok());
+        }
+        if count > 0 {
+            log::info!("event=early_openers kept={count} offered={}", actions.len());
+        }
+        actions
     }
 }
--- a/src/opaque/processes/entry.rs
+++ b/src/opaque/processes/entry.rs
@@ -60,6 +60,8 @@
             .await;
     })
     .detach();
+    let informed = entry.clone();
+    control.on_change(move |_| informed.offer_early());
     let receiving = entry.clone();
     compio::runtime::spawn(async move { receiving.receive(&callers).await }).detach();
     node.start(&[MessageKind::Beat]).await;
@@ -123,6 +125,22 @@
         }
     }
 
+    /// Offers what came before the configuration that is in force now.
+    fn offer_early(self: &Rc<Self>) {
+        if !self.node.values.has_routes() {
+            return;
+        }
+        let now_ms = self.node.control.now_ms();
+        let actions = {
+            let directory = self.node.directory.borrow();
+            let suspicion = self.node.control.suspicion.borrow();
+            let mut forwarder = self.forwarder.borrow_mut();
+            forwarder.routes_known(&directory, &suspicion, now_ms)
+        };
+        self.node.perform(actions, |_| {});
+        self.start_ticking();
+    }
+
     /// Notes which agents run, for as long as no configuration tells.
     fn note_agents(&self, from: Ipv4Addr, message: &Message, payload: &[u8]) {
         if self.node.values.has_routes() {
