Split the agent's openers by what they do

Whether the backend server may be handed a new flow (opener_checks.rs), how much it may have for it (opener_limits.rs) and where openers go that are not taken (handing_on.rs) stand by themselves. A move: no line of the decisions is changed.

--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -6,7 +6,10 @@
 mod answers;
 mod backend_life;
 mod declines;
+mod handing_on;
 mod held_requests;
+mod opener_checks;
+mod opener_limits;
 mod openers;
 mod questions;
 mod stall;
