--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -17,6 +17,7 @@
 mod lookup;
 mod message;
 mod message_bounds;
+mod mixed_objectives;
 mod model;
 mod news;
 mod offers;
--- a/tests/opaque/waiting.rs
+++ b/tests/opaque/waiting.rs
@@ -36,7 +36,7 @@
 }
 
 /// Lets the backend server answer the request on a flow, and returns what follows.
-fn answer(agent: &mut AgentUnderTest, port: u16) -> Vec<Action> {
+pub(crate) fn answer(agent: &mut AgentUnderTest, port: u16) -> Vec<Action> {
     let spec = PacketSpec {
         flags: ACK,
         sequence: 501,
@@ -85,7 +85,7 @@
 }
 
 /// Returns the packets that actions hand to the backend server.
-fn handed(actions: &[Action]) -> Vec<&[u8]> {
+pub(crate) fn handed(actions: &[Action]) -> Vec<&[u8]> {
     let handed = actions.iter().filter_map(|action| match action {
         Action::ToBackend(packet) => Some(packet.as_slice()),
         _ => None,
--- a/tests/waiting.rs
+++ b/tests/waiting.rs
@@ -86,6 +86,22 @@
     assert_eq!(first, Some(0), "a short queue is served by arrival");
 }
 
+#[test]
+fn a_longer_objective_does_not_count_as_newer() {
+    let mut queue = WaitQueue::default();
+    queue.push(Waiting {
+        objective_ms: 1_000,
+        due_ms: 1_000,
+        ..waiting(0, 0, 0, 0)
+    });
+    for item in 1..10 {
+        queue.push(waiting(item, u64::from(item), 0, u64::from(item)));
+    }
+    let order = served(queue, 20);
+    assert_eq!(order[0], 9, "the newest of a long queue");
+    assert_eq!(order.last(), Some(&0), "what is due last, once it is short");
+}
+
 #[test]
 fn a_caller_that_asks_ten_times_as_often_does_not_push_others_out() {
     let mut queue = WaitQueue::default();
