Judge what comes by the objectives of what waits

Cause: how much a backend server is handed came from the objective of the request's own route, and routes without a deadline passed always, so that those of a longer objective could keep others waiting for as long as they came. In a long queue they also counted as newer, since age was told by when they are due. Ruled out: the least objective of all routes of the service, since routes that nobody calls would lower it. Change: the least objective of those that wait counts for what comes as well; requests without a deadline wait while others do, for no longer than an unanswered attempt lasts, and are handed over then; their openers pass only what is less urgent. Without a route with a deadline nothing waits, so that nothing changes there. Newest first goes by when the caller asked.

--- a/src/decisions/wait_queue.rs
+++ b/src/decisions/wait_queue.rs
@@ -55,6 +55,13 @@
     pub deadline_ms: u64,
 }
 
+impl<T> Waiting<T> {
+    /// Returns when its caller first asked, by which those of different objectives are told apart in age.
+    fn asked_ms(&self) -> u64 {
+        self.due_ms.saturating_sub(self.objective_ms.into())
+    }
+}
+
 #[derive(Debug)]
 struct Entry<T> {
     waiting: Waiting<T>,
@@ -193,7 +200,7 @@
     fn rank<T>(&self, waiting: &Waiting<T>, turn: u32) -> (bool, u8, u32, u64) {
         let is_late = self.answered_ms > waiting.due_ms;
         let due = match self.newest_first {
-            true => u64::MAX - waiting.due_ms,
+            true => u64::MAX - waiting.asked_ms(),
             false => waiting.due_ms,
         };
         (is_late, waiting.priority, turn, due)
--- a/src/opaque/keeper/held_requests.rs
+++ b/src/opaque/keeper/held_requests.rs
@@ -23,7 +23,7 @@
             // Its packets stay in order.
             return true;
         }
-        let Some(deadline) = scene.directory.deadline(key.called) else {
+        let Some(deadline) = self.request_deadline(scene, key) else {
             return false;
         };
         let Some(slots) = self.own_slots(scene) else {
@@ -54,7 +54,7 @@
             }
             return;
         }
-        let Some(deadline) = scene.directory.deadline(key.called) else {
+        let Some(deadline) = self.request_deadline(scene, &key) else {
             return;
         };
         let packets = vec![packet.to_vec()];
--- a/src/opaque/keeper/opener_limits.rs
+++ b/src/opaque/keeper/opener_limits.rs
@@ -1,6 +1,6 @@
 //! How many requests a backend server may have for one more opener.
 
-use crate::config::deadlines::Deadline;
+use crate::config::deadlines::{Deadline, UNANSWERED_ATTEMPT_MS};
 use crate::opaque::finding::flow_book::Opening;
 use crate::opaque::keeper::{Keeper, Scene};
 use crate::opaque::packets::message::MessageKind;
@@ -85,9 +85,15 @@
         };
         let per_slot = per_slot[opening.age_step()];
         let deadline = scene.directory.deadline(key.called);
+        let priority = route.map_or(0, |route| route.priority);
+        let is_outranked = self.is_outranked(priority);
         let limit = |slots: u32| match (deadline, kind) {
             (Some(_), MessageKind::Offer) => f64::from(slots),
             (Some(deadline), _) => self.handed_at_most(slots, deadline.objective_ms, scene.now_ms),
+            (None, _) if is_outranked => {
+                let most = self.handed_at_most(slots, UNANSWERED_ATTEMPT_MS, scene.now_ms);
+                most.min(f64::from(slots) * per_slot)
+            }
             (None, _) => f64::from(slots) * per_slot,
         };
         OwnPlace {
--- a/src/opaque/keeper/waiting.rs
+++ b/src/opaque/keeper/waiting.rs
@@ -81,7 +81,12 @@
     }
 
     /// Returns from how many requests on a backend server is handed nothing that can wait.
+    ///
+    /// The least objective of those that wait counts for what comes as well: by a longer one of its own, each
+    /// request would pass them.
     pub(super) fn handed_at_most(&self, slots: u32, objective_ms: u32, now_ms: u64) -> f64 {
+        let least_ms = self.least_objective_ms();
+        let objective_ms = least_ms.map_or(objective_ms, |least_ms| least_ms.min(objective_ms));
         let queued_ms = QUEUED_PART * f64::from(objective_ms);
         let most = f64::from(slots) * (1.0 + queued_ms / self.slot_time.service_ms());
         let refused_at = self.shed_at(now_ms).map_or(f64::INFINITY, f64::from);
@@ -94,6 +99,26 @@
         (now_ms < refused_ms + SHED_COUNTS_MS).then_some(least)
     }
 
+    /// Tells whether something waits that goes before an opener which can't wait here.
+    pub(super) fn is_outranked(&self, priority: u8) -> bool {
+        let mut waiting = self.waiting.iter();
+        waiting.any(|waiting| waiting.priority <= priority)
+    }
+
+    /// Returns for how long the caller of a request waits, if the request may have to.
+    ///
+    /// Where that is not told, callers have time for a second attempt and so for one at least; their requests pass
+    /// while nothing waits.
+    pub(super) fn request_deadline(&self, scene: &Scene<'_>, key: &FlowKey) -> Option<Deadline> {
+        let told = scene.directory.deadline(key.called);
+        let untold = Deadline {
+            address: key.called,
+            objective_ms: UNANSWERED_ATTEMPT_MS,
+            timeout_ms: UNANSWERED_ATTEMPT_MS,
+        };
+        told.or_else(|| (!self.waiting.is_empty()).then_some(untold))
+    }
+
     /// Tells whether something of a flow waits here.
     pub(super) fn is_waiting_at(&self, key: &FlowKey) -> bool {
         self.waiting.iter().any(|waiting| waiting.item.key == *key)
@@ -245,14 +270,19 @@
     }
 
     fn pace(&self, slots: u32) -> Pace {
-        let objectives = self.waiting.iter().map(|waiting| waiting.objective_ms);
         Pace {
             service_ms: self.slot_time.service_ms(),
             slots,
-            objective_ms: objectives.min().unwrap_or_default(),
+            objective_ms: self.least_objective_ms().unwrap_or_default(),
         }
     }
 
+    /// Returns the least latency objective of those that wait, in milliseconds.
+    fn least_objective_ms(&self) -> Option<u32> {
+        let objectives = self.waiting.iter().map(|waiting| waiting.objective_ms);
+        objectives.min()
+    }
+
     /// Passes all openers that wait on to other agents, and hands all requests over, as where the process stops or
     /// the backend server takes nothing new.
     pub(super) fn pass_on_waiting(&mut self, scene: &Scene<'_>, actions: &mut Vec<Action>) {
@@ -272,7 +302,7 @@
     }
 
     /// Refuses openers whose callers would have left before they are served, and drops requests whose callers have: a
-    /// caller that still waits sends them again.
+    /// caller that still waits sends them again. A request of a caller whose deadline is not known has waited enough.
     fn end_overdue(&mut self, scene: &Scene<'_>, actions: &mut Vec<Action>) {
         let is_overdue = |waiting: &Waiting<WaitingWork>| waiting.deadline_ms <= scene.now_ms;
         for waiting in self.waiting.take_if(is_overdue) {
@@ -281,6 +311,10 @@
                 WorkKind::Opener(opening) => {
                     self.refuse(scene, &key, &opening, "waited", actions);
                 }
+                WorkKind::Request(packets) if scene.directory.deadline(key.called).is_none() => {
+                    let waited_ms = scene.now_ms - waiting.since_ms;
+                    self.hand_request(scene, &key, packets, waited_ms, actions);
+                }
                 WorkKind::Request(_) => {
                     self.metrics.requests_given_up.inc();
                     let waited_ms = scene.now_ms - waiting.since_ms;
