--- a/tests/opaque/cold_starts.rs
+++ b/tests/opaque/cold_starts.rs
@@ -3,13 +3,14 @@
 use std::net::Ipv4Addr;
 
 use endivedyke::opaque::{
-    BackendState, Directory, MessageKind, cold_backend_text, cold_start_line, cold_starts,
+    BackendState, Directory, Message, MessageKind, cold_backend_text, cold_start_line, cold_starts,
+    deadlines,
 };
 use endivedyke::{Code, ServiceId};
 
 use crate::builder::{
-    ACK, AgentUnderTest, FIN, PacketSpec, SERVICE, ZONE, acceptance, flow, from_backend,
-    hosts_told, opener, publish, reaches_backend, request, resets, state_text,
+    ACK, AgentUnderTest, BALANCER, CALLED, FIN, PacketSpec, SERVICE, ZONE, acceptance, flow,
+    from_backend, host, hosts_told, opener, publish, reaches_backend, request, resets, state_text,
 };
 
 /// How many new flows a cold backend server bears a second in these tests.
@@ -177,3 +178,23 @@
     }
     assert!(cold_starts("").expect("none told").is_empty());
 }
+
+#[test]
+fn an_opener_that_all_decline_for_their_rates_waits_where_callers_have_no_second_attempt() {
+    let mut agent = AgentUnderTest::new(2, true);
+    let told = deadlines(&format!("{CALLED},300,1500\n")).expect("sound");
+    agent.directory.set_deadlines(told);
+    tell_rate(&mut agent.directory);
+    for index in 1..=2 {
+        publish_cold(&mut agent.directory, index, agent.now_ms);
+    }
+    let key = flow(1);
+    let mut message = Message::new(MessageKind::HandOn);
+    message.host = BALANCER;
+    message.hops = 1;
+    let actions = agent.hear(host(2), message, &opener(&key, 0));
+    assert!(!reaches_backend(&actions), "the rate begins at none");
+    assert_eq!(hosts_told(&actions, MessageKind::Holds), [BALANCER]);
+    let later_ms = agent.now_ms + 100;
+    assert!(reaches_backend(&agent.tick_at(later_ms)));
+}
--- a/tests/opaque/waiting.rs
+++ b/tests/opaque/waiting.rs
@@ -332,3 +332,35 @@
     }
     assert_eq!(handed(&actions), [first.as_slice(), second.as_slice()]);
 }
+
+#[test]
+fn an_offer_that_an_older_configuration_does_not_know_is_declined() {
+    let mut agent = agent();
+    let routes = RouteTable::parse(&format!("{ROUTES_HEADER}\n")).expect("sound");
+    agent.directory.set_routes(routes);
+    agent.directory.set_deadlines(Vec::new());
+    let mut message = Message::new(MessageKind::Offer);
+    message.host = BALANCER;
+    message.digest.highest = (agent.revision + 1).into();
+    let actions = agent.hear(BALANCER, message, &opener(&flow(1), 0));
+    assert_eq!(hosts_told(&actions, MessageKind::Declined), [BALANCER]);
+    assert!(actions.iter().any(|action| match action {
+        Action::ToPeer(_, _, payload) => told_wait(payload).is_some(),
+        _ => false,
+    }));
+}
+
+#[test]
+fn the_balancer_of_an_opener_that_waited_is_told_where_it_went() {
+    let mut agent = full_agent();
+    agent.deliver(&opener(&flow(100), 0));
+    let actions = agent.leave();
+    let next = hosts_told(&actions, MessageKind::HandOn);
+    let told = actions.iter().find_map(|action| match action {
+        Action::ToPeer(BALANCER, message, _) if message.kind == MessageKind::Holds => {
+            Some(message.host)
+        }
+        _ => None,
+    });
+    assert_eq!(told.into_iter().collect::<Vec<_>>(), next);
+}
