Tell balancers of openers that go elsewhere, and let those wait that wait for a cold rate

Change, on routes with a deadline: an offer to an agent with an older configuration is declined like one that takes none, and the balancer asks the next at once; who passes an opener on names the next agent to the balancer, so that the caller's copy goes there and is watched; an opener that all leave for their cold rates waits at the last one. Weighed: to refuse at once what eight agents have passed on. Openers get there only where some thirteen agents take none, which is an outage of the whole service: three attempts end in some milliseconds then, copies ask eight times in 1.4 s. They are left to their copies. Tests opaque (224) and waiting (8) pass; 3 failed before.

--- a/src/opaque/keeper/declines.rs
+++ b/src/opaque/keeper/declines.rs
@@ -81,7 +81,10 @@
             message.load_permille,
             scene.revision
         );
-        let wait_ms = scene.directory.deadline(key.called).map(|_| wait_ms);
+        // An offer is sent only where callers have deadlines, also if none is known here yet.
+        let is_limited =
+            message.kind == MessageKind::Offer || scene.directory.deadline(key.called).is_some();
+        let wait_ms = is_limited.then_some(wait_ms);
         let kind = MessageKind::Declined;
         self.tell_with_load(scene, kind, key, message.host, wait_ms, actions);
     }
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -71,7 +71,7 @@
         match checked {
             // Handed on by the older configuration it would run at a service that the newer one has
             // taken off the route. Its caller sends a copy, and the newer one is on its way.
-            Err(NotTaken::OtherService) if behind => {
+            Err(NotTaken::OtherService) if behind && !is_offer => {
                 self.log_not_taken(scene, &key, &opening, &place, NotTaken::Behind);
                 self.metrics.openers_dropped.inc();
             }
@@ -105,10 +105,20 @@
             }
             Err(reason) => {
                 self.log_not_taken(scene, &key, &opening, &place, reason);
+                let next = self.next_after(scene, &key, opening.hops, reason);
+                if let Some(deadline) = deadline
+                    && next.is_none()
+                    && reason == NotTaken::ColdRate
+                {
+                    // The others are as cold, and here it has its turn at the rate.
+                    if let Err(opening) = self.let_wait(scene, &key, opening, &deadline, actions) {
+                        self.refuse(scene, &key, &opening, "no_time", actions);
+                    }
+                    return;
+                }
                 if message.kind == MessageKind::Deliver && !message.host.is_unspecified() {
                     tell(MessageKind::Absent, &key, message.host, actions);
                 }
-                let next = self.next_after(scene, &key, opening.hops, reason);
                 self.hand_on_to(scene, &key, opening, next, actions);
             }
         }
