--- a/src/decisions/slots.rs
+++ b/src/decisions/slots.rs
@@ -151,7 +151,6 @@
             service_ms: self.service_ms(),
             slots: self.slots,
             objective_ms: u32::MAX,
-            server_wait_ms: 0.0,
         };
         if let Some(waiting) = self.queue.pop_if(&pace, now_ms, |_| true) {
             self.busy += 1;
--- a/src/decisions/wait_queue.rs
+++ b/src/decisions/wait_queue.rs
@@ -27,14 +27,12 @@
     pub slots: u32,
     /// The least latency objective of those that wait, in milliseconds.
     pub objective_ms: u32,
-    /// For how long one that goes now waits in the server's own queue, in milliseconds.
-    pub server_wait_ms: f64,
 }
 
 impl Pace {
     /// Returns when one that goes now is answered.
     fn answered_ms(&self, now_ms: u64) -> u64 {
-        now_ms + (self.server_wait_ms + SERVICE_MARGIN * self.service_ms) as u64
+        now_ms + (SERVICE_MARGIN * self.service_ms) as u64
     }
 }
 
--- a/src/opaque/keeper/waiting.rs
+++ b/src/opaque/keeper/waiting.rs
@@ -176,8 +176,9 @@
         let slots = self.own_slots(scene).unwrap_or_default();
         let service_ms = self.slot_time.service_ms();
         let pace = Pace {
+            service_ms,
+            slots,
             objective_ms: deadline.objective_ms,
-            ..self.pace(slots)
         };
         let before = self.waiting.ahead_of(waiting, &pace, scene.now_ms);
         let oldest_ms = self.waiting.iter().map(|waiting| waiting.since_ms).min();
@@ -269,13 +270,10 @@
     }
 
     fn pace(&self, slots: u32) -> Pace {
-        let service_ms = self.slot_time.service_ms();
-        let ahead = (self.flows.busy() + 1).saturating_sub(slots);
         Pace {
-            service_ms,
+            service_ms: self.slot_time.service_ms(),
             slots,
             objective_ms: self.least_objective_ms().unwrap_or_default(),
-            server_wait_ms: wait_ms(ahead, service_ms, slots) as f64,
         }
     }
 
--- a/tests/waiting.rs
+++ b/tests/waiting.rs
@@ -7,7 +7,6 @@
     service_ms: 30.0,
     slots: 2,
     objective_ms: 300,
-    server_wait_ms: 0.0,
 };
 
 /// Returns something of a caller that came at a time.
