--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -5,7 +5,7 @@
 //! of `config` are used.
 
 pub(crate) mod admission;
-pub(crate) mod early_packets;
+pub(crate) mod early_openers;
 pub(crate) mod flow_history;
 pub(crate) mod known_waits;
 pub(crate) mod ledger;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,7 +48,7 @@
 pub use crate::config::table_diff::{RowChange, TableDiff};
 pub use crate::config::value_state::ValueState;
 pub use crate::decisions::admission::{Admission, Decision, Handed, Opener, RAMP_MS};
-pub use crate::decisions::early_packets::{EarlyPacket, EarlyPackets};
+pub use crate::decisions::early_openers::{EarlyOpener, EarlyOpeners};
 pub use crate::decisions::known_waits::KnownWaits;
 pub use crate::decisions::ledger::{
     Begin, KeptAnswer, Ledger, MAX_KEPT_ANSWER_BYTES, MAX_KEPT_BYTES,
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -11,7 +11,7 @@
 use std::net::Ipv4Addr;
 
 use crate::code::Code;
-use crate::decisions::early_packets::EarlyPackets;
+use crate::decisions::early_openers::EarlyOpeners;
 use crate::decisions::known_waits::KnownWaits;
 use crate::decisions::suspicion::Suspicion;
 use crate::error::{Error, Result};
@@ -79,8 +79,8 @@
     steady_loads: KnownLoads,
     means: ServiceMeans,
     waits: KnownWaits,
-    /// What came before a configuration.
-    early: EarlyPackets<FlowKey, Vec<u8>>,
+    /// Openers that came before a configuration.
+    early: EarlyOpeners<FlowKey, Vec<u8>>,
     retries: ExpectedRetries,
 }
 
@@ -108,7 +108,7 @@
             steady_loads: KnownLoads::default(),
             means: ServiceMeans::default(),
             waits: KnownWaits::default(),
-            early: EarlyPackets::default(),
+            early: EarlyOpeners::default(),
             retries: ExpectedRetries::new(),
         }
     }
--- a/src/opaque/forwarder/without_routes.rs
+++ b/src/opaque/forwarder/without_routes.rs
@@ -1,7 +1,6 @@
 //! Packets that reach a balancer before it has a configuration.
 
 use crate::code::Code;
-use crate::decisions::early_packets::EarlyPacket;
 use crate::decisions::suspicion::Suspicion;
 use crate::error::{Error, Result};
 use crate::opaque::finding::flow_search::FlowSearch;
@@ -27,7 +26,7 @@
         let flow = segment.flow_from_caller();
         if segment.opens {
             let copy = segment.acknowledgement;
-            let is_kept = self.early.keep(flow, Some(copy), packet.to_vec(), now_ms);
+            let is_kept = self.early.keep(flow, copy, packet.to_vec(), now_ms);
             log::info!("event=opener_waits flow={flow} copy={copy} kept={is_kept}");
             return Err(Error::new(Code::RouteUnknown, flow.called.to_string()));
         }
@@ -36,9 +35,6 @@
             let host = hint.host;
             return Ok(vec![self.deliver(host, packet.to_vec(), 0)]);
         }
-        if segment.payload_bytes > 0 {
-            self.early.keep(flow, None, packet.to_vec(), now_ms);
-        }
         let find = Message::new(MessageKind::Find);
         let agents = search.next_agents(&flow, now_ms);
         self.metrics.packets_shown.inc_by(agents.len() as u64);
@@ -47,9 +43,9 @@
         Ok(shown.collect())
     }
 
-    /// Forwards what came before a configuration, once one is in force.
+    /// Offers the openers that came before a configuration, once one is in force.
     ///
-    /// Only for callers who have time for one attempt; the others send copies.
+    /// Only those whose callers have time for one attempt; the others send copies.
     pub fn routes_known(
         &mut self,
         directory: &Directory,
@@ -58,38 +54,23 @@
     ) -> Vec<Action> {
         let early = self.early.take(now_ms);
         let count = early.len();
-        let forward = |packet| self.forward_early(directory, suspicion, packet, now_ms);
-        let actions: Vec<Action> = early.into_iter().filter_map(forward).collect();
-        if count > 0 {
-            log::info!(
-                "event=early_packets kept={count} forwarded={}",
-                actions.len()
-            );
-        }
-        actions
-    }
-
-    fn forward_early(
-        &mut self,
-        directory: &Directory,
-        suspicion: &Suspicion,
-        early: EarlyPacket<Vec<u8>>,
-        now_ms: u64,
-    ) -> Option<Action> {
-        let EarlyPacket { packet, kept_ms } = early;
-        let segment = (self.wire.decode)(&packet).ok()?;
-        let flow = segment.flow_from_caller();
-        directory.routes().get(flow.called)?;
-        directory.deadline(flow.called)?;
-        if segment.opens {
+        let mut actions = Vec::new();
+        for opener in early {
+            let Ok(segment) = (self.wire.decode)(&opener.packet) else {
+                continue;
+            };
+            let called = segment.destination;
+            let has_route = directory.routes().get(called).is_some();
+            if !has_route || directory.deadline(called).is_none() {
+                continue;
+            }
+            let (packet, kept_ms) = (opener.packet, opener.kept_ms);
             let offer = self.offer(directory, suspicion, &segment, packet, kept_ms, now_ms);
-            return offer.ok();
+            actions.extend(offer.ok());
         }
-        if self.hints.get(&flow).is_some() {
-            // Who was shown it holds its flow.
-            return None;
+        if count > 0 {
+            log::info!("event=early_openers kept={count} offered={}", actions.len());
         }
-        let host = self.packet_host(directory, suspicion, &flow, now_ms);
-        Some(self.deliver(host.ok()?, packet, 0))
+        actions
     }
 }
--- a/src/opaque/processes/entry.rs
+++ b/src/opaque/processes/entry.rs
@@ -61,7 +61,7 @@
     })
     .detach();
     let informed = entry.clone();
-    control.on_change(move |_| informed.forward_early());
+    control.on_change(move |_| informed.offer_early());
     let receiving = entry.clone();
     compio::runtime::spawn(async move { receiving.receive(&callers).await }).detach();
     node.start(&[MessageKind::Beat]).await;
@@ -125,8 +125,8 @@
         }
     }
 
-    /// Forwards what came before the configuration that is in force now.
-    fn forward_early(self: &Rc<Self>) {
+    /// Offers what came before the configuration that is in force now.
+    fn offer_early(self: &Rc<Self>) {
         if !self.node.values.has_routes() {
             return;
         }
--- /dev/null
+++ b/tests/early_openers.rs
@@ -0,0 +1,44 @@
+//! Which openers a balancer keeps until it knows a configuration.
+
+use endivedyke::{EarlyOpener, EarlyOpeners};
+
+fn packets(early: &[EarlyOpener<&'static str>]) -> Vec<&'static str> {
+    early.iter().map(|opener| opener.packet).collect()
+}
+
+#[test]
+fn the_newest_copy_of_each_is_offered_and_the_earliest_copies_first() {
+    let mut early = EarlyOpeners::default();
+    early.keep(1, 1, "second copy", 1_000);
+    early.keep(2, 0, "first copy", 1_010);
+    early.keep(3, 2, "third copy", 1_000);
+    early.keep(4, 0, "overtaken", 1_000);
+    early.keep(4, 1, "its second copy", 1_020);
+    let taken = early.take(1_050);
+    let order = ["first copy", "second copy", "its second copy", "third copy"];
+    assert_eq!(packets(&taken), order);
+    let kept_ms: Vec<u64> = taken.iter().map(|opener| opener.kept_ms).collect();
+    assert_eq!(kept_ms, [40, 50, 30, 50]);
+    assert!(early.is_empty(), "each is offered once");
+}
+
+#[test]
+fn a_copy_is_kept_until_its_caller_has_sent_the_next() {
+    for (copy, last_ms) in [(0, 199), (1, 399), (2, 799), (9, 799)] {
+        for (after_ms, taken) in [(last_ms, 1), (last_ms + 1, 0)] {
+            let mut early = EarlyOpeners::default();
+            early.keep(1, copy, "opener", 1_000);
+            let kept = early.take(1_000 + after_ms);
+            assert_eq!(kept.len(), taken, "copy {copy} after {after_ms} ms");
+        }
+    }
+}
+
+#[test]
+fn what_is_kept_is_bounded() {
+    let mut early = EarlyOpeners::default();
+    let kept = (0..10_000).filter(|flow| early.keep(*flow, 0, "opener", 1_000));
+    assert_eq!(kept.count(), 4_096);
+    assert!(early.keep(0, 1, "its copy", 1_010), "a copy takes no room");
+    assert_eq!(early.take(1_010).len(), 4_096);
+}
