--- a/src/opaque/finding/flow_book.rs
+++ b/src/opaque/finding/flow_book.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 
 use crate::opaque::finding::flow_map::FlowMap;
+use crate::opaque::finding::remains::{EndedFlow, Remains};
 use crate::opaque::packets::segment::{FlowKey, Segment};
 use crate::process::opaque_metrics::OpaqueMetrics;
 
@@ -214,22 +215,6 @@
     (1..=u32::MAX / 2).contains(&number.wrapping_sub(other))
 }
 
-/// A flow whose backend server has ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct EndedFlow {
-    pub(crate) key: FlowKey,
-    pub(crate) acknowledgement: u32,
-}
-
-/// What was left of a backend server that ended.
-#[derive(Debug, Default, PartialEq, Eq)]
-pub(crate) struct Remains {
-    /// Flows that it had shown to hold.
-    pub(crate) flows: Vec<EndedFlow>,
-    /// Openers that it may not have answered.
-    pub(crate) openers: Vec<(FlowKey, Opening)>,
-}
-
 /// The flows of one agent, with counts of the open ones and of the requests that run.
 #[derive(Debug)]
 pub(crate) struct FlowBook {
--- a/src/opaque/finding/mod.rs
+++ b/src/opaque/finding/mod.rs
@@ -6,3 +6,4 @@
 pub(crate) mod flow_map;
 pub(crate) mod flow_search;
 pub(crate) mod lookup;
+pub(crate) mod remains;
--- a/src/opaque/keeper/backend_life.rs
+++ b/src/opaque/keeper/backend_life.rs
@@ -2,7 +2,7 @@
 
 use crate::code::Code;
 use crate::decisions::service_time::SlotTime;
-use crate::opaque::finding::flow_book::Remains;
+use crate::opaque::finding::remains::Remains;
 use crate::opaque::keeper::{Keeper, Scene};
 use crate::opaque::openers::recent_outcomes::RecentOutcomes;
 use crate::opaque::packets::action::Action;
