Count how long an opener was kept once, keep none too long, refuse what a cold rate serves too late

Red without: 320 instead of 260 ms. - Openers that nobody waits for any more took the room of fresh ones, and what could not be offered with the first part of a configuration was forgotten. One is kept until its caller's next copy is near, so that two agents are not asked at once. - First copies of an evacuated service were dropped in silence. - An opener that waits for its turn at a cold server was promised a place by slots alone: at 20 flows a second 100 of them waited and were refused late. Now those that the rate does not serve in time are refused at once. - A request that finds no place to wait is handed over rather than lost; one without a deadline tells nothing of a stall. Ruled out: an effect where no deadline is told (nothing waits there, nothing that was kept is offered).

--- a/src/decisions/early_openers.rs
+++ b/src/decisions/early_openers.rs
@@ -6,9 +6,9 @@
 
 /// How many openers are kept: as many as a balancer watches for answers, and more than come before a configuration.
 const MAX_KEPT: usize = 4_096;
-/// For how long each copy is kept, in milliseconds: until its caller sends the next one, which may reach another
-/// balancer, and the last one until its caller gives the attempt up.
-const KEPT_MS: [u64; 3] = [200, 400, 800];
+/// For how long each copy is kept, in milliseconds: until an agent would be heard of no more before its caller sends
+/// the next one, which may reach another balancer, or gives the attempt up.
+const KEPT_MS: [u64; 3] = [100, 300, 700];
 
 #[derive(Debug, Clone)]
 struct Kept<K, T> {
@@ -47,6 +47,9 @@
 
     /// Keeps a copy of an opener in place of the one before; says whether there was room.
     pub fn keep(&mut self, flow: K, copy: u32, packet: T, now_ms: u64) -> bool {
+        if self.kept.len() >= MAX_KEPT {
+            self.expire(now_ms);
+        }
         let found = self.kept.binary_search_by(|kept| kept.flow.cmp(&flow));
         let opener = Kept {
             flow,
@@ -62,23 +65,35 @@
         true
     }
 
-    /// Takes out all, and returns those whose callers still wait for this copy: the earliest copies first, since their
-    /// callers can still be answered in time.
-    pub fn take(&mut self, now_ms: u64) -> Vec<EarlyOpener<T>> {
-        let mut kept = std::mem::take(&mut self.kept);
-        kept.retain(|opener| now_ms < opener.since_ms + opener.kept_for_ms());
-        kept.sort_by_key(|opener| (opener.copy, opener.since_ms));
-        let early = kept.into_iter().map(|opener| EarlyOpener {
+    /// Forgets copies for which their callers no longer wait.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.kept.retain(|opener| opener.is_awaited(now_ms));
+    }
+
+    /// Takes out those that can be offered and whose callers still wait for this copy: the earliest copies first, since
+    /// their callers can still be answered in time.
+    pub fn take_if(
+        &mut self,
+        now_ms: u64,
+        can_be_offered: impl Fn(&T) -> bool,
+    ) -> Vec<EarlyOpener<T>> {
+        self.expire(now_ms);
+        let taken = self
+            .kept
+            .extract_if(.., |opener| can_be_offered(&opener.packet));
+        let mut taken: Vec<_> = taken.collect();
+        taken.sort_by_key(|opener| (opener.copy, opener.since_ms));
+        let early = taken.into_iter().map(|opener| EarlyOpener {
             packet: opener.packet,
-            kept_ms: now_ms - opener.since_ms,
+            kept_ms: now_ms.saturating_sub(opener.since_ms),
         });
         early.collect()
     }
 }
 
 impl<K, T> Kept<K, T> {
-    fn kept_for_ms(&self) -> u64 {
+    fn is_awaited(&self, now_ms: u64) -> bool {
         let copy = (self.copy as usize).min(KEPT_MS.len() - 1);
-        KEPT_MS[copy]
+        now_ms < self.since_ms + KEPT_MS[copy]
     }
 }
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -122,7 +122,7 @@
         "opener_waits",
         "",
         "",
-        "its opener came while its balancer had no configuration, and was not forwarded",
+        "its opener came while its balancer had no configuration, and was not forwarded then",
     ),
     meaning(
         "opener_declined",
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -109,12 +109,7 @@
         }
         let attempt = segment.acknowledgement as usize;
         if directory.deadline(flow.called).is_some() {
-            return match self.offer(directory, suspicion, &segment, packet, 0, now_ms) {
-                Err(_) if attempt == 0 && candidates::are_evacuated(directory, &flow) => {
-                    self.refuse(&segment, Code::ServiceEvacuated)
-                }
-                offer => offer,
-            };
+            return self.offer_or_refuse(directory, suspicion, &segment, packet, 0, now_ms);
         }
         let host = match self.opener_host(directory, suspicion, &flow, attempt, now_ms) {
             // Copies come only from callers whose first one went to an agent, which may have taken it since.
@@ -201,6 +196,7 @@
     pub fn expire(&mut self, now_ms: u64) {
         self.loads.expire(now_ms);
         self.waits.expire(now_ms);
+        self.early.expire(now_ms);
         self.steady_loads.expire(now_ms);
         self.retries.expire(now_ms);
         let lifetime_ms = self.flow_lifetime_ms;
--- a/src/opaque/forwarder/offers.rs
+++ b/src/opaque/forwarder/offers.rs
@@ -30,11 +30,31 @@
         self.waits.heard(host, is_near, wait_ms, now_ms);
     }
 
+    /// Offers an opener that came `kept_ms` ago, or tells its caller that the whole service is evacuated.
+    pub(super) fn offer_or_refuse(
+        &mut self,
+        directory: &Directory,
+        suspicion: &Suspicion,
+        segment: &Segment,
+        packet: Vec<u8>,
+        kept_ms: u64,
+        now_ms: u64,
+    ) -> Result<Action> {
+        let (flow, is_first) = (segment.flow_from_caller(), segment.acknowledgement == 0);
+        match self.offer(directory, suspicion, segment, packet, kept_ms, now_ms) {
+            // Copies come only from callers whose first one went to an agent, which may have taken it since.
+            Err(_) if is_first && candidates::are_evacuated(directory, &flow) => {
+                self.refuse(segment, Code::ServiceEvacuated)
+            }
+            offer => offer,
+        }
+    }
+
     /// Sends a copy of an opener to the agent that has it, or offers it to one.
     ///
     /// Each copy is watched for an answer, also one to the agent that has the opener: it may have ended with all
     /// that waited there. One that was kept here for `kept_ms` has waited for so much longer than its copy tells.
-    pub(super) fn offer(
+    fn offer(
         &mut self,
         directory: &Directory,
         suspicion: &Suspicion,
@@ -45,7 +65,8 @@
     ) -> Result<Action> {
         let flow = segment.flow_from_caller();
         let attempt = segment.acknowledgement as usize;
-        let waited_ms = self.caller_waited_ms(&flow, attempt, now_ms) + kept_ms;
+        let came_ms = now_ms.saturating_sub(kept_ms);
+        let waited_ms = self.caller_waited_ms(&flow, attempt, came_ms) + kept_ms;
         self.watched.retain(|watched| watched.flow != flow);
         let mut watched = Watched {
             due_ms: now_ms + TAKEN_TIMEOUT_MS,
--- a/src/opaque/forwarder/without_routes.rs
+++ b/src/opaque/forwarder/without_routes.rs
@@ -52,20 +52,23 @@
         suspicion: &Suspicion,
         now_ms: u64,
     ) -> Vec<Action> {
-        let early = self.early.take(now_ms);
+        let decode = self.wire.decode;
+        let can_be_offered = |packet: &Vec<u8>| {
+            decode(packet).is_ok_and(|segment| {
+                let called = segment.destination;
+                directory.routes().get(called).is_some() && directory.deadline(called).is_some()
+            })
+        };
+        let early = self.early.take_if(now_ms, can_be_offered);
         let count = early.len();
         let mut actions = Vec::new();
         for opener in early {
-            let Ok(segment) = (self.wire.decode)(&opener.packet) else {
+            let Ok(segment) = decode(&opener.packet) else {
                 continue;
             };
-            let called = segment.destination;
-            let has_route = directory.routes().get(called).is_some();
-            if !has_route || directory.deadline(called).is_none() {
-                continue;
-            }
             let (packet, kept_ms) = (opener.packet, opener.kept_ms);
-            let offer = self.offer(directory, suspicion, &segment, packet, kept_ms, now_ms);
+            let offer =
+                self.offer_or_refuse(directory, suspicion, &segment, packet, kept_ms, now_ms);
             actions.extend(offer.ok());
         }
         if count > 0 {
--- a/src/opaque/keeper/held_requests.rs
+++ b/src/opaque/keeper/held_requests.rs
@@ -54,16 +54,16 @@
             }
             return;
         }
-        let Some(deadline) = self.request_deadline(scene, &key) else {
-            return;
-        };
         let packets = vec![packet.to_vec()];
-        if !self.waiting.has_room() {
+        let deadline = self.request_deadline(scene, &key);
+        let Some(deadline) = deadline.filter(|_| self.waiting.has_room()) else {
             self.hand_request(scene, &key, packets, 0, actions);
             return;
-        }
+        };
         self.metrics.requests_held_back.inc();
-        self.stall.came_in(scene.now_ms);
+        if scene.directory.deadline(key.called).is_some() {
+            self.stall.came_in(scene.now_ms);
+        }
         let work = WaitingWork {
             key,
             kind: WorkKind::Request(packets),
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -110,7 +110,7 @@
                     && next.is_none()
                     && reason == NotTaken::ColdRate
                 {
-                    // The others are as cold, and here it has its turn at the rate.
+                    // The others were asked or are as cold, and here it has its turn at the rate.
                     if let Err(opening) = self.let_wait(scene, &key, opening, &deadline, actions) {
                         self.refuse(scene, &key, &opening, "no_time", actions);
                     }
--- a/src/opaque/keeper/waiting.rs
+++ b/src/opaque/keeper/waiting.rs
@@ -181,11 +181,12 @@
             objective_ms: deadline.objective_ms,
         };
         let before = self.waiting.ahead_of(waiting, &pace, scene.now_ms);
+        let wait_ms = self.wait_behind_ms(scene, slots, before);
         let oldest_ms = self.waiting.iter().map(|waiting| waiting.since_ms).min();
         Prospect {
             age_ms: opening.age_ms(),
             attempt_age_ms: opening.copy_age_ms(),
-            wait_ms: self.wait_behind_ms(scene, slots, before),
+            wait_ms: wait_ms.max(self.cold_wait_ms(scene)),
             service_ms,
             objective_ms: deadline.objective_ms,
             timeout_ms: deadline.timeout_ms,
@@ -193,6 +194,16 @@
         }
     }
 
+    /// Returns for how long an opener waits for its turn at a backend server that takes few new flows while it is cold,
+    /// in milliseconds.
+    fn cold_wait_ms(&self, scene: &Scene<'_>) -> u64 {
+        let is_opener =
+            |waiting: &&Waiting<WaitingWork>| matches!(waiting.item.kind, WorkKind::Opener(_));
+        let before = self.waiting.iter().filter(is_opener).count();
+        let flows_per_s = self.cold_flows_per_s(scene);
+        flows_per_s.map_or(0, |flows_per_s| self.cold_rate.wait_ms(flows_per_s, before))
+    }
+
     /// Tells whether the backend server answers so little that nothing should wait for it: openers find others, and
     /// requests are refused at once when its own queue is full, so that their callers find others too.
     pub(super) fn is_stuck(&mut self, scene: &Scene<'_>) -> bool {
--- a/src/opaque/openers/cold_rate.rs
+++ b/src/opaque/openers/cold_rate.rs
@@ -32,6 +32,12 @@
         self.tokens >= 1.0
     }
 
+    /// Returns for how long a new flow behind so many others waits for its turn, in milliseconds.
+    pub(crate) fn wait_ms(&self, flows_per_s: f64, before: usize) -> u64 {
+        let missing = (before as f64 + 1.0 - self.tokens).max(0.0);
+        (missing * MS_PER_S / flows_per_s).ceil() as u64
+    }
+
     /// Notes that a new flow was handed over.
     pub(crate) fn take(&mut self) {
         self.tokens = (self.tokens - 1.0).max(0.0);
--- a/src/opaque/openers/expected_retries.rs
+++ b/src/opaque/openers/expected_retries.rs
@@ -95,6 +95,6 @@
 
 impl Failed {
     fn is_awaited(&self, now_ms: u64) -> bool {
-        now_ms <= self.told_ms + RETRY_WITHIN_MS
+        self.told_ms <= now_ms && now_ms <= self.told_ms + RETRY_WITHIN_MS
     }
 }
--- a/tests/early_openers.rs
+++ b/tests/early_openers.rs
@@ -14,7 +14,7 @@
     early.keep(3, 2, "third copy", 1_000);
     early.keep(4, 0, "overtaken", 1_000);
     early.keep(4, 1, "its second copy", 1_020);
-    let taken = early.take(1_050);
+    let taken = early.take_if(1_050, |_| true);
     let order = ["first copy", "second copy", "its second copy", "third copy"];
     assert_eq!(packets(&taken), order);
     let kept_ms: Vec<u64> = taken.iter().map(|opener| opener.kept_ms).collect();
@@ -23,12 +23,12 @@
 }
 
 #[test]
-fn a_copy_is_kept_until_its_caller_has_sent_the_next() {
-    for (copy, last_ms) in [(0, 199), (1, 399), (2, 799), (9, 799)] {
+fn a_copy_is_kept_until_the_next_one_is_near() {
+    for (copy, last_ms) in [(0, 99), (1, 299), (2, 699), (9, 699)] {
         for (after_ms, taken) in [(last_ms, 1), (last_ms + 1, 0)] {
             let mut early = EarlyOpeners::default();
             early.keep(1, copy, "opener", 1_000);
-            let kept = early.take(1_000 + after_ms);
+            let kept = early.take_if(1_000 + after_ms, |_| true);
             assert_eq!(kept.len(), taken, "copy {copy} after {after_ms} ms");
         }
     }
@@ -40,5 +40,26 @@
     let kept = (0..10_000).filter(|flow| early.keep(*flow, 0, "opener", 1_000));
     assert_eq!(kept.count(), 4_096);
     assert!(early.keep(0, 1, "its copy", 1_010), "a copy takes no room");
-    assert_eq!(early.take(1_010).len(), 4_096);
+    assert_eq!(early.take_if(1_010, |_| true).len(), 4_096);
+}
+
+#[test]
+fn what_nobody_waits_for_makes_room() {
+    let mut early = EarlyOpeners::default();
+    for flow in 0..4_096 {
+        early.keep(flow, 0, "opener", 1_000);
+    }
+    assert!(!early.keep(5_000, 0, "one too many", 1_010));
+    assert!(early.keep(5_000, 0, "a fresh one", 1_100));
+    assert_eq!(packets(&early.take_if(1_110, |_| true)), ["a fresh one"]);
+}
+
+#[test]
+fn what_can_not_be_offered_yet_is_kept_for_its_time() {
+    let mut early = EarlyOpeners::default();
+    early.keep(1, 1, "known", 1_000);
+    early.keep(2, 1, "unknown yet", 1_000);
+    let taken = early.take_if(1_010, |packet| *packet == "known");
+    assert_eq!(packets(&taken), ["known"]);
+    assert_eq!(packets(&early.take_if(1_020, |_| true)), ["unknown yet"]);
 }
--- a/tests/opaque/cold_starts.rs
+++ b/tests/opaque/cold_starts.rs
@@ -198,3 +198,28 @@
     let later_ms = agent.now_ms + 100;
     assert!(reaches_backend(&agent.tick_at(later_ms)));
 }
+
+#[test]
+fn openers_that_the_rate_of_a_cold_server_serves_too_late_are_refused_at_once() {
+    let mut agent = AgentUnderTest::new(2, true);
+    let told = deadlines(&format!("{CALLED},300,1500\n")).expect("sound");
+    agent.directory.set_deadlines(told);
+    tell_rate(&mut agent.directory);
+    for index in 1..=2 {
+        publish_cold(&mut agent.directory, index, agent.now_ms);
+    }
+    let mut message = Message::new(MessageKind::HandOn);
+    message.host = BALANCER;
+    message.hops = 1;
+    let mut wait = 0;
+    for port in 1..=100 {
+        let actions = agent.hear(host(2), message, &opener(&flow(port), 0));
+        let is_refused = resets(&actions) == [flow(port)];
+        let waits = hosts_told(&actions, MessageKind::Holds) == [BALANCER];
+        assert!(is_refused != waits, "port {port}: {actions:?}");
+        wait += usize::from(waits);
+    }
+    // What the rate lets through until callers give up.
+    let most = (FLOWS_PER_S * 1.5).ceil() as usize;
+    assert!((1..=most).contains(&wait), "{wait} wait");
+}
--- a/tests/opaque/offers.rs
+++ b/tests/opaque/offers.rs
@@ -7,7 +7,7 @@
     Action, Directory, FlowKey, FlowSearch, Forwarder, MessageKind, deadlines,
 };
 
-use crate::builder::{CALLED, directory, flow, forwarder, opener};
+use crate::builder::{CALLED, ZONE, directory, flow, forwarder, opener};
 
 /// A balancer before some agents whose callers have time for one attempt.
 struct Balancer {
@@ -155,6 +155,38 @@
     );
 }
 
+#[test]
+fn a_retry_that_came_before_the_configuration_has_waited_no_longer_than_it_did() {
+    let mut balancer = Balancer::before(8);
+    let key = flow(1);
+    balancer
+        .forwarder
+        .attempt_failed(&key, 200, balancer.now_ms);
+    balancer.hears_early(&key, 0);
+    balancer.now_ms += 60;
+    // A failure that is told later is not the one of which this is the retry.
+    balancer
+        .forwarder
+        .attempt_failed(&key, 900, balancer.now_ms);
+    let actions = balancer.learns_routes();
+    let [Action::ToPeer(_, message, _)] = actions.as_slice() else {
+        panic!("not offered: {actions:?}");
+    };
+    assert_eq!(message.waited_ms, 260);
+}
+
+#[test]
+fn a_service_that_is_evacuated_refuses_what_came_before_the_configuration() {
+    let mut balancer = Balancer::before(8);
+    balancer.directory.set_evacuated(ZONE, true, 200);
+    balancer.hears_early(&flow(1), 0);
+    let actions = balancer.learns_routes();
+    assert!(
+        matches!(actions.as_slice(), [Action::ToCaller(..)]),
+        "{actions:?}"
+    );
+}
+
 #[test]
 fn what_came_before_the_configuration_is_left_to_its_caller_without_a_deadline() {
     let mut balancer = Balancer::before(8);
