--- /dev/null
+++ b/src/opaque/finding/flow.rs
@@ -0,0 +1,211 @@
+//! One flow, as its agent knows it.
+
+use std::net::Ipv4Addr;
+
+use crate::opaque::packets::segment::{FlowKey, Segment};
+
+/// How long a request may stay without an answer before it counts as failed, in milliseconds: a full
+/// queue of the users' slowest requests at a cold backend server takes half of it.
+const OVERDUE_MS: u64 = 1_000;
+
+/// How long a request without an answer counts as work, in milliseconds: callers of the users' short
+/// requests give up after 2.5 to 3 seconds. One of a backend server that swallowed it would otherwise
+/// hold its place for as long as a flow lives.
+pub(crate) const ABANDONED_MS: u64 = 3_000;
+/// How long a taken opener counts as a request before its caller has sent one, in milliseconds.
+pub(crate) const EXPECTED_MS: u64 = 500;
+/// The same where callers have time for one attempt only, in milliseconds: some round trips between a caller and its
+/// backend server. Many openers of a rush come from callers that have left, and would hold slots for nothing.
+pub(crate) const EXPECTED_SOON_MS: u64 = 60;
+/// Where a flow is, as far as the agent knows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Holding {
+    /// The backend server was handed the opener; whether the flow opens here is the caller's choice.
+    Opening(Opening),
+    /// The backend server was handed a packet of it and may still return it.
+    Unconfirmed {
+        since_ms: u64,
+        asker: Option<Ipv4Addr>,
+    },
+    /// It is open here.
+    Open,
+    /// Another agent said that it holds it.
+    Elsewhere(Ipv4Addr),
+    /// It is not here, for certain.
+    Absent,
+}
+
+/// An opener that the backend server has.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Opening {
+    pub(crate) since_ms: u64,
+    pub(crate) packet: Vec<u8>,
+    pub(crate) balancer: Ipv4Addr,
+    pub(crate) hops: u8,
+    pub(crate) copy: u32,
+    /// For how long its caller had waited before the first copy, as far as known, in milliseconds.
+    pub(crate) waited_ms: u16,
+    /// How long it counts as a request before its caller has sent one, in milliseconds.
+    pub(crate) expected_ms: u64,
+    pub(crate) answered: bool,
+    pub(crate) backend_sequence: u32,
+}
+
+/// A request that the backend server has not begun to answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Running {
+    /// The caller's name for it, where its packet showed one.
+    pub(crate) id: String,
+    /// When its last new data came.
+    pub(crate) since_ms: u64,
+    /// Whether it was noted as one that takes too long.
+    pub(crate) overdue: bool,
+    /// For how long it counts as work, in milliseconds.
+    pub(crate) counts_ms: u64,
+}
+
+impl Running {
+    /// Notes a request that is handed over now.
+    pub(crate) fn new(id: Option<&str>, counts_ms: u64, now_ms: u64) -> Self {
+        Self {
+            id: id.unwrap_or("unknown").to_owned(),
+            since_ms: now_ms,
+            overdue: false,
+            counts_ms,
+        }
+    }
+}
+
+/// One flow.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Flow {
+    pub(crate) holding: Holding,
+    /// Since when it is known here.
+    pub(crate) since_ms: u64,
+    pub(crate) seen_ms: u64,
+    /// The next number that the caller expects, which a reset must fit.
+    pub(crate) caller_acknowledgement: u32,
+    pub(crate) running: Option<Running>,
+    pub(crate) closed: bool,
+    /// Whether the backend server showed that it holds the flow; silence shows nothing.
+    pub(crate) shown: bool,
+    /// The number after the last byte that the caller sent, where one was seen.
+    pub(crate) caller_next: Option<u32>,
+    /// The next number that the backend server expects, where it said so: copies of what is before it are no request.
+    pub(crate) acknowledged: Option<u32>,
+    /// The number after the last byte that the backend server sent, where one was seen.
+    pub(crate) backend_next: Option<u32>,
+    /// Whether a request came in several packets, or one behind another: which of them an answer ends can't be told.
+    pub(crate) mixes_requests: bool,
+    /// Whether the last packet of the backend server may be followed by more of the same answer.
+    pub(crate) answer_goes_on: bool,
+    /// Whether its caller was told that it has ended, while its backend server still holds it.
+    pub(crate) told_ended: bool,
+    /// Whether it was opened under the agent's eyes.
+    pub(crate) was_seen_opening: bool,
+    /// Whether its caller ended it while a request was running.
+    pub(crate) caller_left: bool,
+}
+
+impl Flow {
+    pub(crate) fn new(holding: Holding, now_ms: u64) -> Self {
+        Self {
+            holding,
+            since_ms: now_ms,
+            seen_ms: now_ms,
+            caller_acknowledgement: 0,
+            running: None,
+            closed: false,
+            shown: false,
+            caller_next: None,
+            acknowledged: None,
+            backend_next: None,
+            mixes_requests: false,
+            answer_goes_on: false,
+            told_ended: false,
+            was_seen_opening: false,
+            caller_left: false,
+        }
+    }
+
+    /// Tells whether a packet of the caller brings data that was not seen before.
+    pub(crate) fn takes_new_data(&mut self, segment: &Segment) -> bool {
+        let end = segment.end_sequence();
+        let comes_after = |next: Option<u32>| next.is_none_or(|next| is_after(end, next));
+        let is_new = segment.payload_bytes > 0
+            && comes_after(self.caller_next)
+            && comes_after(self.acknowledged);
+        if is_new {
+            self.caller_next = Some(end);
+        }
+        is_new
+    }
+
+    /// Notes that the backend server has everything of the caller before this number.
+    pub(crate) fn note_acknowledged(&mut self, next: u32) {
+        if self.acknowledged.is_none_or(|known| is_after(next, known)) {
+            self.acknowledged = Some(next);
+        }
+    }
+
+    /// Tells whether a packet of the backend server shows that an answer has begun: it carries data, or
+    /// ends the flow behind data that was overtaken on its way.
+    pub(crate) fn takes_answer(&mut self, segment: &Segment) -> bool {
+        let overtook = segment.ends
+            && self
+                .backend_next
+                .is_none_or(|next| is_after(segment.sequence, next));
+        let end = segment.end_sequence().wrapping_add(segment.accepts.into());
+        if self.backend_next.is_none_or(|next| is_after(end, next)) {
+            self.backend_next = Some(end);
+        }
+        segment.payload_bytes > 0 || overtook
+    }
+
+    /// Tells whether it carries no request, which shows only once one was answered under the agent's eyes and its
+    /// caller has acknowledged the answer.
+    pub(super) fn is_idle(&self) -> bool {
+        let acknowledged = self.backend_next == Some(self.caller_acknowledgement);
+        let is_clear = !self.mixes_requests && !self.answer_goes_on;
+        let was_answered = self.caller_next.is_some() && self.running.is_none() && acknowledged;
+        self.is_open() && self.shown && was_answered && is_clear
+    }
+
+    /// Tells whether the flow is open at the backend server.
+    pub(super) fn is_open(&self) -> bool {
+        self.holding == Holding::Open && !self.closed
+    }
+
+    /// Notes a request that takes too long; says so once.
+    pub(super) fn became_overdue(&mut self, key: &FlowKey, now_ms: u64) -> bool {
+        let Some(running) = self.running.as_mut().filter(|_| !self.closed) else {
+            return false;
+        };
+        if running.overdue || now_ms < running.since_ms + OVERDUE_MS {
+            return false;
+        }
+        running.overdue = true;
+        log::warn!(
+            "event=request_overdue request={} flow={key} waited_ms={}",
+            running.id,
+            now_ms.saturating_sub(running.since_ms)
+        );
+        true
+    }
+
+    /// Tells whether it takes or will soon take a slot there.
+    pub(super) fn is_busy(&self, now_ms: u64) -> bool {
+        match &self.holding {
+            Holding::Opening(opening) => now_ms < opening.since_ms + opening.expected_ms,
+            _ => {
+                let waits = |running: &Running| now_ms < running.since_ms + running.counts_ms;
+                self.is_open() && self.running.as_ref().is_some_and(waits)
+            }
+        }
+    }
+}
+
+/// Tells whether one number of a flow's bytes comes after another; numbers wrap.
+pub(crate) fn is_after(number: u32, other: u32) -> bool {
+    (1..=u32::MAX / 2).contains(&number.wrapping_sub(other))
+}
--- a/src/opaque/finding/remains.rs
+++ b/src/opaque/finding/remains.rs
@@ -1,6 +1,6 @@
 //! What is left of a backend server that ended.
 
-use crate::opaque::finding::flow_book::Opening;
+use crate::opaque::finding::flow::Opening;
 use crate::opaque::packets::segment::FlowKey;
 
 /// A flow whose backend server has ended.
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -6,6 +6,7 @@
 mod answers;
 mod backend_life;
 mod declines;
+mod delivery;
 mod handing_on;
 mod held_requests;
 mod opener_checks;
@@ -19,7 +20,6 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use crate::code::Code;
-use crate::config::deadlines::Deadline;
 use crate::config::revision::Revision;
 use crate::config::service_id::ServiceId;
 use crate::decisions::service_time::SlotTime;
@@ -27,7 +27,8 @@
 use crate::decisions::suspicion::Suspicion;
 use crate::decisions::wait_queue::WaitQueue;
 use crate::error::Result;
-use crate::opaque::finding::flow_book::{ABANDONED_MS, Flow, FlowBook, Holding, Running};
+use crate::opaque::finding::flow::Flow;
+use crate::opaque::finding::flow_book::FlowBook;
 use crate::opaque::finding::lookup::Lookups;
 use crate::opaque::keeper::waiting::WaitingWork;
 use crate::opaque::openers::cold_rate::ColdRate;
@@ -35,7 +36,7 @@
 use crate::opaque::openers::recent_outcomes::RecentOutcomes;
 use crate::opaque::packets::action::Action;
 use crate::opaque::packets::message::{Message, MessageKind, UNKNOWN_LOAD};
-use crate::opaque::packets::segment::{FlowKey, Segment, WireFormat};
+use crate::opaque::packets::segment::{FlowKey, WireFormat};
 use crate::opaque::values::directory::Directory;
 use crate::opaque::values::known_balancers::KnownBalancers;
 use crate::opaque::values::own_backend::OwnBackend;
@@ -72,19 +73,6 @@
     pub flow_lifetime_ms: u64,
 }
 
-/// What becomes of a caller's packet.
-#[derive(Debug, Clone, Copy)]
-enum Delivery {
-    /// Its flow is not held here.
-    Elsewhere,
-    /// It brings nothing new.
-    Known,
-    /// It begins a request that waits for a slot.
-    Waits,
-    /// It goes to the backend server.
-    Handed,
-}
-
 /// The flows of one agent, and what they ask of it.
 #[derive(Debug)]
 pub struct Keeper {
@@ -326,106 +314,6 @@
         }
     }
 
-    /// Takes any other packet of a caller.
-    fn packet(
-        &mut self,
-        scene: &Scene<'_>,
-        segment: &Segment,
-        packet: &[u8],
-        balancer: Ipv4Addr,
-        actions: &mut Vec<Action>,
-    ) {
-        let key = segment.flow_from_caller();
-        if self.deliver_held(scene, segment, packet, actions) {
-            return;
-        }
-        let holding = self.flows.get(&key).map(|flow| flow.holding.clone());
-        match holding {
-            Some(Holding::Elsewhere(host)) if scene.directory.is_current(host) => {
-                let now_ms = scene.now_ms;
-                self.flows
-                    .update(&key, now_ms, |flow| flow.seen_ms = now_ms);
-                let message = Message::new(MessageKind::Deliver);
-                say_holds(&key, balancer, host, actions);
-                actions.push(Action::ToPeer(host, message, packet.to_vec()));
-            }
-            None if !self.knows_all => self.try_backend(scene, segment, packet, None, actions),
-            _ => self.look_up(scene, segment, packet, balancer, actions),
-        }
-    }
-
-    /// Hands a packet to the backend server if the flow is known to be held there, at once or once there is room.
-    fn deliver_held(
-        &mut self,
-        scene: &Scene<'_>,
-        segment: &Segment,
-        packet: &[u8],
-        actions: &mut Vec<Action>,
-    ) -> bool {
-        let (key, now_ms) = (segment.flow_from_caller(), scene.now_ms);
-        let request_id = self.wire.request_id;
-        let is_held_back = self.is_held_back(scene, &key);
-        let deadline = scene.directory.deadline(key.called);
-        let counts_ms = counts_ms(deadline);
-        let delivery = self.flows.update(&key, now_ms, |flow| {
-            let was_open = flow.holding == Holding::Open;
-            if !chosen_here(flow, segment) {
-                return Delivery::Elsewhere;
-            }
-            flow.seen_ms = now_ms;
-            flow.caller_acknowledgement = segment.acknowledgement;
-            flow.caller_left |= segment.is_bare_end() && flow.running.is_some();
-            if segment.resets && deadline.is_some() {
-                // Its caller has left, and the backend server need not answer any more.
-                flow.running = None;
-            }
-            // A packet that is sent again is no request of its own, also when its answer has begun.
-            if !flow.takes_new_data(segment) {
-                return Delivery::Known;
-            }
-            flow.mixes_requests |= flow.running.is_some();
-            match &mut flow.running {
-                Some(running) => running.since_ms = now_ms,
-                None if is_held_back && was_open => return Delivery::Waits,
-                None => flow.running = Some(Running::new(request_id(packet), counts_ms, now_ms)),
-            }
-            Delivery::Handed
-        });
-        match delivery.unwrap_or(Delivery::Elsewhere) {
-            Delivery::Elsewhere => return false,
-            Delivery::Waits => self.hold_back(scene, segment, packet, actions),
-            Delivery::Known if self.takes_waiting(segment, packet) => {}
-            Delivery::Known | Delivery::Handed => {
-                let is_new = matches!(delivery, Some(Delivery::Handed));
-                self.note_handed_over(scene, segment, is_new);
-                actions.push(Action::ToBackend(packet.to_vec()));
-            }
-        }
-        true
-    }
-
-    /// Hands a packet of an unknown flow to the backend server, which returns it if it must.
-    fn try_backend(
-        &mut self,
-        scene: &Scene<'_>,
-        segment: &Segment,
-        packet: &[u8],
-        asker: Option<Ipv4Addr>,
-        actions: &mut Vec<Action>,
-    ) {
-        let key = segment.flow_from_caller();
-        let holding = Holding::Unconfirmed {
-            since_ms: scene.now_ms,
-            asker,
-        };
-        let mut flow = Flow::new(holding, scene.now_ms);
-        flow.caller_acknowledgement = segment.acknowledgement;
-        if self.remember(key, flow, scene.now_ms) {
-            self.pending.push(key);
-        }
-        actions.push(Action::ToBackend(packet.to_vec()));
-    }
-
     /// Notes a flow; without room for it, what is not noted is no longer known to be absent.
     fn remember(&mut self, key: FlowKey, flow: Flow, now_ms: u64) -> bool {
         let remembered = self.flows.insert(key, flow, now_ms);
@@ -444,36 +332,6 @@
     }
 }
 
-/// Returns how long a request without an answer counts as work, in milliseconds: as long as its caller waits, where
-/// that is told.
-fn counts_ms(deadline: Option<Deadline>) -> u64 {
-    deadline.map_or(ABANDONED_MS, |deadline| deadline.timeout_ms.into())
-}
-
-/// Tells whether a caller's packet belongs to a flow that is held here, and opens it if so.
-///
-/// The caller opens a flow at the backend server whose number it acknowledges first.
-fn chosen_here(flow: &mut Flow, segment: &Segment) -> bool {
-    match &flow.holding {
-        Holding::Open | Holding::Unconfirmed { .. } => true,
-        Holding::Elsewhere(_) | Holding::Absent => false,
-        Holding::Opening(opening) => {
-            let chosen = segment
-                .acknowledgement
-                .wrapping_sub(opening.backend_sequence)
-                <= 1;
-            if opening.answered && !chosen {
-                flow.holding = Holding::Absent;
-                return false;
-            }
-            flow.shown = opening.answered;
-            flow.was_seen_opening = true;
-            flow.holding = Holding::Open;
-            true
-        }
-    }
-}
-
 fn tell(kind: MessageKind, key: &FlowKey, host: Ipv4Addr, actions: &mut Vec<Action>) {
     let message = Message::new(kind);
     actions.push(Action::ToPeer(host, message, key.to_bytes().to_vec()));
--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -2,7 +2,7 @@
 
 use std::net::Ipv4Addr;
 
-use crate::opaque::finding::flow_book::{Flow, Holding, Running};
+use crate::opaque::finding::flow::{Flow, Holding, Running};
 use crate::opaque::keeper::stall::may_go_on;
 use crate::opaque::keeper::{BACKEND_TIMEOUT_MS, Keeper, Scene, tell};
 use crate::opaque::packets::action::Action;
--- a/src/opaque/keeper/declines.rs
+++ b/src/opaque/keeper/declines.rs
@@ -8,7 +8,7 @@
 use std::net::Ipv4Addr;
 
 use crate::decisions::offers::TAKES_NONE_MS;
-use crate::opaque::finding::flow_book::Opening;
+use crate::opaque::finding::flow::Opening;
 use crate::opaque::keeper::{Keeper, Scene, tell};
 use crate::opaque::packets::action::Action;
 use crate::opaque::packets::message::{Message, MessageKind, OFFER_WAIT_UNIT_MS, UNKNOWN_LOAD};
--- /dev/null
+++ b/src/opaque/keeper/delivery.rs
@@ -0,0 +1,155 @@
+//! Packets of callers that open nothing: to the backend server, at once or once there is room, or to who holds the flow.
+
+use std::net::Ipv4Addr;
+
+use crate::config::deadlines::Deadline;
+use crate::opaque::finding::flow::{ABANDONED_MS, Flow, Holding, Running};
+use crate::opaque::keeper::{Keeper, Scene, say_holds};
+use crate::opaque::packets::action::Action;
+use crate::opaque::packets::message::{Message, MessageKind};
+use crate::opaque::packets::segment::Segment;
+
+/// What becomes of a caller's packet.
+#[derive(Debug, Clone, Copy)]
+enum Delivery {
+    /// Its flow is not held here.
+    Elsewhere,
+    /// It brings nothing new.
+    Known,
+    /// It begins a request that waits for a slot.
+    Waits,
+    /// It goes to the backend server.
+    Handed,
+}
+
+impl Keeper {
+    /// Takes any other packet of a caller.
+    pub(super) fn packet(
+        &mut self,
+        scene: &Scene<'_>,
+        segment: &Segment,
+        packet: &[u8],
+        balancer: Ipv4Addr,
+        actions: &mut Vec<Action>,
+    ) {
+        let key = segment.flow_from_caller();
+        if self.deliver_held(scene, segment, packet, actions) {
+            return;
+        }
+        let holding = self.flows.get(&key).map(|flow| flow.holding.clone());
+        match holding {
+            Some(Holding::Elsewhere(host)) if scene.directory.is_current(host) => {
+                let now_ms = scene.now_ms;
+                self.flows
+                    .update(&key, now_ms, |flow| flow.seen_ms = now_ms);
+                let message = Message::new(MessageKind::Deliver);
+                say_holds(&key, balancer, host, actions);
+                actions.push(Action::ToPeer(host, message, packet.to_vec()));
+            }
+            None if !self.knows_all => self.try_backend(scene, segment, packet, None, actions),
+            _ => self.look_up(scene, segment, packet, balancer, actions),
+        }
+    }
+
+    /// Hands a packet to the backend server if the flow is known to be held there, at once or once there is room.
+    pub(super) fn deliver_held(
+        &mut self,
+        scene: &Scene<'_>,
+        segment: &Segment,
+        packet: &[u8],
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let (key, now_ms) = (segment.flow_from_caller(), scene.now_ms);
+        let request_id = self.wire.request_id;
+        let is_held_back = self.is_held_back(scene, &key);
+        let deadline = scene.directory.deadline(key.called);
+        let counts_ms = counts_ms(deadline);
+        let delivery = self.flows.update(&key, now_ms, |flow| {
+            let was_open = flow.holding == Holding::Open;
+            if !chosen_here(flow, segment) {
+                return Delivery::Elsewhere;
+            }
+            flow.seen_ms = now_ms;
+            flow.caller_acknowledgement = segment.acknowledgement;
+            flow.caller_left |= segment.is_bare_end() && flow.running.is_some();
+            if segment.resets && deadline.is_some() {
+                // Its caller has left, and the backend server need not answer any more.
+                flow.running = None;
+            }
+            // A packet that is sent again is no request of its own, also when its answer has begun.
+            if !flow.takes_new_data(segment) {
+                return Delivery::Known;
+            }
+            flow.mixes_requests |= flow.running.is_some();
+            match &mut flow.running {
+                Some(running) => running.since_ms = now_ms,
+                None if is_held_back && was_open => return Delivery::Waits,
+                None => flow.running = Some(Running::new(request_id(packet), counts_ms, now_ms)),
+            }
+            Delivery::Handed
+        });
+        match delivery.unwrap_or(Delivery::Elsewhere) {
+            Delivery::Elsewhere => return false,
+            Delivery::Waits => self.hold_back(scene, segment, packet, actions),
+            Delivery::Known if self.takes_waiting(segment, packet) => {}
+            Delivery::Known | Delivery::Handed => {
+                let is_new = matches!(delivery, Some(Delivery::Handed));
+                self.note_handed_over(scene, segment, is_new);
+                actions.push(Action::ToBackend(packet.to_vec()));
+            }
+        }
+        true
+    }
+
+    /// Hands a packet of an unknown flow to the backend server, which returns it if it must.
+    pub(super) fn try_backend(
+        &mut self,
+        scene: &Scene<'_>,
+        segment: &Segment,
+        packet: &[u8],
+        asker: Option<Ipv4Addr>,
+        actions: &mut Vec<Action>,
+    ) {
+        let key = segment.flow_from_caller();
+        let holding = Holding::Unconfirmed {
+            since_ms: scene.now_ms,
+            asker,
+        };
+        let mut flow = Flow::new(holding, scene.now_ms);
+        flow.caller_acknowledgement = segment.acknowledgement;
+        if self.remember(key, flow, scene.now_ms) {
+            self.pending.push(key);
+        }
+        actions.push(Action::ToBackend(packet.to_vec()));
+    }
+}
+
+/// Returns how long a request without an answer counts as work, in milliseconds: as long as its caller waits, where
+/// that is told.
+pub(super) fn counts_ms(deadline: Option<Deadline>) -> u64 {
+    deadline.map_or(ABANDONED_MS, |deadline| deadline.timeout_ms.into())
+}
+
+/// Tells whether a caller's packet belongs to a flow that is held here, and opens it if so.
+///
+/// The caller opens a flow at the backend server whose number it acknowledges first.
+fn chosen_here(flow: &mut Flow, segment: &Segment) -> bool {
+    match &flow.holding {
+        Holding::Open | Holding::Unconfirmed { .. } => true,
+        Holding::Elsewhere(_) | Holding::Absent => false,
+        Holding::Opening(opening) => {
+            let chosen = segment
+                .acknowledgement
+                .wrapping_sub(opening.backend_sequence)
+                <= 1;
+            if opening.answered && !chosen {
+                flow.holding = Holding::Absent;
+                return false;
+            }
+            flow.shown = opening.answered;
+            flow.was_seen_opening = true;
+            flow.holding = Holding::Open;
+            true
+        }
+    }
+}
--- a/src/opaque/keeper/handing_on.rs
+++ b/src/opaque/keeper/handing_on.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 
 use crate::code::Code;
-use crate::opaque::finding::flow_book::Opening;
+use crate::opaque::finding::flow::Opening;
 use crate::opaque::keeper::opener_limits::LAST_COPY;
 use crate::opaque::keeper::openers::NotTaken;
 use crate::opaque::keeper::{Keeper, Scene, say_holds};
--- a/src/opaque/keeper/held_requests.rs
+++ b/src/opaque/keeper/held_requests.rs
@@ -5,9 +5,10 @@
 //! it. Here the urgent goes first and nothing is refused. What waits is handed over whole and in order while its
 //! caller waits. See docs/design/waiting-openers.md.
 
-use crate::opaque::finding::flow_book::{Holding, Running, is_after};
+use crate::opaque::finding::flow::{Holding, Running, is_after};
+use crate::opaque::keeper::delivery::counts_ms;
 use crate::opaque::keeper::waiting::{WaitingWork, WorkKind, waiting_of};
-use crate::opaque::keeper::{Keeper, Scene, counts_ms};
+use crate::opaque::keeper::{Keeper, Scene};
 use crate::opaque::packets::action::Action;
 use crate::opaque::packets::segment::{FlowKey, Segment};
 
--- a/src/opaque/keeper/opener_checks.rs
+++ b/src/opaque/keeper/opener_checks.rs
@@ -1,6 +1,6 @@
 //! Whether the backend server may be handed a new flow now.
 
-use crate::opaque::finding::flow_book::Opening;
+use crate::opaque::finding::flow::Opening;
 use crate::opaque::keeper::handing_on::MAX_HOPS;
 use crate::opaque::keeper::opener_limits::OwnPlace;
 use crate::opaque::keeper::openers::NotTaken;
--- a/src/opaque/keeper/opener_limits.rs
+++ b/src/opaque/keeper/opener_limits.rs
@@ -1,7 +1,7 @@
 //! How many requests a backend server may have for one more opener.
 
 use crate::config::deadlines::{Deadline, UNANSWERED_ATTEMPT_MS};
-use crate::opaque::finding::flow_book::Opening;
+use crate::opaque::finding::flow::Opening;
 use crate::opaque::keeper::{Keeper, Scene};
 use crate::opaque::packets::message::MessageKind;
 use crate::opaque::packets::segment::FlowKey;
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -1,6 +1,6 @@
 //! Openers: which the agent takes, and where the others go.
 
-use crate::opaque::finding::flow_book::{EXPECTED_MS, EXPECTED_SOON_MS, Flow, Holding, Opening};
+use crate::opaque::finding::flow::{EXPECTED_MS, EXPECTED_SOON_MS, Flow, Holding, Opening};
 use crate::opaque::keeper::declines::Declined;
 use crate::opaque::keeper::opener_limits::OwnPlace;
 use crate::opaque::keeper::{Keeper, Scene, say_holds, tell};
--- a/src/opaque/keeper/questions.rs
+++ b/src/opaque/keeper/questions.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 
 use crate::code::Code;
-use crate::opaque::finding::flow_book::{Flow, Holding};
+use crate::opaque::finding::flow::{Flow, Holding};
 use crate::opaque::finding::lookup::{FIRST_ASKED, Question, Verdict};
 use crate::opaque::keeper::{Keeper, Scene, say_holds, tell};
 use crate::opaque::openers::opener_order::likely_hosts;
--- a/src/opaque/keeper/waiting.rs
+++ b/src/opaque/keeper/waiting.rs
@@ -8,7 +8,7 @@
 use crate::decisions::service_time::wait_ms;
 use crate::decisions::wait_queue::{Pace, Waiting};
 use crate::decisions::waiting::Prospect;
-use crate::opaque::finding::flow_book::Opening;
+use crate::opaque::finding::flow::Opening;
 use crate::opaque::keeper::{Keeper, Scene, tell};
 use crate::opaque::packets::action::Action;
 use crate::opaque::packets::message::MessageKind;
