--- a/src/opaque/forwarder/offers.rs
+++ b/src/opaque/forwarder/offers.rs
@@ -12,7 +12,7 @@
 use crate::opaque::forwarder::watched::{TAKEN_TIMEOUT_MS, Watched};
 use crate::opaque::openers::candidates;
 use crate::opaque::packets::action::Action;
-use crate::opaque::packets::message::{MessageKind, wait_units};
+use crate::opaque::packets::message::MessageKind;
 use crate::opaque::packets::segment::Segment;
 use crate::opaque::values::directory::Directory;
 
@@ -111,7 +111,7 @@
             Offer::MayDecline(host, _) if watched.was_missed => host,
             Offer::MayDecline(host, most_ms) => {
                 message.kind = MessageKind::Offer;
-                message.hops = wait_units(most_ms);
+                message.most_wait_ms = most_ms as u16;
                 message.load_permille = self.mean_load(directory, &flow, now_ms);
                 host
             }
--- a/src/opaque/keeper/declines.rs
+++ b/src/opaque/keeper/declines.rs
@@ -11,7 +11,7 @@
 use crate::opaque::finding::flow::Opening;
 use crate::opaque::keeper::{Keeper, Scene, tell};
 use crate::opaque::packets::action::Action;
-use crate::opaque::packets::message::{Message, MessageKind, OFFER_WAIT_UNIT_MS, UNKNOWN_LOAD};
+use crate::opaque::packets::message::{Message, MessageKind, UNKNOWN_LOAD};
 use crate::opaque::packets::segment::FlowKey;
 
 /// How much more than the mean an agent must have to decline openers, as a part of the mean: below it, the way to
@@ -54,8 +54,7 @@
 
     /// Tells whether an opener that is offered would wait here for no longer than its balancer expects elsewhere.
     pub(super) fn is_wait_taken(&mut self, scene: &Scene<'_>, message: &Message) -> bool {
-        let most_ms = u16::from(message.hops) * OFFER_WAIT_UNIT_MS;
-        self.expected_wait_ms(scene) <= most_ms
+        self.expected_wait_ms(scene) <= message.most_wait_ms
     }
 
     /// Gives an opener back to its balancer.
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -53,12 +53,11 @@
         }
         let deadline = scene.directory.deadline(key.called);
         let is_offer = message.kind == MessageKind::Offer;
-        let hops = if is_offer { 0 } else { message.hops };
         let opening = Opening {
             since_ms: scene.now_ms,
             packet: packet.to_vec(),
             balancer: message.host,
-            hops,
+            hops: message.hops,
             copy: segment.acknowledgement,
             waited_ms: message.waited_ms,
             expected_ms: deadline.map_or(EXPECTED_MS, |_| EXPECTED_SOON_MS),
--- a/src/opaque/packets/message.rs
+++ b/src/opaque/packets/message.rs
@@ -57,9 +57,12 @@
 pub struct Message {
     /// What it asks or says.
     pub kind: MessageKind,
-    /// How many agents have passed an opener on; of [`MessageKind::Offer`], the longest wait for which the receiver
-    /// takes it, in units of [`OFFER_WAIT_UNIT_MS`].
+    /// How many agents have passed an opener on; none of [`MessageKind::Offer`], in whose place its longest wait
+    /// travels.
     pub hops: u8,
+    /// Of [`MessageKind::Offer`], the longest wait for which the receiver takes it, in milliseconds; rounded down to
+    /// whole [`OFFER_WAIT_UNIT_MS`], of which 255 fit.
+    pub most_wait_ms: u16,
     /// The balancer through which a packet came in; of [`MessageKind::Holds`], who holds the flow.
     pub host: Ipv4Addr,
     /// The sender's revisions.
@@ -90,14 +93,9 @@
 /// The unit in which [`Message::unsettled_ms`] travels, in milliseconds.
 pub(crate) const UNSETTLED_UNIT_MS: u16 = 20;
 
-/// The unit in which the longest wait of an offer travels, in milliseconds: 255 of them are more than any latency
+/// The unit in which [`Message::most_wait_ms`] travels, in milliseconds: 255 of them are more than any latency
 /// objective for which openers are offered.
-pub(crate) const OFFER_WAIT_UNIT_MS: u16 = 4;
-
-/// Returns the longest wait of an offer as it travels, rounded down.
-pub(crate) fn wait_units(wait_ms: f64) -> u8 {
-    (wait_ms / f64::from(OFFER_WAIT_UNIT_MS)) as u8
-}
+const OFFER_WAIT_UNIT_MS: u16 = 4;
 
 /// The unit in which [`Message::waited_ms`] travels, in milliseconds: half of the first step between the ages
 /// that an agent tells apart.
@@ -113,6 +111,14 @@
         u8::try_from(units).unwrap_or(u8::MAX)
     }
 
+    fn hops_or_wait(&self) -> u8 {
+        if self.kind != MessageKind::Offer {
+            return self.hops;
+        }
+        let units = self.most_wait_ms / OFFER_WAIT_UNIT_MS;
+        u8::try_from(units).unwrap_or(u8::MAX)
+    }
+
     fn kind_and_wait(&self) -> u8 {
         let units = (self.waited_ms / WAIT_UNIT_MS).min(MAX_WAIT_UNITS);
         (units as u8) << KIND_BITS | self.kind as u8
@@ -123,6 +129,7 @@
         Self {
             kind,
             hops: 0,
+            most_wait_ms: 0,
             host: Ipv4Addr::UNSPECIFIED,
             digest: Digest::default(),
             age_ms: UNKNOWN_AGE_MS,
@@ -137,7 +144,7 @@
         payload.extend_from_slice(&[
             VERSION,
             self.kind_and_wait(),
-            self.hops,
+            self.hops_or_wait(),
             self.unsettled_units(),
         ]);
         payload.extend_from_slice(&self.host.octets());
@@ -157,13 +164,19 @@
         let at = datagram.len().checked_sub(TRAILER_BYTES);
         let (payload, trailer) = datagram.split_at(at.ok_or_else(malformed)?);
         let kind = kind_of(trailer[1] & ((1 << KIND_BITS) - 1)).filter(|_| trailer[0] == VERSION);
+        let kind = kind.ok_or_else(malformed)?;
+        let (hops, wait_units) = match kind {
+            MessageKind::Offer => (0, trailer[2]),
+            _ => (trailer[2], 0),
+        };
         let word = |at: usize| u64::from_be_bytes(trailer[at..at + 8].try_into().unwrap_or([0; 8]));
         let half = |at: usize| u16::from_be_bytes([trailer[at], trailer[at + 1]]);
         Ok((
             payload,
             Message {
-                kind: kind.ok_or_else(malformed)?,
-                hops: trailer[2],
+                kind,
+                hops,
+                most_wait_ms: u16::from(wait_units) * OFFER_WAIT_UNIT_MS,
                 host: Ipv4Addr::new(trailer[4], trailer[5], trailer[6], trailer[7]),
                 digest: Digest {
                     highest: word(8).into(),
--- a/tests/opaque/message.rs
+++ b/tests/opaque/message.rs
@@ -53,3 +53,17 @@
     let highest = u64::from_be_bytes(written[8..16].try_into().expect("eight bytes"));
     assert!(highest > 18, "it asks who sent it for what is newer");
 }
+
+#[test]
+fn the_longest_wait_of_an_offer_travels_in_place_of_its_hops() {
+    for (most_wait_ms, travels, read_ms) in [(0, 0, 0), (203, 50, 200), (9_000, 255, 1_020)] {
+        let mut message = Message::new(MessageKind::Offer);
+        message.most_wait_ms = most_wait_ms;
+        message.hops = 3;
+        let mut written = Vec::new();
+        message.append(&mut written);
+        assert_eq!(written[2], travels);
+        let (_, read) = Message::split(&written).expect("sound");
+        assert_eq!((read.most_wait_ms, read.hops), (read_ms, 0));
+    }
+}
