Take back what told balancers where openers go that are passed on

What it was for stays open: an opener that is passed on to an agent that is dead is not watched, while the one that passed it on lives.

--- a/src/opaque/keeper/handing_on.rs
+++ b/src/opaque/keeper/handing_on.rs
@@ -6,7 +6,7 @@
 use crate::opaque::finding::flow_book::Opening;
 use crate::opaque::keeper::opener_limits::LAST_COPY;
 use crate::opaque::keeper::openers::NotTaken;
-use crate::opaque::keeper::{Keeper, Scene, say_holds};
+use crate::opaque::keeper::{Keeper, Scene};
 use crate::opaque::openers::opener_order::{next_host, next_warm_host};
 use crate::opaque::packets::action::Action;
 use crate::opaque::packets::message::{Message, MessageKind};
@@ -67,10 +67,6 @@
                 message.hops = opening.hops + 1;
                 message.waited_ms = opening.waited_ms;
                 self.metrics.openers_handed_on.inc();
-                if scene.directory.deadline(key.called).is_some() {
-                    // The caller's next copy goes there, where its balancer watches it.
-                    say_holds(key, opening.balancer, host, actions);
-                }
                 actions.push(Action::ToPeer(host, message, opening.packet));
             }
             None if opening.copy >= LAST_COPY => {
