--- a/src/decisions/slots.rs
+++ b/src/decisions/slots.rs
@@ -117,7 +117,6 @@
             item: id,
             caller: id.0,
             priority: 0,
-            is_bound: false,
             since_ms: now_ms,
             objective_ms: u32::MAX,
             // None is late before its deadline, so that they are served by arrival.
@@ -152,7 +151,6 @@
             service_ms: self.service_ms(),
             slots: self.slots,
             objective_ms: u32::MAX,
-            takes_late: true,
         };
         if let Some(waiting) = self.queue.pop_if(&pace, now_ms, |_| true) {
             self.busy += 1;
--- a/src/decisions/wait_queue.rs
+++ b/src/decisions/wait_queue.rs
@@ -27,8 +27,6 @@
     pub slots: u32,
     /// The least latency objective of those that wait, in milliseconds.
     pub objective_ms: u32,
-    /// Whether one may go that will be late.
-    pub takes_late: bool,
 }
 
 impl Pace {
@@ -47,8 +45,6 @@
     pub caller: u64,
     /// How urgent it is; 0 goes first.
     pub priority: u8,
-    /// Whether it is bound to this server.
-    pub is_bound: bool,
     /// When it came.
     pub since_ms: u64,
     /// What its caller aims at, in milliseconds.
@@ -132,10 +128,7 @@
     ) -> Option<Waiting<T>> {
         let order = self.order(pace, now_ms);
         let entries = self.entries.iter().enumerate();
-        let going = entries.filter(|(_, entry)| {
-            may_go(&entry.waiting.item)
-                && (pace.takes_late || order.answered_ms <= entry.waiting.due_ms)
-        });
+        let going = entries.filter(|(_, entry)| may_go(&entry.waiting.item));
         let (index, _) = going.min_by_key(|(_, entry)| order.rank(&entry.waiting, entry.turn))?;
         Some(self.entries.remove(index).waiting)
     }
@@ -204,12 +197,12 @@
 
 impl Order {
     /// Returns the place of one that waits; the least goes first.
-    fn rank<T>(&self, waiting: &Waiting<T>, turn: u32) -> (bool, u8, bool, u32, u64) {
+    fn rank<T>(&self, waiting: &Waiting<T>, turn: u32) -> (bool, u8, u32, u64) {
         let is_late = self.answered_ms > waiting.due_ms;
         let due = match self.newest_first {
             true => u64::MAX - waiting.asked_ms(),
             false => waiting.due_ms,
         };
-        (is_late, waiting.priority, !waiting.is_bound, turn, due)
+        (is_late, waiting.priority, turn, due)
     }
 }
--- a/src/opaque/keeper/waiting.rs
+++ b/src/opaque/keeper/waiting.rs
@@ -179,7 +179,6 @@
             service_ms,
             slots,
             objective_ms: deadline.objective_ms,
-            takes_late: true,
         };
         let before = self.waiting.ahead_of(waiting, &pace, scene.now_ms);
         let oldest_ms = self.waiting.iter().map(|waiting| waiting.since_ms).min();
@@ -216,10 +215,7 @@
         }
         let slots = self.own_slots(scene).unwrap_or_default();
         while self.has_room(scene, slots) {
-            let mut pace = self.pace(slots);
-            let most = self.handed_at_most(slots, pace.objective_ms, scene.now_ms);
-            let most_late = f64::midpoint(f64::from(slots), most);
-            pace.takes_late = f64::from(self.flows.busy()) < most_late;
+            let pace = self.pace(slots);
             let may_open = self.has_cold_rate(scene);
             let may_go = |work: &WaitingWork| may_open || matches!(work.kind, WorkKind::Request(_));
             let Some(next) = self.waiting.pop_if(&pace, scene.now_ms, may_go) else {
@@ -278,7 +274,6 @@
             service_ms: self.slot_time.service_ms(),
             slots,
             objective_ms: self.least_objective_ms().unwrap_or_default(),
-            takes_late: true,
         }
     }
 
@@ -395,7 +390,6 @@
     Waiting {
         caller: u64::from(work.key.caller.ip().to_bits()),
         priority: route.map_or(0, |route| route.priority),
-        is_bound: matches!(work.kind, WorkKind::Request(_)),
         since_ms: scene.now_ms,
         due_ms: scene.now_ms + objective_ms,
         objective_ms: deadline.objective_ms,
--- a/tests/waiting.rs
+++ b/tests/waiting.rs
@@ -7,7 +7,6 @@
     service_ms: 30.0,
     slots: 2,
     objective_ms: 300,
-    takes_late: true,
 };
 
 /// Returns something of a caller that came at a time.
@@ -16,7 +15,6 @@
         item,
         caller,
         priority,
-        is_bound: false,
         since_ms,
         objective_ms: PACE.objective_ms,
         due_ms: since_ms + u64::from(PACE.objective_ms),
