Test that an opener finds the one of five agents nearby that has room

Cause: a balancer looks at three agents of its zone for an opener, whatever it heard of others. Changed test: an_opener_is_offered_until_the_least_wait_is_known took the third decline for the last; it now goes through five and asks as before that the least wait is assigned.

--- a/tests/opaque/offers.rs
+++ b/tests/opaque/offers.rs
@@ -76,10 +76,34 @@
     assert_ne!(first, second);
     let (third, kind) = balancer.hears_decline(&flow(1), second, 20);
     assert_eq!(kind, MessageKind::Offer);
-    let (last, kind) = balancer.hears_decline(&flow(1), third, 40);
+    let (fourth, kind) = balancer.hears_decline(&flow(1), third, 40);
+    assert_eq!(kind, MessageKind::Offer);
+    let (fifth, kind) = balancer.hears_decline(&flow(1), fourth, 50);
+    assert_eq!(kind, MessageKind::Offer);
+    let (last, kind) = balancer.hears_decline(&flow(1), fifth, 30);
     assert_eq!((last, kind), (second, MessageKind::Deliver));
 }
 
+#[test]
+fn the_one_of_five_nearby_that_has_room_is_asked_first() {
+    let mut asked = Balancer::before(8);
+    let (first, _) = asked.sends(&flow(1), 0);
+    let mut order = vec![first];
+    for _ in 0..4 {
+        let (next, _) = asked.hears_decline(&flow(1), order[order.len() - 1], 60);
+        assert!(!order.contains(&next), "{next} was asked twice");
+        order.push(next);
+    }
+    let mut balancer = Balancer::before(8);
+    for (index, host) in order.iter().enumerate() {
+        let wait_ms = if index == 4 { 0 } else { 60 };
+        let (directory, now_ms) = (&balancer.directory, balancer.now_ms);
+        let forwarder = &mut balancer.forwarder;
+        forwarder.heard_wait(directory, *host, wait_ms, now_ms);
+    }
+    assert_eq!(balancer.sends(&flow(1), 0), (order[4], MessageKind::Offer));
+}
+
 #[test]
 fn an_agent_that_says_nothing_is_left_for_another() {
     let mut balancer = Balancer::before(8);
