--- a/src/decisions/offers.rs
+++ b/src/decisions/offers.rs
@@ -8,8 +8,9 @@
 
 use std::net::Ipv4Addr;
 
-/// How many agents of the balancer's availability zone an opener may be offered to.
-pub(crate) const MAX_NEAR: usize = 3;
+/// How many agents of the balancer's availability zone an opener may be offered to: as many as it is offered to at
+/// most, so that one heard to have room is found among them before another zone is.
+pub(crate) const MAX_NEAR: usize = MAX_OFFERS;
 /// How many agents of other availability zones it may be offered to.
 pub(crate) const MAX_FAR: usize = 2;
 /// How many agents an opener is offered to before it is assigned: of a few busy ones one mostly has a slot free, and
