--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -21,6 +21,7 @@
 mod news;
 mod offers;
 mod openers;
+mod outcomes;
 mod policies;
 mod queue_model;
 mod queue_plan;
