Count neither callers who left nor flows from before as failures of a server

Cause: after a loss of power callers whose time ran out in the dark end flows that have just opened, and requests come on flows that ended with what was before. The backend server closes the first and resets the second; an agent took both for failures, and told balancers that it takes nothing. Change: where callers have time for one attempt, an end without an answer counts unless its caller had ended the flow apart from a request, or it is the reset of a flow that this agent has not seen opening. Log lines and explain say which. Other routes count as before.

--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -27,7 +27,7 @@
 }
 
 /// What ends a request, the most telling first.
-const MEANINGS: [Meaning; 22] = [
+const MEANINGS: [Meaning; 24] = [
     meaning(
         "request_lost",
         "reason",
@@ -46,6 +46,18 @@
         "closed",
         "its backend server closed the flow without an answer",
     ),
+    meaning(
+        "request_lost",
+        "reason",
+        "caller_left",
+        "its caller ended the flow before the backend server answered",
+    ),
+    meaning(
+        "request_lost",
+        "reason",
+        "flow_from_before",
+        "its backend server had ended the flow before its agent started",
+    ),
     meaning(
         "flow_reset",
         "code",
--- a/src/opaque/finding/flow_book.rs
+++ b/src/opaque/finding/flow_book.rs
@@ -109,6 +109,10 @@
     pub(crate) answer_goes_on: bool,
     /// Whether its caller was told that it has ended, while its backend server still holds it.
     pub(crate) told_ended: bool,
+    /// Whether it was opened under the agent's eyes.
+    pub(crate) was_seen_opening: bool,
+    /// Whether its caller ended it while a request was running.
+    pub(crate) caller_left: bool,
 }
 
 impl Flow {
@@ -126,6 +130,8 @@
             mixes_requests: false,
             answer_goes_on: false,
             told_ended: false,
+            was_seen_opening: false,
+            caller_left: false,
         }
     }
 
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -371,6 +371,7 @@
             }
             flow.seen_ms = now_ms;
             flow.caller_acknowledgement = segment.acknowledgement;
+            flow.caller_left |= segment.is_bare_end() && flow.running.is_some();
             if segment.resets && deadline.is_some() {
                 // Its caller has left, and the backend server need not answer any more.
                 flow.running = None;
@@ -463,6 +464,7 @@
                 return false;
             }
             flow.shown = opening.answered;
+            flow.was_seen_opening = true;
             flow.holding = Holding::Open;
             true
         }
--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -19,6 +19,28 @@
 /// The status by which a backend server says that it has no room, which is no failure where its slots are busy.
 const OVERLOADED_STATUS: u16 = 503;
 
+/// Why a backend server ended a flow whose request it had not answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FlowEnd {
+    /// It failed the request.
+    Closed,
+    /// The caller had ended the flow before.
+    CallerLeft,
+    /// The flow had ended before the request came, unknown to an agent that started later.
+    FromBefore,
+}
+
+impl FlowEnd {
+    /// Returns its name in log lines.
+    fn reason(self) -> &'static str {
+        match self {
+            Self::Closed => "closed",
+            Self::CallerLeft => "caller_left",
+            Self::FromBefore => "flow_from_before",
+        }
+    }
+}
+
 impl Keeper {
     /// Takes a packet that the backend server returned.
     pub(super) fn returned(
@@ -121,18 +143,35 @@
                 self.note_slots(scene);
                 self.note_answer(scene, &key, &running, status);
             }
-            Some((running, false)) => {
-                self.metrics.requests_lost.inc();
-                let (id, waited_ms) = (running.id, now_ms.saturating_sub(running.since_ms));
-                log::warn!(
-                    "event=request_lost request={id} flow={key} waited_ms={waited_ms} reason=closed"
-                );
-                self.note_failed(now_ms);
-            }
+            Some((running, false)) => self.note_closed(scene, &key, &running, segment),
             None => {}
         }
     }
 
+    /// Notes that the backend server ended a flow whose request it had not answered.
+    fn note_closed(
+        &mut self,
+        scene: &Scene<'_>,
+        key: &FlowKey,
+        running: &Running,
+        segment: &Segment,
+    ) {
+        let waited_ms = scene.now_ms.saturating_sub(running.since_ms);
+        let end = match self.flows.get(key) {
+            Some(flow) if scene.directory.deadline(key.called).is_some() => flow_end(flow, segment),
+            _ => FlowEnd::Closed,
+        };
+        log::warn!(
+            "event=request_lost request={} flow={key} waited_ms={waited_ms} reason={}",
+            running.id,
+            end.reason()
+        );
+        self.metrics.requests_lost.inc();
+        if end == FlowEnd::Closed {
+            self.note_failed(scene.now_ms);
+        }
+    }
+
     fn note_answer(
         &mut self,
         scene: &Scene<'_>,
@@ -205,6 +244,20 @@
     }
 }
 
+/// Returns why the backend server ended a flow with this packet.
+///
+/// After a restart of many hosts callers leave whose time ran out in the dark, and flows are reset that ended with
+/// what was before: counted as failures, both would have a backend server left out that has just come back.
+fn flow_end(flow: &Flow, segment: &Segment) -> FlowEnd {
+    if flow.caller_left {
+        FlowEnd::CallerLeft
+    } else if segment.resets && !flow.was_seen_opening {
+        FlowEnd::FromBefore
+    } else {
+        FlowEnd::Closed
+    }
+}
+
 /// Tells whether an answer is the backend server's failure; one whose status does not show is an ordinary one.
 fn is_server_error(status: Option<u16>) -> bool {
     status.is_some_and(|status| status >= FIRST_SERVER_ERROR_STATUS)
--- a/src/opaque/packets/segment.rs
+++ b/src/opaque/packets/segment.rs
@@ -85,6 +85,11 @@
         self.sequence.wrapping_add(self.payload_bytes.into())
     }
 
+    /// Tells whether it ends its sender's data apart from a request, as one does that no longer waits for an answer.
+    pub(crate) fn is_bare_end(&self) -> bool {
+        self.ends && self.payload_bytes == 0
+    }
+
     /// Returns the flow of a packet that a caller sent.
     pub fn flow_from_caller(&self) -> FlowKey {
         FlowKey {
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -27,6 +27,8 @@
     let taken = format!("event=opener_taken flow={FLOW} copy=0");
     let lost = format!("event=request_lost request=r-1 flow={FLOW} reason=backend_ended");
     let closed = format!("event=request_lost request=r-1 flow={FLOW} waited_ms=3 reason=closed");
+    let left = format!("event=request_lost request=r-1 flow={FLOW} reason=caller_left");
+    let before = format!("event=request_lost request=r-1 flow={FLOW} reason=flow_from_before");
     let gone = format!("event=flow_reset flow={FLOW} code=4011");
     let no_room = format!("event=flow_reset flow={FLOW} code=4013");
     let evacuated = format!("event=flow_reset flow={FLOW} code=4015 opens=true");
@@ -38,6 +40,8 @@
     let cases = [
         (&lost, "process ended while the request was there"),
         (&closed, "closed the flow without an answer"),
+        (&left, "its caller ended the flow"),
+        (&before, "before its agent started"),
         (&gone, "every agent said"),
         (&no_room, "nobody took its opener"),
         (&evacuated, "evacuated zones could have taken"),
