--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -12,6 +12,7 @@
 mod opener_limits;
 mod openers;
 mod questions;
+mod slow;
 mod stall;
 mod told;
 mod waiting;
@@ -22,6 +23,7 @@
 use crate::config::deadlines::Deadline;
 use crate::config::revision::Revision;
 use crate::config::service_id::ServiceId;
+use crate::decisions::pace_watch::PaceWatch;
 use crate::decisions::service_time::SlotTime;
 use crate::decisions::stall::StallWatch;
 use crate::decisions::suspicion::Suspicion;
@@ -104,6 +106,11 @@
     outcomes: RecentOutcomes,
     failing: bool,
     stall: StallWatch<FlowKey>,
+    pace_watch: PaceWatch<FlowKey>,
+    /// Whether the backend server was far slower than usual at the last look.
+    is_slow: bool,
+    /// For how long an opener would wait at others, in milliseconds, and when a balancer last said so.
+    elsewhere: Option<(u16, u64)>,
     cold_rate: ColdRate,
     /// Since when the backend server may be cold without its entry telling so yet.
     maybe_cold_since_ms: Option<u64>,
@@ -150,6 +157,9 @@
             outcomes: RecentOutcomes::default(),
             failing: false,
             stall: StallWatch::new(),
+            pace_watch: PaceWatch::new(),
+            is_slow: false,
+            elsewhere: None,
             cold_rate: ColdRate::default(),
             maybe_cold_since_ms: None,
             was_evacuated: false,
@@ -374,6 +384,7 @@
             }
             flow.seen_ms = now_ms;
             flow.caller_acknowledgement = segment.acknowledgement;
+            flow.caller_left |= segment.is_bare_end() && flow.running.is_some();
             if segment.resets && deadline.is_some() {
                 // Its caller has left, and the backend server need not answer any more.
                 flow.running = None;
@@ -466,6 +477,7 @@
                 return false;
             }
             flow.shown = opening.answered;
+            flow.was_seen_opening = true;
             flow.holding = Holding::Open;
             true
         }
