--- a/src/decisions/pace_watch.rs
+++ b/src/decisions/pace_watch.rs
@@ -184,10 +184,12 @@
         usual.is_known().then_some(usual.median_ms)
     }
 
-    /// Takes a request out that has left its slot, in which the next one begins.
+    /// Takes a request out that has left its slot, in which the next one begins, or its place in the queue.
     fn take(&mut self, flow: K, now_ms: u64) -> Option<Running<K>> {
         let request = self.running.remove(self.position(flow).ok()?);
-        for other in self.running.iter_mut().filter(|other| other.behind > 0) {
+        // What is refused last has moved nobody who came before it.
+        let came_after = |other: &&mut Running<K>| other.behind > request.behind;
+        for other in self.running.iter_mut().filter(came_after) {
             other.behind -= 1;
             if other.behind == 0 {
                 other.since_ms = now_ms;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -63,7 +63,7 @@
 pub use crate::decisions::retry_budget::RetryBudget;
 pub use crate::decisions::service_time::SlotTime;
 pub use crate::decisions::slots::{Arrival, Next, Refusal, RequestId, Slots};
-pub use crate::decisions::slow_server::SlowServer;
+pub use crate::decisions::slow_server::extra_ms;
 pub use crate::decisions::stall::{
     LEAST_SILENCE_MS, LOOK_MS, PROBE_MS as STALL_PROBE_MS, RAMP_MS as STALL_RAMP_MS, Stall,
     StallWatch,
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -109,8 +109,6 @@
     pace_watch: PaceWatch<FlowKey>,
     /// Whether the backend server was far slower than usual at the last look.
     is_slow: bool,
-    /// For how long an opener would wait at others, in milliseconds, and when a balancer last said so.
-    elsewhere: Option<(u16, u64)>,
     cold_rate: ColdRate,
     /// Since when the backend server may be cold without its entry telling so yet.
     maybe_cold_since_ms: Option<u64>,
@@ -159,7 +157,6 @@
             stall: StallWatch::new(),
             pace_watch: PaceWatch::new(),
             is_slow: false,
-            elsewhere: None,
             cold_rate: ColdRate::default(),
             maybe_cold_since_ms: None,
             was_evacuated: false,
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -51,7 +51,6 @@
             say_holds(&key, message.host, self.identity.host, actions);
             return;
         }
-        self.note_elsewhere(message, scene.now_ms);
         let deadline = scene.directory.deadline(key.called);
         let is_offer = message.kind == MessageKind::Offer;
         let hops = if is_offer { 0 } else { message.hops };
