Test that who asked for a flow is told as soon as its server answers

Red: an agent that shows its backend server a packet for another agent tells that one 50 ms later, and not at all where the answer comes before. After 20 ms the asker shows the packet to all agents of the site, and the flow's next packets wait with the question.

--- a/tests/opaque/restarts.rs
+++ b/tests/opaque/restarts.rs
@@ -1,9 +1,9 @@
 //! Requests of flows that are older than their agent, where callers have time for one attempt.
 
-use endivedyke::opaque::{FlowKey, Message, MessageKind, deadlines};
+use endivedyke::opaque::{Action, FlowKey, Message, MessageKind, deadlines};
 
 use crate::builder::{
-    ACK, AgentUnderTest, CALLED, PacketSpec, flow, from_backend, from_caller, host,
+    ACK, AgentUnderTest, CALLED, PacketSpec, flow, from_backend, from_caller, host, hosts_told,
     reaches_backend, request,
 };
 
@@ -19,14 +19,14 @@
 }
 
 /// Lets the backend server send data, with what it has of the caller's.
-fn answer(agent: &mut AgentUnderTest, key: &FlowKey, acknowledgement: u32) {
+fn answer(agent: &mut AgentUnderTest, key: &FlowKey, acknowledgement: u32) -> Vec<Action> {
     let spec = PacketSpec {
         flags: ACK,
         sequence: 7,
         acknowledgement,
         data_bytes: 60,
     };
-    agent.backend(from_backend(key, spec));
+    agent.backend(from_backend(key, spec))
 }
 
 fn find(agent: &mut AgentUnderTest, packet: &[u8]) -> bool {
@@ -75,3 +75,14 @@
     agent.backend(from_backend(&key, spec));
     assert_eq!(agent.keeper.busy(), 0);
 }
+
+#[test]
+fn who_asked_for_a_flow_is_told_as_soon_as_its_server_answers() {
+    let mut agent = restarted_agent();
+    let key = flow(1);
+    assert!(find(&mut agent, &request(&key, 7)));
+    let actions = answer(&mut agent, &key, REQUEST_END);
+    assert_eq!(hosts_told(&actions, MessageKind::Found), [host(2)]);
+    let more = answer(&mut agent, &key, REQUEST_END);
+    assert!(hosts_told(&more, MessageKind::Found).is_empty());
+}
