--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -276,6 +276,7 @@
             self.metrics.packets_returned.inc();
             self.returned(scene, &segment, packet, &mut actions);
         } else {
+            self.tell_asker(scene, &segment, &mut actions);
             self.answer(scene, &segment, &packet);
             let flow = segment.flow_from_backend();
             actions.push(Action::ToCaller(flow.caller, packet));
--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -61,6 +61,26 @@
         }
     }
 
+    /// Tells the agent that asked for a flow that it is held here, which a packet of the backend server shows.
+    ///
+    /// Before it has heard that, the asker shows the flow's packet to all agents, and its caller's next packets wait.
+    pub(super) fn tell_asker(
+        &self,
+        scene: &Scene<'_>,
+        segment: &Segment,
+        actions: &mut Vec<Action>,
+    ) {
+        let key = segment.flow_from_backend();
+        let holding = self.flows.get(&key).map(|flow| &flow.holding);
+        if let Some(Holding::Unconfirmed { asker, .. }) = holding
+            && !segment.resets
+            && let Some(asker) = *asker
+            && scene.directory.deadline(key.called).is_some()
+        {
+            tell(MessageKind::Found, &key, asker, actions);
+        }
+    }
+
     /// Notes what an answer of the backend server tells of its flow.
     pub(super) fn answer(&mut self, scene: &Scene<'_>, segment: &Segment, packet: &[u8]) {
         let now_ms = scene.now_ms;
