Test that what came while a flow was asked for goes to its holder

Red: the newest packet that waits with a question is dropped when the holder is found, and its caller sends it again after 200 ms.

--- a/tests/opaque/restarts.rs
+++ b/tests/opaque/restarts.rs
@@ -86,3 +86,31 @@
     let more = answer(&mut agent, &key, REQUEST_END);
     assert!(hosts_told(&more, MessageKind::Found).is_empty());
 }
+
+#[test]
+fn what_came_while_a_flow_was_asked_for_goes_to_its_holder() {
+    let mut agent = AgentUnderTest::new(3, true);
+    let told = deadlines(&format!("{CALLED},300,1500\n")).expect("sound");
+    agent.directory.set_deadlines(told);
+    let key = flow(1);
+    agent.deliver(&request(&key, 7));
+    let spec = PacketSpec {
+        flags: ACK,
+        sequence: REQUEST_END,
+        acknowledgement: 67,
+        data_bytes: 40,
+    };
+    let next = from_caller(&key, spec);
+    assert!(agent.deliver(&next).is_empty(), "the question is open");
+    let found = agent.answer(MessageKind::Found, host(3), &key);
+    let delivered: Vec<_> = found
+        .iter()
+        .filter_map(|action| match action {
+            Action::ToPeer(to, message, packet) if message.kind == MessageKind::Deliver => {
+                Some((*to, packet.clone()))
+            }
+            _ => None,
+        })
+        .collect();
+    assert_eq!(delivered, [(host(3), next)]);
+}
