--- a/src/opaque/finding/lookup.rs
+++ b/src/opaque/finding/lookup.rs
@@ -41,7 +41,9 @@
     flow: FlowKey,
     pub(crate) acknowledgement: u32,
     pub(crate) balancer: Ipv4Addr,
-    packet: Vec<u8>,
+    pub(crate) packet: Vec<u8>,
+    /// Whether the packet came after those that were asked had been shown one.
+    pub(crate) is_unshown: bool,
     absent_at: Vec<Ipv4Addr>,
     newest_revision: Revision,
     started_ms: u64,
@@ -107,6 +109,7 @@
             Ok(index) => {
                 let lookup = &mut self.open[index];
                 lookup.acknowledgement = segment.acknowledgement;
+                lookup.is_unshown = lookup.packet != question.packet;
                 lookup.packet = question.packet.to_vec();
                 Vec::new()
             }
@@ -117,6 +120,7 @@
                     acknowledgement: segment.acknowledgement,
                     balancer: question.balancer,
                     packet: question.packet.to_vec(),
+                    is_unshown: false,
                     absent_at: Vec::new(),
                     newest_revision: Revision::ZERO,
                     started_ms: now_ms,
@@ -223,6 +227,7 @@
             if hosts.len() > MAX_ASKED {
                 continue;
             }
+            lookup.is_unshown = false;
             asked.extend(hosts.into_iter().map(|host| (host, lookup.packet.clone())));
         }
         asked
--- a/src/opaque/keeper/questions.rs
+++ b/src/opaque/keeper/questions.rs
@@ -80,6 +80,11 @@
         say_holds(&key, lookup.balancer, from, actions);
         let flow = Flow::new(Holding::Elsewhere(from), scene.now_ms);
         self.remember(key, flow, scene.now_ms);
+        if lookup.is_unshown && scene.directory.deadline(key.called).is_some() {
+            // Its caller would send it again only once most of its objective is over.
+            let message = Message::new(MessageKind::Deliver);
+            actions.push(Action::ToPeer(from, message, lookup.packet));
+        }
     }
 
     /// Ends a flow of which it is proved that nobody holds it.
