Publish in the model of a crest the slots that its servers have

Agents of the model saw four slots at servers with two, so that each handed over twice what its server ran.

--- a/tests/opaque/queue_model.rs
+++ b/tests/opaque/queue_model.rs
@@ -20,6 +20,7 @@
     from_caller, host, index_of, opener,
 };
 use crate::queue_plan::{Outcome, Plan, Policy};
+use processes::publish_slots;
 
 /// How long a message is on its way, in milliseconds.
 const HOP_MS: u64 = 1;
@@ -60,6 +61,7 @@
 /// Returns the agents of a plan, which know what is published.
 fn agents(plan: &Plan) -> Agents {
     let mut agents = Agents::new(plan.servers);
+    publish_slots(&mut agents.directory, plan, 1_000, 0);
     if plan.tells_deadline {
         let text = format!("{CALLED},{},{}\n", plan.aim_ms, plan.timeout_ms);
         agents
--- a/tests/opaque/queue_model/processes.rs
+++ b/tests/opaque/queue_model/processes.rs
@@ -3,12 +3,32 @@
 use std::net::Ipv4Addr;
 
 use endivedyke::opaque::{
-    Action, BackendState, Keeper, Message, MessageKind, Scene, UNKNOWN_LOAD, cold_backend_text,
-    steady_load, told_wait,
+    Action, BackendState, Directory, Keeper, Message, MessageKind, Scene, UNKNOWN_LOAD,
+    backend_text, cold_backend_text, steady_load, told_wait,
 };
 
 use super::{ACCEPTED, BEAT_MS, Event, Model, TICK_MS, forwarders};
-use crate::builder::{BALANCER, WIRE, acceptance, host, publish, state_text};
+use crate::builder::{BALANCER, SERVICE, WIRE, ZONE, acceptance, backend_address, host, publish};
+use crate::queue_plan::Plan;
+
+/// Publishes the backend servers of a plan with the slots that they have there.
+pub(super) fn publish_slots(directory: &mut Directory, plan: &Plan, revision: u64, now_ms: u64) {
+    for index in 1..=plan.servers {
+        let text = text_of(plan, index);
+        publish(directory, index, &text, revision + u64::from(index), now_ms);
+    }
+}
+
+fn text_of(plan: &Plan, index: u16) -> String {
+    let address = backend_address(index).to_string();
+    backend_text(
+        SERVICE,
+        &address,
+        ZONE,
+        plan.slots as u64,
+        BackendState::Ready,
+    )
+}
 
 impl Model {
     pub(super) fn forward(&mut self, packet: Vec<u8>) {
@@ -171,7 +191,7 @@
         let cold_ms = self.plan.cold.0;
         self.cold_until_ms = self.now_ms + cold_ms;
         for index in 1..=self.plan.servers {
-            let text = state_text(index, BackendState::Ready);
+            let text = text_of(&self.plan, index);
             let text = cold_backend_text(&text, cold_ms as u32);
             let revision = 2_000 + u64::from(index);
             publish(
