Time nothing that is uncertain, and move flows only where nearly all requests are slow

Change: such an end voids what is being timed and what comes within half a second; idle flows leave only where three quarters of the short window are slow.

--- a/src/decisions/pace_watch.rs
+++ b/src/decisions/pace_watch.rs
@@ -20,6 +20,9 @@
 const FIRST: usize = 64;
 /// How many times the usual time the middle request must take: one that starts cold takes nearly twice as long.
 const SLOW_FACTOR: f64 = 2.5;
+/// The quantile at which a server is held for slow, and the one at which there is no doubt.
+const MIDDLE: f64 = 0.5;
+const NEARLY_ALL: f64 = 0.25;
 /// By which part one request moves the usual time of its address.
 const USUAL_STEP: f64 = 0.02;
 /// The part of that step while the server is slow: what lasts for minutes is usual.
@@ -30,6 +33,9 @@
 const MAX_RUNNING: usize = 256;
 /// How long a request is remembered that is never answered, in milliseconds.
 const FORGET_MS: u64 = 5_000;
+/// For how long requests are not timed after one of which it is unknown whether it is worked on, in milliseconds:
+/// some service times.
+const UNCLEAR_MS: u64 = 500;
 /// The longest time between two looks at the clock, in milliseconds; after a longer one this process was paused.
 const MAX_GAP_MS: u64 = 300;
 const LEAST_MS: f64 = 1.0;
@@ -71,6 +77,8 @@
     usual: Vec<Usual>,
     recent: VecDeque<Timed>,
     looked_ms: u64,
+    /// Until when the backend server may work on what is no longer known to be there.
+    unclear_until_ms: u64,
 }
 
 impl<K: Copy + Ord> PaceWatch<K> {
@@ -81,6 +89,7 @@
             usual: Vec::new(),
             recent: VecDeque::new(),
             looked_ms: 0,
+            unclear_until_ms: 0,
         }
     }
 
@@ -101,9 +110,10 @@
         match self.position(flow) {
             Ok(index) => self.running[index].called = None,
             Err(index) if self.running.len() < MAX_RUNNING => {
+                let is_clear = now_ms >= self.unclear_until_ms;
                 let request = Running {
                     flow,
-                    called,
+                    called: called.filter(|_| is_clear),
                     behind: (there + 1).saturating_sub(slots),
                     since_ms: now_ms,
                 };
@@ -120,10 +130,8 @@
             return;
         };
         if request.behind > 0 {
-            // What is there is not what was seen: nothing of it can be timed.
-            self.running
-                .iter_mut()
-                .for_each(|other| other.called = None);
+            // What is there is not what was seen.
+            self.time_nothing();
             return;
         }
         if let Some(called) = request.called {
@@ -132,15 +140,14 @@
         }
     }
 
-    /// Notes that a request has left the backend server without an answer that took it work.
+    /// Notes that a request was refused, failed or was given up by its caller.
+    ///
+    /// The backend server may go on with it or not, so that nobody knows when others begin.
     pub fn ended(&mut self, flow: K, now_ms: u64) {
-        self.take(flow, now_ms);
-    }
-
-    /// Notes that a request may be worked on or not: its caller gave it up.
-    pub fn given_up(&mut self, flow: K) {
         if let Ok(index) = self.position(flow) {
-            self.running[index].called = None;
+            self.running.remove(index);
+            self.unclear_until_ms = now_ms + UNCLEAR_MS;
+            self.time_nothing();
         }
     }
 
@@ -154,14 +161,26 @@
 
     /// Returns how many times the usual time requests take now, where that is far too long.
     pub fn slower(&self, now_ms: u64) -> Option<f64> {
+        self.quantile(MIDDLE, MIN_RECENT, now_ms)
+    }
+
+    /// Tells whether nearly all requests take far too long, so that neither chance nor a few long ones explain it.
+    pub fn is_surely_slow(&self, now_ms: u64) -> bool {
+        self.quantile(NEARLY_ALL, RECENT, now_ms).is_some()
+    }
+
+    /// Returns how many times the usual time the requests at a quantile take, where that is far too long.
+    fn quantile(&self, part: f64, least: usize, now_ms: u64) -> Option<f64> {
         let recent = self.recent.iter();
         let counts = recent.filter(|timed| now_ms < timed.at_ms + RECENT_MS);
         let answered = counts.map(|timed| timed.ratio);
-        let ratios: Vec<f64> = answered.chain(self.unanswered(now_ms)).collect();
-        if ratios.len() < MIN_RECENT {
+        let mut ratios: Vec<f64> = answered.chain(self.unanswered(now_ms)).collect();
+        if ratios.len() < least {
             return None;
         }
-        Some(median(ratios)).filter(|slower| *slower >= SLOW_FACTOR)
+        ratios.sort_unstable_by(f64::total_cmp);
+        let slower = ratios[(part * ratios.len() as f64) as usize];
+        (slower >= SLOW_FACTOR).then_some(slower)
     }
 
     /// Returns how many times the usual time those requests have taken that run for far too long already.
@@ -232,12 +251,16 @@
             .binary_search_by_key(&flow, |request| request.flow)
     }
 
+    fn time_nothing(&mut self) {
+        for request in &mut self.running {
+            request.called = None;
+        }
+    }
+
     /// Forgets what can't be timed: what was there during a pause of this process, and what never ends.
     fn look_at_clock(&mut self, now_ms: u64) {
         if now_ms > self.looked_ms + MAX_GAP_MS {
-            self.running
-                .iter_mut()
-                .for_each(|request| request.called = None);
+            self.time_nothing();
         }
         self.looked_ms = self.looked_ms.max(now_ms);
         self.running
--- a/src/opaque/keeper/slow.rs
+++ b/src/opaque/keeper/slow.rs
@@ -43,7 +43,7 @@
     pub(super) fn move_from_slow(&mut self, scene: &Scene<'_>, actions: &mut Vec<Action>) {
         let slow = self.slow_server(scene);
         self.log_pace(scene, slow);
-        let Some(slow) = slow else {
+        let Some(slow) = slow.filter(|_| self.pace_watch.is_surely_slow(scene.now_ms)) else {
             return;
         };
         let is_better = |key: &FlowKey| {
--- a/src/opaque/keeper/stall.rs
+++ b/src/opaque/keeper/stall.rs
@@ -115,7 +115,7 @@
         }
         if segment.ends || segment.resets {
             self.stall.withdrawn(key);
-            self.pace_watch.given_up(key);
+            self.pace_watch.ended(key, scene.now_ms);
         }
     }
 
