--- a/src/code.rs
+++ b/src/code.rs
@@ -98,7 +98,6 @@
     4014 SegmentMalformed "packet: its header is malformed", "none: dropped";
     4015 ServiceEvacuated "every backend server that could take the flow stands in an evacuated availability zone", "take a zone back, or add backend servers elsewhere";
     4016 BackendStalled "the backend server that holds the flow takes requests and serves none", "see why it hangs; the caller opens a new flow";
-    4017 BackendSlow "the backend server that holds the flow is far slower than usual, and others are not", "see why it is slow; the caller opens a new flow";
     5001 Io "input or output failed", "see the message";
     5002 PlatformSilent "the configuration service does not answer", "none: the table in force stays, peers are asked";
     5003 PlatformStale "the configuration service shows an older revision", "none: the table in force stays";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,12 +57,10 @@
 };
 pub use crate::decisions::move_share::{BusyStanding, MoveShare};
 pub use crate::decisions::offers::{Candidate, Offer, TAKES_NONE_MS, choose};
-pub use crate::decisions::pace_watch::PaceWatch;
 pub use crate::decisions::placement::{Candidates, candidates, ranked};
 pub use crate::decisions::retry_budget::RetryBudget;
 pub use crate::decisions::service_time::SlotTime;
 pub use crate::decisions::slots::{Arrival, Next, Refusal, RequestId, Slots};
-pub use crate::decisions::slow_server::SlowServer;
 pub use crate::decisions::stall::{
     LEAST_SILENCE_MS, LOOK_MS, PROBE_MS as STALL_PROBE_MS, RAMP_MS as STALL_RAMP_MS, Stall,
     StallWatch,
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -9,7 +9,6 @@
 mod held_requests;
 mod openers;
 mod questions;
-mod slow;
 mod stall;
 mod told;
 mod waiting;
@@ -20,7 +19,6 @@
 use crate::config::deadlines::Deadline;
 use crate::config::revision::Revision;
 use crate::config::service_id::ServiceId;
-use crate::decisions::pace_watch::PaceWatch;
 use crate::decisions::service_time::SlotTime;
 use crate::decisions::stall::StallWatch;
 use crate::decisions::suspicion::Suspicion;
@@ -103,11 +101,6 @@
     outcomes: RecentOutcomes,
     failing: bool,
     stall: StallWatch<FlowKey>,
-    pace_watch: PaceWatch<FlowKey>,
-    /// Whether the backend server was far slower than usual at the last look.
-    is_slow: bool,
-    /// For how long an opener would wait at others, in milliseconds, and when a balancer last said so.
-    elsewhere: Option<(u16, u64)>,
     cold_rate: ColdRate,
     /// Since when the backend server may be cold without its entry telling so yet.
     maybe_cold_since_ms: Option<u64>,
@@ -154,9 +147,6 @@
             outcomes: RecentOutcomes::default(),
             failing: false,
             stall: StallWatch::new(),
-            pace_watch: PaceWatch::new(),
-            is_slow: false,
-            elsewhere: None,
             cold_rate: ColdRate::default(),
             maybe_cold_since_ms: None,
             was_evacuated: false,
--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -64,7 +64,6 @@
             _ if segment.opens => {}
             holding => {
                 self.stall.withdrawn(key);
-                self.pace_watch.ended(key, scene.now_ms);
                 let lost = self.flows.update(&key, scene.now_ms, |flow| {
                     flow.holding = Holding::Absent;
                     flow.running.take()
@@ -134,7 +133,6 @@
             self.note_progress(key, now_ms);
         } else if answered.is_some() {
             self.stall.withdrawn(key);
-            self.pace_watch.ended(key, now_ms);
         }
         match answered {
             Some((running, true)) => {
--- a/src/opaque/keeper/backend_life.rs
+++ b/src/opaque/keeper/backend_life.rs
@@ -87,7 +87,6 @@
         let remains = self.flows.take_remains(u64::MAX, scene.now_ms);
         self.pending.clear();
         self.stall.forget();
-        self.pace_watch.forget();
         self.forget_slot_times();
         log::info!(
             "event=backend_ended flows={} openers={} last_packet_ms_ago={} revision={}",
@@ -162,7 +161,6 @@
         self.outcomes = RecentOutcomes::default();
         self.failing = false;
         self.stall.forget();
-        self.pace_watch.forget();
         self.forget_slot_times();
         self.silent_since_ms = None;
     }
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -122,7 +122,6 @@
             say_holds(&key, message.host, self.identity.host, actions);
             return;
         }
-        self.note_elsewhere(message, scene.now_ms);
         let deadline = scene.directory.deadline(key.called);
         let is_offer = message.kind == MessageKind::Offer;
         let hops = if is_offer { 0 } else { message.hops };
@@ -150,9 +149,6 @@
             Ok(()) if self.declines(scene, &opening, message) => {
                 self.decline(scene, &key, message, Declined::AboveMean, actions);
             }
-            Ok(()) if self.is_slow_for(scene, message) => {
-                self.decline(scene, &key, message, Declined::Busy, actions);
-            }
             Ok(()) => {
                 let balancer = opening.balancer;
                 if self.take_opener(scene, &key, opening, actions) {
--- a/src/opaque/keeper/stall.rs
+++ b/src/opaque/keeper/stall.rs
@@ -5,7 +5,6 @@
 //! come. See docs/design/stalled-servers.md.
 
 use crate::code::Code;
-use crate::opaque::finding::flow_book::EndedFlow;
 use crate::opaque::keeper::{Keeper, Scene};
 use crate::opaque::openers::mean_load::{MeanLoad, RECENT_SPAN_MS, STEADY_SPAN_MS};
 use crate::opaque::openers::recent_outcomes::RecentOutcomes;
@@ -35,7 +34,6 @@
     /// Looks whether the backend server stands still, and ends what loses nothing by it; due each
     /// [`crate::decisions::stall::LOOK_MS`].
     pub fn look_for_stall(&mut self, scene: &Scene<'_>) -> Vec<Action> {
-        self.pace_watch.look(scene.now_ms);
         // A backend server that no table has gets no opener, and its flows end soon.
         let Some(slots) = self.own_slots(scene) else {
             return Vec::new();
@@ -53,8 +51,6 @@
         let mut actions = Vec::new();
         if self.is_stalled(scene.now_ms) {
             self.reset_idle(scene, &mut actions);
-        } else {
-            self.move_from_slow(scene, &mut actions);
         }
         actions
     }
@@ -62,7 +58,10 @@
     /// Ends some flows that carry no request, of callers who have time for one attempt only.
     fn reset_idle(&mut self, scene: &Scene<'_>, actions: &mut Vec<Action>) {
         let has_deadline = |key: &FlowKey| scene.directory.deadline(key.called).is_some();
-        let ended = self.end_idle(RESETS_A_LOOK, has_deadline);
+        let waiting = &self.waiting;
+        let has_waiting = |key: &FlowKey| waiting.iter().any(|waiting| waiting.item.key == *key);
+        let may_end = |key: &FlowKey| has_deadline(key) && !has_waiting(key);
+        let ended = self.flows.end_idle(RESETS_A_LOOK, may_end);
         if ended.is_empty() {
             return;
         }
@@ -82,18 +81,6 @@
         }
     }
 
-    /// Takes out flows that carry no request, neither at the backend server nor here.
-    pub(super) fn end_idle(
-        &mut self,
-        most: usize,
-        may_end: impl Fn(&FlowKey) -> bool,
-    ) -> Vec<EndedFlow> {
-        let waiting = &self.waiting;
-        let has_waiting = |key: &FlowKey| waiting.iter().any(|waiting| waiting.item.key == *key);
-        self.flows
-            .end_idle(most, |key| may_end(key) && !has_waiting(key))
-    }
-
     /// Notes that a packet which the backend server was handed brought data of a request, or ended its flow.
     pub(super) fn note_handed_over(
         &mut self,
@@ -106,22 +93,14 @@
             let has_deadline = scene.directory.deadline(key.called).is_some();
             let is_whole = has_deadline && !may_go_on(segment);
             self.stall.handed_over(key, is_whole, scene.now_ms);
-            if has_deadline || self.pace_watch.is_used() {
-                let slots = self.own_slots(scene).unwrap_or_default();
-                let called = is_whole.then_some(key.called);
-                self.pace_watch
-                    .handed_over(key, called, slots, scene.now_ms);
-            }
         }
         if segment.ends || segment.resets {
             self.stall.withdrawn(key);
-            self.pace_watch.ended(key, scene.now_ms);
         }
     }
 
     /// Notes that the backend server answered something that it had to work for.
     pub(super) fn note_progress(&mut self, key: FlowKey, now_ms: u64) {
-        self.pace_watch.answered(key, now_ms);
         if let Some(stalled_ms) = self.stall.served(key, now_ms) {
             log::warn!(
                 "event=backend_recovered stalled_ms={stalled_ms} busy={}",
--- a/src/opaque/keeper/waiting.rs
+++ b/src/opaque/keeper/waiting.rs
@@ -70,8 +70,7 @@
             return 0;
         };
         let before = self.waiting.in_time(&self.pace(slots), scene.now_ms);
-        let wait_ms = self.wait_behind_ms(scene, slots, before) + self.extra_ms(scene);
-        wait_ms.min(MAX_TOLD_MS) as u16
+        self.wait_behind_ms(scene, slots, before).min(MAX_TOLD_MS) as u16
     }
 
     /// Returns for how long something waits for a slot that `before` others of those that wait go before.
