Mend what a first reader of the change found in the code

- A caller that left while its request waited at the agent still made its server seem to fail; a server that reset old flows which it had shown to hold did not.
A test for each, red without its line.
- An older copy that was late on its way took the place of a newer one among kept openers.
- An opener that waits for a cold rate was logged as not taken too.
- opener() is split; a rule and a log line that stood twice stand once; names and comments say what holds.

--- a/src/decisions/early_openers.rs
+++ b/src/decisions/early_openers.rs
@@ -6,8 +6,8 @@
 
 /// How many openers are kept: as many as a balancer watches for answers, and more than come before a configuration.
 const MAX_KEPT: usize = 4_096;
-/// For how long each copy is kept, in milliseconds: until an agent would be heard of no more before its caller sends
-/// the next one, which may reach another balancer, or gives the attempt up.
+/// For how long each copy is kept, in milliseconds: up to 100 ms, the time that an agent has to answer, before its
+/// caller sends the next one, which may reach another balancer, or gives the attempt up.
 const KEPT_MS: [u64; 3] = [100, 300, 700];
 
 #[derive(Debug, Clone)]
@@ -45,7 +45,7 @@
         self.kept.is_empty()
     }
 
-    /// Keeps a copy of an opener in place of the one before; says whether there was room.
+    /// Keeps a copy of an opener in place of an earlier one; says whether there was room.
     pub fn keep(&mut self, flow: K, copy: u32, packet: T, now_ms: u64) -> bool {
         if self.kept.len() >= MAX_KEPT {
             self.expire(now_ms);
@@ -58,6 +58,7 @@
             packet,
         };
         match found {
+            Ok(index) if opener.copy < self.kept[index].copy => {}
             Ok(index) => self.kept[index] = opener,
             Err(index) if self.kept.len() < MAX_KEPT => self.kept.insert(index, opener),
             Err(_) => return false,
--- a/src/decisions/offers.rs
+++ b/src/decisions/offers.rs
@@ -8,8 +8,8 @@
 
 use std::net::Ipv4Addr;
 
-/// How many agents of the balancer's availability zone an opener may be offered to: as many as it is offered to at
-/// most, so that one heard to have room is found among them before another zone is.
+/// How many agents of the balancer's availability zone may be offered an opener: as many as are asked at most, so that
+/// one that told of room is among them.
 pub(crate) const MAX_NEAR: usize = MAX_OFFERS;
 /// How many agents of other availability zones it may be offered to.
 pub(crate) const MAX_FAR: usize = 2;
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -56,7 +56,7 @@
         "request_lost",
         "reason",
         "flow_from_before",
-        "its backend server had ended the flow before its agent started",
+        "its backend server reset a flow of which its agent had seen nothing before the request",
     ),
     meaning(
         "flow_reset",
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,7 +74,7 @@
 pub use crate::links::link_auth::{LinkSide, authenticate};
 pub use crate::process::http_client::{call, connect, get};
 pub use crate::process::http_server::{serve, serve_connection};
-pub use crate::process::log_budget::{LogBudget, lines_dropped};
+pub use crate::process::log_budget::{LogBudget, dropped_line};
 pub use crate::process::timer::{PAUSE_MS, TimerEvent, TimerId, TimerService};
 pub use crate::process::udp::bind as bind_udp;
 pub use crate::programs::daemon::{
--- a/src/opaque/finding/flow.rs
+++ b/src/opaque/finding/flow.rs
@@ -17,6 +17,7 @@
 /// The same where callers have time for one attempt only, in milliseconds: some round trips between a caller and its
 /// backend server. Many openers of a rush come from callers that have left, and would hold slots for nothing.
 pub(crate) const EXPECTED_SOON_MS: u64 = 60;
+
 /// Where a flow is, as far as the agent knows.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Holding {
@@ -101,8 +102,6 @@
     pub(crate) answer_goes_on: bool,
     /// Whether its caller was told that it has ended, while its backend server still holds it.
     pub(crate) told_ended: bool,
-    /// Whether it was opened under the agent's eyes.
-    pub(crate) was_seen_opening: bool,
     /// Whether its caller ended it while a request was running.
     pub(crate) caller_left: bool,
 }
@@ -123,7 +122,6 @@
             mixes_requests: false,
             answer_goes_on: false,
             told_ended: false,
-            was_seen_opening: false,
             caller_left: false,
         }
     }
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -30,6 +30,7 @@
 
 /// How many hints a balancer keeps; the brief speaks of hundreds of thousands of flows for each.
 const MAX_HINTS: usize = 262_144;
+
 #[derive(Debug, Clone, Copy)]
 struct Hint {
     host: Ipv4Addr,
@@ -112,8 +113,7 @@
             return self.offer_or_refuse(directory, suspicion, &segment, packet, 0, now_ms);
         }
         let host = match self.opener_host(directory, suspicion, &flow, attempt, now_ms) {
-            // Copies come only from callers whose first one went to an agent, which may have taken it since.
-            Err(_) if attempt == 0 && candidates::are_evacuated(directory, &flow) => {
+            Err(_) if is_evacuated_for(directory, &segment) => {
                 return self.refuse(&segment, Code::ServiceEvacuated);
             }
             host => host?,
@@ -289,6 +289,13 @@
     }
 }
 
+/// Tells whether an opener finds its whole service evacuated and no agent can have it.
+///
+/// Copies come only from callers whose first one went to an agent, which may have taken it since.
+fn is_evacuated_for(directory: &Directory, opener: &Segment) -> bool {
+    opener.acknowledgement == 0 && candidates::are_evacuated(directory, &opener.flow_from_caller())
+}
+
 /// Returns the load over a longer time that the payload of a [`MessageKind::Holds`] or [`MessageKind::Declined`]
 /// tells behind its flow.
 pub fn steady_load(payload: &[u8]) -> Option<u16> {
--- a/src/opaque/forwarder/offers.rs
+++ b/src/opaque/forwarder/offers.rs
@@ -8,8 +8,8 @@
 use crate::decisions::offers::{Candidate, Offer, choose};
 use crate::decisions::suspicion::Suspicion;
 use crate::error::{Error, Result};
-use crate::opaque::forwarder::Forwarder;
 use crate::opaque::forwarder::watched::{TAKEN_TIMEOUT_MS, Watched};
+use crate::opaque::forwarder::{Forwarder, is_evacuated_for};
 use crate::opaque::openers::candidates;
 use crate::opaque::packets::action::Action;
 use crate::opaque::packets::message::MessageKind;
@@ -40,10 +40,8 @@
         kept_ms: u64,
         now_ms: u64,
     ) -> Result<Action> {
-        let (flow, is_first) = (segment.flow_from_caller(), segment.acknowledgement == 0);
         match self.offer(directory, suspicion, segment, packet, kept_ms, now_ms) {
-            // Copies come only from callers whose first one went to an agent, which may have taken it since.
-            Err(_) if is_first && candidates::are_evacuated(directory, &flow) => {
+            Err(_) if is_evacuated_for(directory, segment) => {
                 self.refuse(segment, Code::ServiceEvacuated)
             }
             offer => offer,
--- a/src/opaque/forwarder/without_routes.rs
+++ b/src/opaque/forwarder/without_routes.rs
@@ -72,7 +72,7 @@
             actions.extend(offer.ok());
         }
         if count > 0 {
-            log::info!("event=early_openers kept={count} offered={}", actions.len());
+            log::info!("event=early_openers awaited={count} sent={}", actions.len());
         }
         actions
     }
--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -21,16 +21,16 @@
 
 /// Why a backend server ended a flow whose request it had not answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum FlowEnd {
+enum UnansweredEnd {
     /// It failed the request.
     Closed,
     /// The caller had ended the flow before.
     CallerLeft,
-    /// The flow had ended before the request came, unknown to an agent that started later.
+    /// It reset a flow of which the agent had seen nothing before this request.
     FromBefore,
 }
 
-impl FlowEnd {
+impl UnansweredEnd {
     /// Returns its name in log lines.
     fn reason(self) -> &'static str {
         match self {
@@ -87,9 +87,10 @@
     pub(super) fn answer(&mut self, scene: &Scene<'_>, segment: &Segment, packet: &[u8]) {
         let now_ms = scene.now_ms;
         let key = segment.flow_from_backend();
-        // A caller whose agent was away sends again what its backend server has answered long since.
-        let is_told = !segment.resets && scene.directory.deadline(key.called).is_some();
-        let acknowledged = is_told.then_some(segment.acknowledgement);
+        let has_deadline = scene.directory.deadline(key.called).is_some();
+        // What the backend server has acknowledged is no new request when its caller sends it again.
+        let tells_acknowledged = has_deadline && !segment.resets;
+        let acknowledged = tells_acknowledged.then_some(segment.acknowledgement);
         if self.flows.get(&key).is_none() {
             if !segment.resets && !segment.accepts {
                 let mut flow = Flow::new(Holding::Open, now_ms);
@@ -106,6 +107,7 @@
         let broke_ms = self.broke_ms;
         let answered = self.flows.update(&key, now_ms, |flow| {
             flow.seen_ms = now_ms;
+            let was_shown = flow.shown;
             flow.shown |= !segment.accepts;
             if let Some(next) = acknowledged {
                 flow.note_acknowledged(next);
@@ -127,7 +129,8 @@
                 flow.answer_goes_on = may_go_on(segment);
             }
             let running = flow.running.take_if(|_| answers || flow.closed);
-            (outlived, brings, running.map(|running| (running, answers)))
+            let ended = running.map(|running| (running, answers, was_shown));
+            (outlived, brings, ended)
         });
         let (outlived, brings, answered) = answered.unwrap_or_default();
         if outlived {
@@ -142,7 +145,7 @@
             self.stall.withdrawn(key);
         }
         match answered {
-            Some((running, true)) => {
+            Some((running, true, _)) => {
                 if !is_error {
                     // A refusal says nothing of how long requests take.
                     self.slot_time.answered(now_ms);
@@ -150,32 +153,28 @@
                 self.note_slots(scene);
                 self.note_answer(scene, &key, &running, status);
             }
-            Some((running, false)) => self.note_closed(scene, &key, &running, segment),
+            Some((running, false, was_shown)) => {
+                let end = match self.flows.get(&key) {
+                    Some(flow) if has_deadline => unanswered_end(flow, segment, was_shown),
+                    _ => UnansweredEnd::Closed,
+                };
+                self.note_closed(&key, &running, end, now_ms);
+            }
             None => {}
         }
     }
 
     /// Notes that the backend server ended a flow whose request it had not answered.
-    fn note_closed(
-        &mut self,
-        scene: &Scene<'_>,
-        key: &FlowKey,
-        running: &Running,
-        segment: &Segment,
-    ) {
-        let waited_ms = scene.now_ms.saturating_sub(running.since_ms);
-        let end = match self.flows.get(key) {
-            Some(flow) if scene.directory.deadline(key.called).is_some() => flow_end(flow, segment),
-            _ => FlowEnd::Closed,
-        };
+    fn note_closed(&mut self, key: &FlowKey, running: &Running, end: UnansweredEnd, now_ms: u64) {
+        let waited_ms = now_ms.saturating_sub(running.since_ms);
         log::warn!(
             "event=request_lost request={} flow={key} waited_ms={waited_ms} reason={}",
             running.id,
             end.reason()
         );
         self.metrics.requests_lost.inc();
-        if end == FlowEnd::Closed {
-            self.note_failed(scene.now_ms);
+        if end == UnansweredEnd::Closed {
+            self.note_failed(now_ms);
         }
     }
 
@@ -251,17 +250,17 @@
     }
 }
 
-/// Returns why the backend server ended a flow with this packet.
+/// Returns why the backend server ended a flow with this packet, which it had shown to hold before or not.
 ///
 /// After a restart of many hosts callers leave whose time ran out in the dark, and flows are reset that ended with
 /// what was before: counted as failures, both would have a backend server left out that has just come back.
-fn flow_end(flow: &Flow, segment: &Segment) -> FlowEnd {
+fn unanswered_end(flow: &Flow, segment: &Segment, was_shown: bool) -> UnansweredEnd {
     if flow.caller_left {
-        FlowEnd::CallerLeft
-    } else if segment.resets && !flow.was_seen_opening {
-        FlowEnd::FromBefore
+        UnansweredEnd::CallerLeft
+    } else if segment.resets && !was_shown {
+        UnansweredEnd::FromBefore
     } else {
-        FlowEnd::Closed
+        UnansweredEnd::Closed
     }
 }
 
--- a/src/opaque/keeper/delivery.rs
+++ b/src/opaque/keeper/delivery.rs
@@ -147,7 +147,6 @@
                 return false;
             }
             flow.shown = opening.answered;
-            flow.was_seen_opening = true;
             flow.holding = Holding::Open;
             true
         }
--- a/src/opaque/keeper/held_requests.rs
+++ b/src/opaque/keeper/held_requests.rs
@@ -126,7 +126,11 @@
             );
         }
         let counts_ms = counts_ms(scene.directory.deadline(key.called));
+        let decode = self.wire.decode;
+        let mut segments = packets.iter().filter_map(|packet| decode(packet).ok());
+        let caller_left = segments.any(|segment| segment.is_bare_end());
         self.flows.update(key, scene.now_ms, |flow| {
+            flow.caller_left |= caller_left;
             if flow.holding == Holding::Open && flow.running.is_none() {
                 flow.running = Some(Running::new(id.as_deref(), counts_ms, scene.now_ms));
             }
--- a/src/opaque/keeper/opener_limits.rs
+++ b/src/opaque/keeper/opener_limits.rs
@@ -86,11 +86,11 @@
         let per_slot = per_slot[opening.age_step()];
         let deadline = scene.directory.deadline(key.called);
         let priority = route.map_or(0, |route| route.priority);
-        let is_outranked = self.is_outranked(priority);
+        let must_let_pass = self.must_let_pass(priority);
         let limit = |slots: u32| match (deadline, kind) {
             (Some(_), MessageKind::Offer) => f64::from(slots),
             (Some(deadline), _) => self.handed_at_most(slots, deadline.objective_ms, scene.now_ms),
-            (None, _) if is_outranked => {
+            (None, _) if must_let_pass => {
                 let most = self.handed_at_most(slots, UNANSWERED_ATTEMPT_MS, scene.now_ms);
                 most.min(f64::from(slots) * per_slot)
             }
--- a/src/opaque/keeper/openers.rs
+++ b/src/opaque/keeper/openers.rs
@@ -1,5 +1,6 @@
 //! Openers: which the agent takes, and where the others go.
 
+use crate::config::deadlines::Deadline;
 use crate::opaque::finding::flow::{EXPECTED_MS, EXPECTED_SOON_MS, Flow, Holding, Opening};
 use crate::opaque::keeper::declines::Declined;
 use crate::opaque::keeper::opener_limits::OwnPlace;
@@ -40,30 +41,12 @@
         actions: &mut Vec<Action>,
     ) {
         let key = segment.flow_from_caller();
-        let known = self.flows.get(&key).map(|flow| &flow.holding);
-        if matches!(known, Some(Holding::Opening(_) | Holding::Open)) {
-            say_holds(&key, message.host, self.identity.host, actions);
-            actions.push(Action::ToBackend(packet.to_vec()));
-            return;
-        }
-        if self.is_waiting_at(&key) {
-            // A copy of an opener that waits is the same opener.
-            say_holds(&key, message.host, self.identity.host, actions);
+        if self.is_known_here(&key, packet, message, actions) {
             return;
         }
         let deadline = scene.directory.deadline(key.called);
         let is_offer = message.kind == MessageKind::Offer;
-        let opening = Opening {
-            since_ms: scene.now_ms,
-            packet: packet.to_vec(),
-            balancer: message.host,
-            hops: message.hops,
-            copy: segment.acknowledgement,
-            waited_ms: message.waited_ms,
-            expected_ms: deadline.map_or(EXPECTED_MS, |_| EXPECTED_SOON_MS),
-            answered: false,
-            backend_sequence: 0,
-        };
+        let opening = opening_of(scene, segment, packet, message);
         let place = self.own_place(scene, &key, &opening, message.kind);
         let checked = self.check_opener(scene, &key, &opening, &place);
         let behind = message.digest.highest > scene.revision;
@@ -87,13 +70,7 @@
                 if let Some(deadline) = deadline
                     && (!is_offer || self.is_wait_taken(scene, message)) =>
             {
-                match self.let_wait(scene, &key, opening, &deadline, actions) {
-                    Ok(()) => {}
-                    Err(_) if is_offer => {
-                        self.decline(scene, &key, message, Declined::Busy, actions);
-                    }
-                    Err(opening) => self.refuse(scene, &key, &opening, "no_time", actions),
-                }
+                self.wait_or_give_back(scene, &key, opening, &deadline, message, actions);
             }
             Err(reason) if is_offer => {
                 let declined = match reason {
@@ -102,27 +79,65 @@
                 };
                 self.decline(scene, &key, message, declined, actions);
             }
+            // The others were asked or are as cold, and here it has its turn at the rate.
+            Err(NotTaken::ColdRate)
+                if let Some(deadline) = deadline
+                    && self
+                        .next_after(scene, &key, opening.hops, NotTaken::ColdRate)
+                        .is_none() =>
+            {
+                self.wait_or_give_back(scene, &key, opening, &deadline, message, actions);
+            }
             Err(reason) => {
                 self.log_not_taken(scene, &key, &opening, &place, reason);
-                let next = self.next_after(scene, &key, opening.hops, reason);
-                if let Some(deadline) = deadline
-                    && next.is_none()
-                    && reason == NotTaken::ColdRate
-                {
-                    // The others were asked or are as cold, and here it has its turn at the rate.
-                    if let Err(opening) = self.let_wait(scene, &key, opening, &deadline, actions) {
-                        self.refuse(scene, &key, &opening, "no_time", actions);
-                    }
-                    return;
-                }
                 if message.kind == MessageKind::Deliver && !message.host.is_unspecified() {
                     tell(MessageKind::Absent, &key, message.host, actions);
                 }
+                let next = self.next_after(scene, &key, opening.hops, reason);
                 self.hand_on_to(scene, &key, opening, next, actions);
             }
         }
     }
 
+    /// Takes a copy of an opener that the backend server has or that waits: it is the same opener.
+    fn is_known_here(
+        &self,
+        key: &FlowKey,
+        packet: &[u8],
+        message: &Message,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let known = self.flows.get(key).map(|flow| &flow.holding);
+        let is_handed_over = matches!(known, Some(Holding::Opening(_) | Holding::Open));
+        if !is_handed_over && !self.is_waiting_at(key) {
+            return false;
+        }
+        say_holds(key, message.host, self.identity.host, actions);
+        if is_handed_over {
+            actions.push(Action::ToBackend(packet.to_vec()));
+        }
+        true
+    }
+
+    /// Lets an opener wait here, or tells its balancer or its caller that it can't.
+    fn wait_or_give_back(
+        &mut self,
+        scene: &Scene<'_>,
+        key: &FlowKey,
+        opening: Opening,
+        deadline: &Deadline,
+        message: &Message,
+        actions: &mut Vec<Action>,
+    ) {
+        match self.let_wait(scene, key, opening, deadline, actions) {
+            Ok(()) => {}
+            Err(_) if message.kind == MessageKind::Offer => {
+                self.decline(scene, key, message, Declined::Busy, actions);
+            }
+            Err(opening) => self.refuse(scene, key, &opening, "no_time", actions),
+        }
+    }
+
     fn log_not_taken(
         &self,
         scene: &Scene<'_>,
@@ -173,3 +188,19 @@
         true
     }
 }
+
+/// Returns an opener as it came with a message.
+fn opening_of(scene: &Scene<'_>, segment: &Segment, packet: &[u8], message: &Message) -> Opening {
+    let deadline = scene.directory.deadline(segment.destination);
+    Opening {
+        since_ms: scene.now_ms,
+        packet: packet.to_vec(),
+        balancer: message.host,
+        hops: message.hops,
+        copy: segment.acknowledgement,
+        waited_ms: message.waited_ms,
+        expected_ms: deadline.map_or(EXPECTED_MS, |_| EXPECTED_SOON_MS),
+        answered: false,
+        backend_sequence: 0,
+    }
+}
--- a/src/opaque/keeper/waiting.rs
+++ b/src/opaque/keeper/waiting.rs
@@ -1,7 +1,7 @@
 //! What waits at its agent for a slot of the backend server: openers, and requests on open flows.
 //!
-//! Only where callers have time for one attempt; others are left to their callers' copies and to the backend
-//! server's own queue. See docs/design/waiting-openers.md.
+//! Openers wait only where callers have time for one attempt, and requests of other routes only while something else
+//! waits. See docs/design/waiting-openers.md.
 
 use crate::code::Code;
 use crate::config::deadlines::{Deadline, UNANSWERED_ATTEMPT_MS};
@@ -100,15 +100,14 @@
     }
 
     /// Tells whether something waits that goes before an opener which can't wait here.
-    pub(super) fn is_outranked(&self, priority: u8) -> bool {
+    pub(super) fn must_let_pass(&self, priority: u8) -> bool {
         let mut waiting = self.waiting.iter();
         waiting.any(|waiting| waiting.priority <= priority)
     }
 
-    /// Returns for how long the caller of a request waits, if the request may have to.
+    /// Returns the deadline by which a request may wait, or none where it goes at once.
     ///
-    /// Where that is not told, callers have time for a second attempt and so for one at least; their requests pass
-    /// while nothing waits.
+    /// Without a deadline of its route it waits only while others do, for as long as an attempt without an answer lasts.
     pub(super) fn request_deadline(&self, scene: &Scene<'_>, key: &FlowKey) -> Option<Deadline> {
         let told = scene.directory.deadline(key.called);
         let untold = Deadline {
--- a/src/opaque/openers/expected_retries.rs
+++ b/src/opaque/openers/expected_retries.rs
@@ -95,6 +95,7 @@
 
 impl Failed {
     fn is_awaited(&self, now_ms: u64) -> bool {
+        // An opener that was kept is judged at the time at which it came.
         self.told_ms <= now_ms && now_ms <= self.told_ms + RETRY_WITHIN_MS
     }
 }
--- a/src/opaque/packets/message.rs
+++ b/src/opaque/packets/message.rs
@@ -57,8 +57,8 @@
 pub struct Message {
     /// What it asks or says.
     pub kind: MessageKind,
-    /// How many agents have passed an opener on; none of [`MessageKind::Offer`], in whose place its longest wait
-    /// travels.
+    /// How many agents have passed an opener on; 0 for [`MessageKind::Offer`], where the byte carries
+    /// [`Message::most_wait_ms`].
     pub hops: u8,
     /// Of [`MessageKind::Offer`], the longest wait for which the receiver takes it, in milliseconds; rounded down to
     /// whole [`OFFER_WAIT_UNIT_MS`], of which 255 fit.
--- a/src/opaque/packets/segment.rs
+++ b/src/opaque/packets/segment.rs
@@ -85,7 +85,7 @@
         self.sequence.wrapping_add(self.payload_bytes.into())
     }
 
-    /// Tells whether it ends its sender's data apart from a request, as one does that no longer waits for an answer.
+    /// Tells whether it ends its sender's data without bringing any: who still waits for an answer ends nothing.
     pub(crate) fn is_bare_end(&self) -> bool {
         self.ends && self.payload_bytes == 0
     }
--- a/src/process/log_budget.rs
+++ b/src/process/log_budget.rs
@@ -62,6 +62,6 @@
 
 /// Returns the line that tells how many were dropped, with the keys of all lines, by which `endivedyke explain`
 /// finds it.
-pub fn lines_dropped(count: u64, time_ms: u64) -> String {
+pub fn dropped_line(count: u64, time_ms: u64) -> String {
     format!("time_ms={time_ms} level=INFO part=log_output event=lines_dropped count={count}")
 }
--- a/src/process/log_output.rs
+++ b/src/process/log_output.rs
@@ -8,7 +8,7 @@
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
 use crate::process::clock::wall_ms;
-use crate::process::log_budget::{LogBudget, lines_dropped};
+use crate::process::log_budget::{LogBudget, dropped_line};
 
 /// The longest line, in bytes: a pipe that says it is writable takes this much without blocking
 /// (`PIPE_BUF` of Linux).
@@ -46,7 +46,7 @@
         let dropped = budget.take_dropped(now_ms);
         let mut line = String::new();
         if dropped > 0 {
-            line = lines_dropped(dropped, wall_ms()) + "\n";
+            line = dropped_line(dropped, wall_ms()) + "\n";
         }
         line.push_str(&record.args().to_string());
         if !write_now(line) {
--- a/tests/early_openers.rs
+++ b/tests/early_openers.rs
@@ -14,6 +14,7 @@
     early.keep(3, 2, "third copy", 1_000);
     early.keep(4, 0, "overtaken", 1_000);
     early.keep(4, 1, "its second copy", 1_020);
+    early.keep(4, 0, "late on its way", 1_025);
     let taken = early.take_if(1_050, |_| true);
     let order = ["first copy", "second copy", "its second copy", "third copy"];
     assert_eq!(packets(&taken), order);
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -41,7 +41,7 @@
         (&lost, "process ended while the request was there"),
         (&closed, "closed the flow without an answer"),
         (&left, "its caller ended the flow"),
-        (&before, "before its agent started"),
+        (&before, "nothing before the request"),
         (&gone, "every agent said"),
         (&no_room, "nobody took its opener"),
         (&evacuated, "evacuated zones could have taken"),
--- a/tests/log_budget.rs
+++ b/tests/log_budget.rs
@@ -1,6 +1,6 @@
 //! How many log lines a process writes.
 
-use endivedyke::{LogBudget, explain, lines_dropped, parse_log};
+use endivedyke::{LogBudget, dropped_line, explain, parse_log};
 
 #[test]
 fn a_flood_is_cut_to_the_budget_and_counted() {
@@ -23,7 +23,7 @@
 
 #[test]
 fn what_was_dropped_is_told_in_a_line_like_any_other() {
-    let text = lines_dropped(27, 1_700_000_000_123);
+    let text = dropped_line(27, 1_700_000_000_123);
     let lines = parse_log("10.0.0.1", &text);
     assert_eq!(lines.len(), 1, "{text}");
     let (time_ms, event) = (lines[0].time_ms, lines[0].event);
@@ -37,7 +37,7 @@
     let lost = format!(
         "time_ms=5200 level=WARN part=x event=request_lost request=r-1 flow={flow} reason=closed"
     );
-    let text = format!("{}\n{lost}\n", lines_dropped(27, 5_150));
+    let text = format!("{}\n{lost}\n", dropped_line(27, 5_150));
     let story = explain(flow, &[("10.0.0.1".to_owned(), text)]).expect("a story");
     assert!(story.contains("lines are missing there"), "{story}");
 }
--- a/tests/opaque/outcomes.rs
+++ b/tests/opaque/outcomes.rs
@@ -6,9 +6,12 @@
     ACK, AgentUnderTest, CALLED, FIN, PacketSpec, RST, flow, from_backend, from_caller, opener,
     reaches_backend, request,
 };
+use crate::waiting::answer;
 
 /// As many as show that a backend server fails, and some more.
 const ENDED: std::ops::Range<u16> = 1..6;
+/// More than the backend server is handed at once.
+const FULL: std::ops::Range<u16> = 100..124;
 
 fn agent(has_deadline: bool, knows_all: bool) -> AgentUnderTest {
     let mut agent = AgentUnderTest::new(3, knows_all);
@@ -86,6 +89,44 @@
     assert!(takes_openers(&mut agent));
 }
 
+#[test]
+fn callers_that_leave_while_their_requests_wait_show_no_failure() {
+    let mut agent = agent(true, true);
+    for port in FULL {
+        agent.open(&flow(port), 500);
+    }
+    for port in ENDED {
+        agent.answer_from_backend(&flow(port));
+        agent.deliver(&request(&flow(port), 561));
+        let leaves = PacketSpec {
+            flags: ACK | FIN,
+            sequence: 141,
+            acknowledgement: 561,
+            data_bytes: 0,
+        };
+        assert!(!reaches_backend(
+            &agent.deliver(&from_caller(&flow(port), leaves))
+        ));
+    }
+    for port in FULL {
+        answer(&mut agent, port);
+    }
+    for port in ENDED {
+        backend_ends(&mut agent, port, FIN);
+    }
+    assert!(takes_openers(&mut agent));
+}
+
+#[test]
+fn a_backend_server_that_resets_old_flows_which_it_has_shown_to_hold_fails() {
+    let mut agent = agent(true, false);
+    for port in ENDED {
+        agent.answer_from_backend(&flow(port));
+        flow_from_before_is_reset(&mut agent, port);
+    }
+    assert!(!takes_openers(&mut agent));
+}
+
 #[test]
 fn a_backend_server_that_ends_flows_of_callers_who_wait_fails() {
     for flag in [FIN, RST] {
