--- a/tests/opaque/lookup.rs
+++ b/tests/opaque/lookup.rs
@@ -2,7 +2,9 @@
 
 use endivedyke::opaque::{BackendState, Lookups, OpaqueMetrics, Question, Verdict};
 
-use crate::builder::{BALANCER, WIRE, directory, flow, host, publish, request, state_text, vanish};
+use crate::builder::{
+    BALANCER, WIRE, directory, flow, host, publish, request, state_text, tell_deadline, vanish,
+};
 
 /// Who likely holds the flow.
 const LIKELY: [u16; 3] = [7, 3, 9];
@@ -104,3 +106,21 @@
         Verdict::Open
     );
 }
+
+#[test]
+fn agents_that_are_too_busy_to_answer_are_asked_ever_less_often() {
+    for (has_deadline, expected_ms) in [
+        (true, vec![1_200, 1_400, 1_800]),
+        (false, (1_200..2_600).step_by(200).collect()),
+    ] {
+        let mut lookups = Lookups::new(&OpaqueMetrics::default());
+        ask(&mut lookups, 2);
+        let mut directory = directory(2);
+        if has_deadline {
+            tell_deadline(&mut directory);
+        }
+        let asked_at = |now_ms: &u64| !lookups.due(&directory, *now_ms).is_empty();
+        let asked_ms: Vec<u64> = (1_000..3_000).step_by(10).filter(asked_at).collect();
+        assert_eq!(asked_ms, expected_ms);
+    }
+}
