Ask agents that are too busy to answer ever less often

Cause: after a loss of power of all nobody knows who holds which flow, and each agent asks all others. Change: the wait before the next question doubles, where callers have time for one attempt only. Other routes ask as before.

--- a/src/opaque/finding/lookup.rs
+++ b/src/opaque/finding/lookup.rs
@@ -7,7 +7,9 @@
 use crate::opaque::values::directory::Directory;
 use crate::process::opaque_metrics::OpaqueMetrics;
 
-/// How long an agent waits before it asks those again that did not answer, in milliseconds.
+/// How long an agent waits before it asks those again that did not answer, in milliseconds. Where callers have time for
+/// one attempt only it doubles each time: after a start of everything agents are too busy to answer at once, and asked
+/// again and again they would stay so for as long as those callers wait.
 const ASK_AGAIN_MS: u64 = 200;
 /// How long a question goes on, in milliseconds: about the longest wait between two copies of a
 /// caller's packet, which start it anew.
@@ -46,6 +48,8 @@
     newest_revision: Revision,
     started_ms: u64,
     ask_ms: u64,
+    /// How often those that did not answer were asked again.
+    repeats: u32,
 }
 
 /// A packet of a flow that its agent does not know.
@@ -121,6 +125,7 @@
                     newest_revision: Revision::ZERO,
                     started_ms: now_ms,
                     ask_ms: now_ms + ASK_AGAIN_MS,
+                    repeats: 0,
                 };
                 let mut asked = unanswered(&lookup, directory, own_host);
                 if asked.len() > 2 * FIRST_ASKED {
@@ -218,7 +223,10 @@
             .iter_mut()
             .filter(|lookup| lookup.ask_ms <= now_ms)
         {
-            lookup.ask_ms = now_ms + ASK_AGAIN_MS;
+            let has_deadline = directory.deadline(lookup.flow.called).is_some();
+            let doublings = if has_deadline { lookup.repeats } else { 0 };
+            lookup.ask_ms = now_ms + (ASK_AGAIN_MS << doublings);
+            lookup.repeats += 1;
             let hosts = unanswered(lookup, directory, own_host);
             if hosts.len() > MAX_ASKED {
                 continue;
