Look whether a request has to wait only for packets that bring data

Cause: each packet of a caller, a bare acknowledgement too, searched what waits, the service's table and the deadlines, and the answer was used only where the packet brought new data. Change: asked for only then. What becomes of a packet is the same; the count of requests is refreshed by packets with data, openers, answers and ticks, no more by acknowledgements.

--- a/src/opaque/keeper/delivery.rs
+++ b/src/opaque/keeper/delivery.rs
@@ -61,7 +61,8 @@
     ) -> bool {
         let (key, now_ms) = (segment.flow_from_caller(), scene.now_ms);
         let request_id = self.wire.request_id;
-        let is_held_back = self.is_held_back(scene, &key);
+        // What brings no data begins no request.
+        let is_held_back = segment.payload_bytes > 0 && self.is_held_back(scene, &key);
         let deadline = scene.directory.deadline(key.called);
         let counts_ms = counts_ms(deadline);
         let delivery = self.flows.update(&key, now_ms, |flow| {
