Greet the seeds however many balancers there are

Cause: an agent remembers the 32 balancers that it heard last, and three agents by hash greet each quiet one that they remember. With 303 balancers a given one is remembered by one agent in ten, so that after a kill of all balancers while the platform answers nobody most are greeted by nobody, the seeds that all others ask among them; with 2,900 hardly any. A larger memory would only move that size.

Change: the seeds, which settings name, belong to the balancers that three agents greet, heard or not. Who starts asks a seed, and finds what a seed was greeted with. Whether an agent is one of three is decided by the first three that come before it, instead of counting all agents for each balancer ten times a second.

Red before: agents that never heard a seed greeted none, at 30, 300, 1,000 and 6,000 agents. The test's builder publishes a site's backend servers at once, so that 6,000 take a moment.

--- a/src/opaque/keeper/told.rs
+++ b/src/opaque/keeper/told.rs
@@ -1,5 +1,7 @@
 //! What an agent tells balancers of its own accord.
 
+use std::net::Ipv4Addr;
+
 use crate::opaque::keeper::{Keeper, Scene};
 use crate::opaque::packets::action::Action;
 use crate::opaque::packets::message::{Message, MessageKind};
@@ -23,11 +25,13 @@
         actions.extend(told.map(|host| Action::ToPeer(host, message, name.clone())));
     }
 
-    /// Greets balancers that have gone quiet, which may have been started anew and hold nothing.
-    pub fn greet(&mut self, scene: &Scene<'_>) -> Vec<Action> {
+    /// Greets balancers that have gone quiet, the seeds among them, which may have been started anew and hold nothing.
+    pub fn greet(&mut self, scene: &Scene<'_>, seeds: &[Ipv4Addr]) -> Vec<Action> {
         let agents = scene.directory.current_hosts();
         let own = self.identity.host;
-        let quiet = self.balancers.due_greetings(own, agents, scene.now_ms);
+        let quiet = self
+            .balancers
+            .due_greetings(own, agents, seeds, scene.now_ms);
         let greeting = Message::new(MessageKind::Greeting);
         let greetings = quiet.into_iter();
         greetings
--- a/src/opaque/processes/side.rs
+++ b/src/opaque/processes/side.rs
@@ -124,7 +124,8 @@
         let announce = move || side.announce_unlisted();
         self.node.control.timers.every(ANNOUNCE_MS, announce);
         let side = self.clone();
-        let greet = move || side.decide(|keeper, scene| Ok(keeper.greet(scene)));
+        let seeds = self.node.control.settings.seeds.clone();
+        let greet = move || side.decide(|keeper, scene| Ok(keeper.greet(scene, &seeds)));
         self.node.control.timers.every(GREET_MS, greet);
         let side = self.clone();
         let look = move || side.decide(|keeper, scene| Ok(keeper.look_for_stall(scene)));
--- a/src/opaque/values/known_balancers.rs
+++ b/src/opaque/values/known_balancers.rs
@@ -49,19 +49,28 @@
     }
 
     /// Returns those that are quiet and that the agent on `own` is to greet, as one of a few among `agents`.
+    ///
+    /// The seeds belong to them whether they were heard or not: an agent hears few of many balancers, and a
+    /// balancer that starts asks the seeds.
     pub(crate) fn due_greetings(
         &mut self,
         own: Ipv4Addr,
         agents: &[Ipv4Addr],
+        seeds: &[Ipv4Addr],
         now_ms: u64,
     ) -> Vec<Ipv4Addr> {
         self.forget(now_ms);
-        let quiet = self.heard.iter();
-        let quiet = quiet.filter(|(_, heard_ms)| now_ms >= heard_ms + QUIET_MS);
-        quiet
-            .map(|(host, _)| *host)
-            .filter(|host| is_greeter(own, *host, agents))
-            .collect()
+        let heard = self.heard.iter().map(|(host, _)| *host);
+        let mut known: Vec<Ipv4Addr> = heard.chain(seeds.iter().copied()).collect();
+        known.sort_unstable();
+        known.dedup();
+        known.retain(|host| self.is_quiet(*host, now_ms) && is_greeter(own, *host, agents));
+        known
+    }
+
+    fn is_quiet(&self, host: Ipv4Addr, now_ms: u64) -> bool {
+        let found = self.heard.binary_search_by_key(&host, |(host, _)| *host);
+        found.map_or(true, |index| now_ms >= self.heard[index].1 + QUIET_MS)
     }
 
     fn forget(&mut self, now_ms: u64) {
@@ -79,6 +88,6 @@
     let balancer_hash = hash::host_hash(balancer);
     let rank = |agent: Ipv4Addr| (hash::host_rank(balancer_hash, agent), agent);
     let own_rank = rank(own);
-    let before = agents.iter().filter(|agent| rank(**agent) < own_rank);
-    before.count() < GREETERS
+    let mut before = agents.iter().filter(|agent| rank(**agent) < own_rank);
+    before.nth(GREETERS - 1).is_none()
 }
--- a/tests/opaque/builder.rs
+++ b/tests/opaque/builder.rs
@@ -247,10 +247,19 @@
     let mut directory = Directory::default();
     let routes = format!("{ROUTES_HEADER}\n{CALLED},{SERVICE},1,2,yes\n");
     directory.set_routes(RouteTable::parse(&routes).expect("sound routes"));
-    for index in 1..=count {
+    let ids: Vec<String> = (1..=count).map(|index| format!("i-{index}")).collect();
+    let change = |(index, id): (u16, &'_ String)| {
         let text = state_text(index, BackendState::Ready);
-        publish(&mut directory, index, &text, u64::from(index), 0);
-    }
+        let backend: Option<Backend> = Backend::parse(&text).expect("sound text");
+        (index, id.clone(), backend)
+    };
+    let published: Vec<_> = (1..=count).zip(&ids).map(change).collect();
+    let changes = published.iter().map(|(index, id, backend)| BackendChange {
+        id,
+        value: backend.clone().into(),
+        revision: u64::from(*index).into(),
+    });
+    directory.apply_all(changes.collect(), 0);
     directory
 }
 
--- a/tests/opaque/greetings.rs
+++ b/tests/opaque/greetings.rs
@@ -23,11 +23,16 @@
     }
 }
 
-/// Returns whom each agent greets now.
+/// Returns whom each agent greets now, on a site without seeds.
 fn greeted(agents: &mut Agents, now_ms: u64) -> Vec<Vec<Ipv4Addr>> {
+    greeted_with(agents, &[], now_ms)
+}
+
+/// Returns whom each agent greets now.
+fn greeted_with(agents: &mut Agents, seeds: &[Ipv4Addr], now_ms: u64) -> Vec<Vec<Ipv4Addr>> {
     let hosts = (1..=agents.count()).map(host);
     let actions: Vec<Vec<Action>> = hosts
-        .map(|at| agents.with(at, now_ms, |keeper, scene| keeper.greet(scene)))
+        .map(|at| agents.with(at, now_ms, |keeper, scene| keeper.greet(scene, seeds)))
         .collect();
     let greeted = actions.iter();
     greeted
@@ -67,3 +72,22 @@
     let greeted = greeted(&mut agents, 2_000).remove(0);
     assert_eq!(greeted, (9..=40).map(balancer).collect::<Vec<_>>());
 }
+
+#[test]
+fn a_seed_is_greeted_by_three_agents_that_never_heard_it_at_any_size() {
+    let seed = balancer(1);
+    for count in [30, 300, 1_000, 6_000] {
+        let mut agents = Agents::new(count);
+        let greeted = greeted_with(&mut agents, &[seed], 2_000);
+        let greeters = greeted.iter().filter(|hosts| **hosts == [seed]);
+        assert_eq!(greeters.count(), 3, "{count} agents");
+    }
+}
+
+#[test]
+fn a_seed_that_speaks_is_not_greeted() {
+    let mut agents = Agents::new(5);
+    deliver_to_all(&mut agents, BALANCER, 1_000);
+    let greeted = greeted_with(&mut agents, &[BALANCER], 1_100);
+    assert!(greeted.iter().all(Vec::is_empty), "{greeted:?}");
+}
