Let the readers of a silent platform follow the outage and not the size of the site

Cause: the patience of a process ended after 20 steps whatever its place, so that 8.7 s after the platform fell silent every process of the site read it, each once a second: 985 here, 5,800 at the target. The step was bounded while sites had some tens of processes.

Change: there is no last step; one more process reads each 600 ms.

Red before: 300 of 300 read after 12 s of silence (30 of 300 now; 60 of 6,000 after 30 s).

A check of a_platform_that_answers_nobody_is_asked_by_few said that all 75 processes read after 12 s, which is the fault itself. It now says how many read then (27 to 30), and that all of them do after 42 s.

--- a/src/opaque/values/freshness.rs
+++ b/src/opaque/values/freshness.rs
@@ -26,15 +26,14 @@
 /// of this many is served but for one time in five thousand.
 const QUICK_STEPS: u64 = 8;
 /// How much more patience each process after those has, in milliseconds. While the platform answers
-/// nobody, each further reader only adds refused calls.
+/// nobody, each further reader only adds refused calls, so that their number follows the length of the
+/// outage and not the size of the site.
 const LATE_STEP_MS: u64 = 600;
 /// How much of it a process has once the one before it said that it can't read.
 const TURNED_AWAY_MS: u64 = 300;
 /// How much patience each next process has while no other process is known to ask, in milliseconds:
 /// all of them start with nothing then, and the first reads serve all.
 const ALONE_STEP_MS: u64 = 40;
-/// The greatest number of patience steps.
-const MAX_STEPS: u64 = 20;
 
 const ORDER_SALT: u64 = 0x6672_6573;
 
@@ -155,7 +154,6 @@
         } else {
             PATIENCE_MS
         };
-        let steps = steps.min(MAX_STEPS);
         let quick_steps = steps.min(QUICK_STEPS);
         age_ms > patience_ms + quick_steps * PATIENCE_STEP_MS + (steps - quick_steps) * LATE_STEP_MS
     }
