Show a flow's packet to its likely holders first where there is no configuration, at any number of agents

Cause: a balancer without a configuration remembered 256 agents and showed each copy of a packet to 16 of them in an order of its own. With 682 agents a flow was shown to its holder by chance: 16 of 256 known of 682 running with the first copy. A larger memory alone would be found out at the next size.

Change: flows are placed by the host of a backend server and not by its id, so that who knows the hosts alone can compute the order of placement for equal weights. Packets are shown along it, to 16 agents first and to twice as many with each copy, 256 at most. Seeds tell the list of agents in parts of 256, one after the other; who is told remembers for 10 s, within which one seed tells of 12,800.

Red before: at 30 agents already the holder was not among the 16 that were shown the first packet of each of 50 flows; now it is at 30, 300, 1,000 and 6,000.

on_a_larger_site_each_copy_is_shown_to_the_next_agents becomes each_copy_is_shown_to_twice_as_many: it asked for exactly 16 agents a copy and all after 16 copies at 250 agents; now all are shown one after 5 copies there, after 27 at 6,000. The bound of 256 remembered agents becomes one of 65,536 (1.5 MB), a message still tells of 256 at most.

Placement changes once for all sites, since ids no longer enter it; a replacement at the same address takes the place of the one before.

--- a/src/decisions/placement.rs
+++ b/src/decisions/placement.rs
@@ -3,6 +3,9 @@
 //! The choice depends on the opener and the table alone, so that two balancers that each see one
 //! datagram of an opener agree without talking; see docs/DESIGN.md, "Owner of an opener".
 
+use std::cmp::Reverse;
+use std::net::Ipv4Addr;
+
 use crate::config::hash;
 use crate::config::table::{Row, Table};
 
@@ -70,6 +73,22 @@
     scored.into_iter().map(|(_, row)| row).collect()
 }
 
+/// Returns the `count` hosts that come first for an opener where their targets weigh the same and
+/// [`Row::target_hash`] is the hash of the host.
+pub(crate) fn first_hosts(
+    mut hosts: Vec<Ipv4Addr>,
+    opener_hash: u64,
+    count: usize,
+) -> Vec<Ipv4Addr> {
+    let place = |host: &Ipv4Addr| (Reverse(hash::host_rank(opener_hash, *host)), *host);
+    if count < hosts.len() {
+        hosts.select_nth_unstable_by_key(count, place);
+        hosts.truncate(count);
+    }
+    hosts.sort_unstable_by_key(place);
+    hosts
+}
+
 fn beats(challenger: Option<(f64, &Row)>, holder: Option<(f64, &Row)>) -> bool {
     match (challenger, holder) {
         (Some((score, _)), Some((held, _))) => score > held,
--- a/src/opaque/values/backend_tables.rs
+++ b/src/opaque/values/backend_tables.rs
@@ -85,10 +85,12 @@
 
 fn row(entry: &PublishedEntry, takes_flows: bool) -> Row {
     let weight = if takes_flows { entry.backend.slots } else { 0 };
+    let host = *entry.backend.address.ip();
     Row {
-        target_hash: hash::name_hash(&entry.id),
+        // By the host and not by the id, which a process without a configuration does not know.
+        target_hash: hash::host_hash(host),
         target: entry.id.clone(),
-        host: *entry.backend.address.ip(),
+        host,
         backend: entry.backend.address.into(),
         weight,
         slots: entry.backend.slots,
--- a/tests/opaque/flow_search.rs
+++ b/tests/opaque/flow_search.rs
@@ -2,10 +2,12 @@
 
 use std::net::Ipv4Addr;
 
-use endivedyke::Code;
 use endivedyke::opaque::{Action, FlowSearch, Forwarder, MessageKind};
+use endivedyke::{Code, Suspicion};
 
-use crate::builder::{flow, forwarder, host, hosts_told, opener, request, resets};
+use crate::builder::{
+    directory, flow, forwarder, host, host_of, hosts_told, opener, request, resets,
+};
 
 /// Returns a search that this many agents greeted.
 fn search(agents: u16, now_ms: u64) -> FlowSearch {
@@ -32,14 +34,16 @@
 }
 
 #[test]
-fn on_a_larger_site_each_copy_is_shown_to_the_next_agents() {
-    for (agents, copies) in [(54, 4), (250, 16)] {
+fn on_a_larger_site_each_copy_is_shown_to_twice_as_many_and_all_are_shown_one() {
+    for (agents, copies) in [(54, 3), (250, 5), (1_000, 7), (6_000, 27)] {
         let (mut balancer, mut search) = (forwarder(), search(agents, 1_000));
         let mut shown = Vec::new();
-        for _ in 0..copies {
+        for copy in 0..copies {
             let actions = forward(&mut balancer, &mut search, 1);
             let hosts = hosts_told(&actions, MessageKind::Find);
-            assert_eq!(hosts.len(), 16, "{agents} agents");
+            let most = if copy < 5 { 16 << copy } else { 256 };
+            let left = usize::from(agents) - shown.len();
+            assert_eq!(hosts.len(), left.min(most), "{agents} agents");
             shown.extend(hosts);
         }
         shown.sort_unstable();
@@ -48,6 +52,35 @@
     }
 }
 
+#[test]
+fn a_flow_is_shown_to_its_holder_with_its_first_packet_at_any_size() {
+    for agents in [30, 300, 1_000, 6_000] {
+        let directory = directory(agents);
+        let mut search = search(agents, 1_000);
+        for port in 0..50 {
+            let packet = opener(&flow(port), 0);
+            let opened = forwarder().handle(&directory, &mut Suspicion::default(), packet, 1_000);
+            let holder = host_of(&opened.expect("forwarded"));
+            let shown = search.next_agents(&flow(port), 1_000);
+            assert!(shown.contains(&holder), "{agents} agents, flow {port}");
+        }
+    }
+}
+
+#[test]
+fn balancers_learn_of_all_agents_from_one_seed_at_any_size() {
+    for agents in [30, 300, 1_000, 6_000] {
+        let mut other = FlowSearch::new();
+        for now_ms in (0..9_800).step_by(200) {
+            let list = search(agents, now_ms).list(now_ms);
+            assert!(list.len() <= 1_024, "fits a datagram");
+            other.heard_list(&list, now_ms);
+        }
+        other.next_agents(&flow(1), 9_800);
+        assert_eq!(other.known(), usize::from(agents));
+    }
+}
+
 #[test]
 fn once_an_agent_holds_a_flow_its_packets_go_there_alone() {
     let (mut balancer, mut search) = (forwarder(), search(5, 1_000));
@@ -88,13 +121,12 @@
         .flat_map(|index| Ipv4Addr::from(index).octets())
         .collect();
     other.heard_list(&long, 1_000);
-    let mut known = Vec::new();
-    for _ in 0..200 {
-        known.extend(other.next_agents(&flow(1), 1_000));
+    assert_eq!(other.known(), 16 + 256, "one message tells of so many");
+    for part in 1..300 {
+        let told = (0..256_u32).flat_map(|index| Ipv4Addr::from(part << 8 | index).octets());
+        other.heard_list(&told.collect::<Vec<u8>>(), 1_000);
     }
-    known.sort_unstable();
-    known.dedup();
-    assert_eq!(known.len(), 256);
+    assert_eq!(other.known(), 65_536);
     // Bytes that are no whole address are passed over.
     let mut odd = FlowSearch::new();
     odd.heard_list(&[10, 0, 0, 1, 10, 0], 1_000);
