End a flow on its backend server's word alone where it is known to have opened there

Cause: that nobody holds a flow was proved by the word of all agents, of 256 at most. On larger sites nothing was proved: a flow that had ended with its backend server, whose agent had started anew too, left its caller waiting for its own limit. Asking all agents costs each flow as many messages as there are agents; a larger limit only moves the size at which they can't answer in time.

Change: an agent tells the balancer when a flow has opened at its backend server, which is certain once the caller has acknowledged the number that the server chose, or the server has sent on the flow. The balancer says so with each further packet. A packet of such a flow goes to the backend server; if that returns it, the flow has ended, since it can be nowhere else, and its caller is told at once. One message more for each flow and balancer, none at its end, at any number of agents. A later flow between the same ends is told apart by its opener, or by numbers that don't fit.

Ruled out: word left with the first agents by hash for each displaced flow (a second copy, which proves nothing for 60 s after those agents have started).

The model's balancer now learns who holds a flow, and still no flow is reset while a backend server holds it.

The test of messages draws hops below 128 (8 are the most) and the new flag beside them.

--- a/src/opaque/finding/flow.rs
+++ b/src/opaque/finding/flow.rs
@@ -24,10 +24,7 @@
     /// The backend server was handed the opener; whether the flow opens here is the caller's choice.
     Opening(Opening),
     /// The backend server was handed a packet of it and may still return it.
-    Unconfirmed {
-        since_ms: u64,
-        asker: Option<Ipv4Addr>,
-    },
+    Unconfirmed { since_ms: u64, origin: Origin },
     /// It is open here.
     Open,
     /// Another agent said that it holds it.
@@ -36,6 +33,17 @@
     Absent,
 }
 
+/// Whence a packet came of whose flow the agent can't say whether its backend server holds it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// From a balancer that does not know where the flow opened.
+    Balancer,
+    /// From a balancer that was told that the flow opened here.
+    OpenedHere,
+    /// From an agent that asks who holds the flow.
+    Asker(Ipv4Addr),
+}
+
 /// An opener that the backend server has.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Opening {
@@ -104,6 +112,8 @@
     pub(crate) told_ended: bool,
     /// Whether its caller ended it while a request was running.
     pub(crate) caller_left: bool,
+    /// Which balancer was told last that the flow has opened here, and when.
+    pub(crate) told_opened: Option<(Ipv4Addr, u64)>,
 }
 
 impl Flow {
@@ -123,6 +133,7 @@
             answer_goes_on: false,
             told_ended: false,
             caller_left: false,
+            told_opened: None,
         }
     }
 
@@ -169,6 +180,11 @@
         self.is_open() && self.shown && was_answered && is_clear
     }
 
+    /// Tells whether the backend server showed that the flow has opened there, and nowhere else.
+    pub(crate) fn has_opened(&self) -> bool {
+        self.is_open() && self.shown
+    }
+
     /// Tells whether the flow is open at the backend server.
     pub(super) fn is_open(&self) -> bool {
         self.holding == Holding::Open && !self.closed
--- a/src/opaque/forwarder.rs
+++ b/src/opaque/forwarder.rs
@@ -31,10 +31,39 @@
 /// How many hints a balancer keeps; the brief speaks of hundreds of thousands of flows for each.
 const MAX_HINTS: usize = 262_144;
 
+/// How far apart the numbers may be that two packets of one flow acknowledge: some times what may be on its way.
+const MAX_ACKNOWLEDGED_APART: u32 = 1 << 20;
+
 #[derive(Debug, Clone, Copy)]
 struct Hint {
     host: Ipv4Addr,
     seen_ms: u64,
+    /// Whether the flow is known to have opened there.
+    has_opened: bool,
+    /// The number that its caller acknowledged last, where a packet of an open flow was seen.
+    acknowledgement: Option<u32>,
+}
+
+impl Hint {
+    /// Forgets where the flow opened: an opener may begin another one between the same ends.
+    fn forget_opened(&mut self) {
+        self.has_opened = false;
+        self.acknowledgement = None;
+    }
+
+    /// Takes a packet of an open flow; says whether its flow is known to have opened at the host.
+    ///
+    /// A packet whose number is far from the last one belongs to a later flow between the same ends.
+    fn take_packet(&mut self, segment: &Segment, now_ms: u64) -> bool {
+        self.seen_ms = now_ms;
+        let seen = self.acknowledgement.replace(segment.acknowledgement);
+        let is_near = |seen: u32| {
+            let ahead = segment.acknowledgement.wrapping_sub(seen);
+            ahead.min(ahead.wrapping_neg()) <= MAX_ACKNOWLEDGED_APART
+        };
+        self.has_opened &= seen.is_none_or(is_near);
+        self.has_opened
+    }
 }
 
 /// What a balancer remembers of flows.
@@ -105,8 +134,13 @@
             return self.refuse(&segment, Code::RouteUnknown);
         }
         if !segment.opens {
-            let host = self.packet_host(directory, suspicion, &flow, now_ms)?;
-            return Ok(self.deliver(host, packet, 0));
+            let (host, has_opened) = self.packet_host(directory, suspicion, &segment, now_ms)?;
+            let mut message = self.message(0);
+            message.has_opened = has_opened;
+            return Ok(Action::ToPeer(host, message, packet));
+        }
+        if let Some(hint) = self.hints.get_mut(&flow) {
+            hint.forget_opened();
         }
         let attempt = segment.acknowledgement as usize;
         if directory.has_deadline(flow.called) {
@@ -171,9 +205,26 @@
 
     /// Notes who holds a flow.
     pub fn holds(&mut self, flow: FlowKey, host: Ipv4Addr, now_ms: u64) {
+        let held = self.hints.get_mut(&flow);
+        // Who took an opener too late says so when the flow has opened elsewhere.
+        if let Some(hint) = held.filter(|hint| hint.has_opened) {
+            hint.seen_ms = now_ms;
+            return;
+        }
+        self.set_hint(flow, host, false, now_ms);
+    }
+
+    /// Notes that a flow has opened at a host.
+    pub fn opened(&mut self, flow: FlowKey, host: Ipv4Addr, now_ms: u64) {
+        self.set_hint(flow, host, true, now_ms);
+    }
+
+    fn set_hint(&mut self, flow: FlowKey, host: Ipv4Addr, has_opened: bool, now_ms: u64) {
         let hint = Hint {
             host,
             seen_ms: now_ms,
+            has_opened,
+            acknowledgement: None,
         };
         if self.hints.get(&flow).is_some_and(|held| held.host != host) {
             self.metrics.hints_wrong.inc();
@@ -243,26 +294,30 @@
         Ok(order[attempt % order.len()])
     }
 
-    /// Returns the agent for any other packet: the holder, or one that can find it.
+    /// Returns the agent for any other packet, the holder or one that can find it, and whether the flow is known to
+    /// have opened there.
     fn packet_host(
         &mut self,
         directory: &Directory,
         suspicion: &Suspicion,
-        flow: &FlowKey,
+        segment: &Segment,
         now_ms: u64,
-    ) -> Result<Ipv4Addr> {
-        if let Some(hint) = self.hints.get_mut(flow)
+    ) -> Result<(Ipv4Addr, bool)> {
+        let flow = segment.flow_from_caller();
+        if let Some(hint) = self.hints.get_mut(&flow)
             && directory.is_current(hint.host)
         {
-            hint.seen_ms = now_ms;
             self.metrics.hints_right.inc();
-            return Ok(hint.host);
+            return Ok((hint.host, hint.take_packet(segment, now_ms)));
         }
-        let order = candidates::in_order(directory, suspicion, &self.zone, flow, now_ms);
+        let order = candidates::in_order(directory, suspicion, &self.zone, &flow, now_ms);
         match order {
-            Ok(order) => Ok(order[0]),
+            Ok(order) => Ok((order[0], false)),
             // Those that take no new flow hold open ones: a drain or an evacuation of all must not stop them.
-            Err(error) => candidates::any_agent(directory, flow).ok_or(error),
+            Err(error) => {
+                let host = candidates::any_agent(directory, &flow).ok_or(error)?;
+                Ok((host, false))
+            }
         }
     }
 
--- a/src/opaque/keeper.rs
+++ b/src/opaque/keeper.rs
@@ -225,7 +225,7 @@
                 if segment.opens {
                     self.opener(scene, &segment, payload, message, &mut actions);
                 } else {
-                    self.packet(scene, &segment, payload, message.host, &mut actions);
+                    self.packet(scene, &segment, payload, message, &mut actions);
                 }
             }
             MessageKind::Find => {
@@ -339,10 +339,15 @@
 
 /// Tells a balancer who holds a flow, so that it spares the detour.
 fn say_holds(key: &FlowKey, balancer: Ipv4Addr, holder: Ipv4Addr, actions: &mut Vec<Action>) {
+    let mut message = Message::new(MessageKind::Holds);
+    message.host = holder;
+    tell_balancer(message, key, balancer, actions);
+}
+
+/// Tells a balancer something of a flow, if one is named.
+fn tell_balancer(message: Message, key: &FlowKey, balancer: Ipv4Addr, actions: &mut Vec<Action>) {
     if balancer.is_unspecified() {
         return;
     }
-    let mut message = Message::new(MessageKind::Holds);
-    message.host = holder;
     actions.push(Action::ToPeer(balancer, message, key.to_bytes().to_vec()));
 }
--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -2,7 +2,7 @@
 
 use std::net::Ipv4Addr;
 
-use crate::opaque::finding::flow::{Flow, Holding, Running};
+use crate::opaque::finding::flow::{Flow, Holding, Origin, Running};
 use crate::opaque::keeper::stall::may_go_on;
 use crate::opaque::keeper::{BACKEND_TIMEOUT_MS, Keeper, Scene, tell};
 use crate::opaque::packets::action::Action;
@@ -75,8 +75,14 @@
                 }
                 match holding {
                     Holding::Unconfirmed {
-                        asker: Some(asker), ..
+                        origin: Origin::Asker(asker),
+                        ..
                     } => tell(MessageKind::Absent, &key, asker, actions),
+                    // It opened here and nowhere else, and has ended with its backend server.
+                    Holding::Unconfirmed {
+                        origin: Origin::OpenedHere,
+                        ..
+                    } => self.end_gone(scene, &key, segment.acknowledgement, 0, actions),
                     _ => self.look_up(scene, segment, &packet, Ipv4Addr::UNSPECIFIED, actions),
                 }
             }
@@ -232,13 +238,13 @@
                 }
                 self.hand_on(scene, key, opening, actions);
             }
-            Holding::Unconfirmed { since_ms, asker } => {
+            Holding::Unconfirmed { since_ms, origin } => {
                 if scene.now_ms < since_ms + BACKEND_TIMEOUT_MS {
                     return false;
                 }
                 self.flows
                     .update(key, scene.now_ms, |flow| flow.holding = Holding::Open);
-                if let Some(asker) = asker {
+                if let Origin::Asker(asker) = origin {
                     tell(MessageKind::Found, key, asker, actions);
                 }
             }
--- a/src/opaque/keeper/delivery.rs
+++ b/src/opaque/keeper/delivery.rs
@@ -3,11 +3,15 @@
 use std::net::Ipv4Addr;
 
 use crate::config::deadlines::Deadline;
-use crate::opaque::finding::flow::{ABANDONED_MS, Flow, Holding, Running};
-use crate::opaque::keeper::{Keeper, Scene, say_holds};
+use crate::opaque::finding::flow::{ABANDONED_MS, Flow, Holding, Origin, Running};
+use crate::opaque::keeper::{Keeper, Scene, say_holds, tell_balancer};
 use crate::opaque::packets::action::Action;
 use crate::opaque::packets::message::{Message, MessageKind};
-use crate::opaque::packets::segment::Segment;
+use crate::opaque::packets::segment::{FlowKey, Segment};
+
+/// After how long a balancer that still does not know it is told again that a flow has opened, in milliseconds: the
+/// packets that were on their way meanwhile need no answer each.
+const TELL_OPENED_AGAIN_MS: u64 = 200;
 
 /// What becomes of a caller's packet.
 #[derive(Debug, Clone, Copy)]
@@ -29,11 +33,15 @@
         scene: &Scene<'_>,
         segment: &Segment,
         packet: &[u8],
-        balancer: Ipv4Addr,
+        message: &Message,
         actions: &mut Vec<Action>,
     ) {
         let key = segment.flow_from_caller();
+        let balancer = message.host;
         if self.deliver_held(scene, segment, packet, actions) {
+            if !message.has_opened {
+                self.say_opened(scene, &key, balancer, actions);
+            }
             return;
         }
         let holding = self.flows.get(&key).map(|flow| flow.holding.clone());
@@ -46,7 +54,13 @@
                 say_holds(&key, balancer, host, actions);
                 actions.push(Action::ToPeer(host, message, packet.to_vec()));
             }
-            None if !self.knows_all => self.try_backend(scene, segment, packet, None, actions),
+            // Its backend server returns it, which ends the search before it begins.
+            _ if message.has_opened => {
+                self.try_backend(scene, segment, packet, Origin::OpenedHere, actions);
+            }
+            None if !self.knows_all => {
+                self.try_backend(scene, segment, packet, Origin::Balancer, actions);
+            }
             _ => self.look_up(scene, segment, packet, balancer, actions),
         }
     }
@@ -102,19 +116,46 @@
         true
     }
 
+    /// Tells a balancer that a flow has opened here, once that is certain, and again if it goes on without knowing.
+    fn say_opened(
+        &mut self,
+        scene: &Scene<'_>,
+        key: &FlowKey,
+        balancer: Ipv4Addr,
+        actions: &mut Vec<Action>,
+    ) {
+        let now_ms = scene.now_ms;
+        let is_due = self.flows.update(key, now_ms, |flow| {
+            let was_told = flow.told_opened.is_some_and(|(told, told_ms)| {
+                told == balancer && now_ms < told_ms + TELL_OPENED_AGAIN_MS
+            });
+            let is_due = flow.has_opened() && !was_told;
+            if is_due {
+                flow.told_opened = Some((balancer, now_ms));
+            }
+            is_due
+        });
+        if is_due == Some(true) {
+            let mut message = Message::new(MessageKind::Holds);
+            message.host = self.identity.host;
+            message.has_opened = true;
+            tell_balancer(message, key, balancer, actions);
+        }
+    }
+
     /// Hands a packet of an unknown flow to the backend server, which returns it if it must.
     pub(super) fn try_backend(
         &mut self,
         scene: &Scene<'_>,
         segment: &Segment,
         packet: &[u8],
-        asker: Option<Ipv4Addr>,
+        origin: Origin,
         actions: &mut Vec<Action>,
     ) {
         let key = segment.flow_from_caller();
         let holding = Holding::Unconfirmed {
             since_ms: scene.now_ms,
-            asker,
+            origin,
         };
         let mut flow = Flow::new(holding, scene.now_ms);
         flow.caller_acknowledgement = segment.acknowledgement;
--- a/src/opaque/keeper/questions.rs
+++ b/src/opaque/keeper/questions.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 
 use crate::code::Code;
-use crate::opaque::finding::flow::{Flow, Holding};
+use crate::opaque::finding::flow::{Flow, Holding, Origin};
 use crate::opaque::finding::lookup::{FIRST_ASKED, Question, Verdict};
 use crate::opaque::keeper::{Keeper, Scene, say_holds, tell};
 use crate::opaque::openers::opener_order::likely_hosts;
@@ -56,7 +56,7 @@
             return;
         }
         if self.flows.get(&key).is_none() && !self.knows_all && self.backend_up {
-            self.try_backend(scene, segment, packet, Some(asker), actions);
+            self.try_backend(scene, segment, packet, Origin::Asker(asker), actions);
         } else {
             tell(MessageKind::Absent, &key, asker, actions);
         }
@@ -90,12 +90,24 @@
         let verdict = self.lookups.verdict(key, scene.directory, scene.revision);
         if let Verdict::Nowhere { acknowledgement } = verdict {
             let waited_ms = self.lookups.open_for_ms(key, scene.now_ms);
-            self.lookups.forget(key);
-            let route = scene.directory.routes().get(key.called);
-            if route.is_some_and(|route| route.repeatable) {
-                self.tell_attempt_failed(scene, key, waited_ms, actions);
-            }
-            self.reset(key, acknowledgement, Code::FlowGone, actions);
+            self.end_gone(scene, key, acknowledgement, waited_ms, actions);
         }
     }
+
+    /// Ends a flow that nobody holds, whose caller has waited for so long since that was first asked.
+    pub(super) fn end_gone(
+        &mut self,
+        scene: &Scene<'_>,
+        key: &FlowKey,
+        acknowledgement: u32,
+        waited_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        self.lookups.forget(key);
+        let route = scene.directory.routes().get(key.called);
+        if route.is_some_and(|route| route.repeatable) {
+            self.tell_attempt_failed(scene, key, waited_ms, actions);
+        }
+        self.reset(key, acknowledgement, Code::FlowGone, actions);
+    }
 }
--- a/src/opaque/packets/message.rs
+++ b/src/opaque/packets/message.rs
@@ -60,6 +60,9 @@
     /// How many agents have passed an opener on; 0 for [`MessageKind::Offer`], where the byte carries
     /// [`Message::most_wait_ms`].
     pub hops: u8,
+    /// Whether the flow is known to have opened at the host that a [`MessageKind::Holds`] names, or at the receiver of a
+    /// [`MessageKind::Deliver`]: its backend server showed that it held it. Then no other one can hold it.
+    pub has_opened: bool,
     /// Of [`MessageKind::Offer`], the longest wait for which the receiver takes it, in milliseconds; rounded down to
     /// whole [`OFFER_WAIT_UNIT_MS`], of which 255 fit.
     pub most_wait_ms: u16,
@@ -104,6 +107,9 @@
 /// know it passes such a message over, and its sender's caller sends the opener again.
 const KIND_BITS: u8 = 4;
 const MAX_WAIT_UNITS: u16 = 0x0f;
+/// The bit of the byte of the hops that tells [`Message::has_opened`]; a process that does not know it takes such a
+/// message for one without.
+const OPENED_BIT: u8 = 0x80;
 
 impl Message {
     fn unsettled_units(&self) -> u8 {
@@ -113,12 +119,17 @@
 
     fn hops_or_wait(&self) -> u8 {
         if self.kind != MessageKind::Offer {
-            return self.hops;
+            return self.hops_and_opened();
         }
         let units = self.most_wait_ms / OFFER_WAIT_UNIT_MS;
         u8::try_from(units).unwrap_or(u8::MAX)
     }
 
+    /// Returns the hops, and [`Message::has_opened`] above them.
+    fn hops_and_opened(&self) -> u8 {
+        self.hops | if self.has_opened { OPENED_BIT } else { 0 }
+    }
+
     fn kind_and_wait(&self) -> u8 {
         let units = (self.waited_ms / WAIT_UNIT_MS).min(MAX_WAIT_UNITS);
         (units as u8) << KIND_BITS | self.kind as u8
@@ -129,6 +140,7 @@
         Self {
             kind,
             hops: 0,
+            has_opened: false,
             most_wait_ms: 0,
             host: Ipv4Addr::UNSPECIFIED,
             digest: Digest::default(),
@@ -165,9 +177,9 @@
         let (payload, trailer) = datagram.split_at(at.ok_or_else(malformed)?);
         let kind = kind_of(trailer[1] & ((1 << KIND_BITS) - 1)).filter(|_| trailer[0] == VERSION);
         let kind = kind.ok_or_else(malformed)?;
-        let (hops, wait_units) = match kind {
-            MessageKind::Offer => (0, trailer[2]),
-            _ => (trailer[2], 0),
+        let (hops, has_opened, wait_units) = match kind {
+            MessageKind::Offer => (0, false, trailer[2]),
+            _ => (trailer[2] & !OPENED_BIT, trailer[2] & OPENED_BIT != 0, 0),
         };
         let word = |at: usize| u64::from_be_bytes(trailer[at..at + 8].try_into().unwrap_or([0; 8]));
         let half = |at: usize| u16::from_be_bytes([trailer[at], trailer[at + 1]]);
@@ -176,6 +188,7 @@
             Message {
                 kind,
                 hops,
+                has_opened,
                 most_wait_ms: u16::from(wait_units) * OFFER_WAIT_UNIT_MS,
                 host: Ipv4Addr::new(trailer[4], trailer[5], trailer[6], trailer[7]),
                 digest: Digest {
--- a/src/opaque/processes/entry.rs
+++ b/src/opaque/processes/entry.rs
@@ -181,7 +181,11 @@
             MessageKind::Declined => self.declined(&flow, from, now_ms),
             MessageKind::Holds => {
                 let mut forwarder = self.forwarder.borrow_mut();
-                forwarder.holds(flow, message.host, now_ms);
+                if message.has_opened {
+                    forwarder.opened(flow, message.host, now_ms);
+                } else {
+                    forwarder.holds(flow, message.host, now_ms);
+                }
             }
             MessageKind::Found => {
                 log::info!("event=flow_found flow={flow} host={from}");
--- a/tests/opaque/main.rs
+++ b/tests/opaque/main.rs
@@ -21,6 +21,7 @@
 mod model;
 mod news;
 mod offers;
+mod opened_flows;
 mod openers;
 mod outcomes;
 mod policies;
--- a/tests/opaque/message.rs
+++ b/tests/opaque/message.rs
@@ -6,11 +6,12 @@
 
 proptest! {
     #[test]
-    fn what_is_sent_is_read(payload: Vec<u8>, highest: u64, hash: u64, age_ms: u32, hops: u8, load_permille: u16, wait_units in 0_u16..16) {
+    fn what_is_sent_is_read(payload: Vec<u8>, highest: u64, hash: u64, age_ms: u32, hops in 0_u8..128, has_opened: bool, load_permille: u16, wait_units in 0_u16..16) {
         let mut message = Message::new(MessageKind::Find);
         message.digest = Digest { highest: highest.into(), hash };
         message.age_ms = age_ms;
         message.hops = hops;
+        message.has_opened = has_opened;
         message.unsettled_ms = 2_480;
         message.load_permille = load_permille;
         message.waited_ms = wait_units * 100;
--- a/tests/opaque/model.rs
+++ b/tests/opaque/model.rs
@@ -362,7 +362,11 @@
     }
 
     fn arrive(&mut self, datagram: &InFlight) {
-        if datagram.to == BALANCER || self.cut.stops(datagram.from, datagram.to) {
+        if self.cut.stops(datagram.from, datagram.to) {
+            return;
+        }
+        if datagram.to == BALANCER {
+            self.balancer_hears(datagram);
             return;
         }
         let index = index_of(datagram.to);
@@ -379,6 +383,24 @@
         });
     }
 
+    /// The balancer notes who holds a flow.
+    fn balancer_hears(&mut self, datagram: &InFlight) {
+        let InFlight {
+            message, payload, ..
+        } = datagram;
+        // The payload names the flow: the caller's address and port come first.
+        let (MessageKind::Holds, &[_, _, _, _, high, low, ..]) = (message.kind, &payload[..])
+        else {
+            return;
+        };
+        let key = flow(u16::from_be_bytes([high, low]));
+        if message.has_opened {
+            self.balancer.opened(key, message.host, self.now_ms);
+        } else {
+            self.balancer.holds(key, message.host, self.now_ms);
+        }
+    }
+
     fn decide(&mut self, index: u16, decide: impl FnOnce(&mut Keeper, &Scene<'_>) -> Vec<Action>) {
         let revision = self.revision_of(host(index));
         let agent = &mut self.agents[usize::from(index) - 1];
