Look for a flow among the first agents of its order on sites of any size

Cause: above 256 agents only the 16 likely holders were asked, and nobody else for as long as the question was open: a flow that was passed on further, past crowded or suspected agents, was never found. Beside it a fault: whether all are asked was decided by the agents that had not answered, so that with 257 to 272 agents the answers of the likely ones brought the number below 256, all were asked and flows proved gone, while agents there say nothing of servers that are not published.

Change: on such sites the first 64 and then the first 256 in the order of placement are asked, which is the same at every agent, and nothing is proved; the number is decided by all agents.

Ruled out: asking all in steps (N messages for each flow that is nowhere, which nobody needs since its backend server's word ends it).

a_site_too_large_to_ask_whole_asks_the_likely_holders_and_proves_nothing becomes ..._asks_a_bounded_number_...: it said that nobody else is asked. It is played at 260, 300, 1,000 and 6,000 now, and still nothing is proved.

--- a/src/opaque/finding/lookup.rs
+++ b/src/opaque/finding/lookup.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 
 use crate::config::revision::Revision;
+use crate::decisions::placement;
 use crate::opaque::packets::segment::{FlowKey, Segment};
 use crate::opaque::values::directory::Directory;
 use crate::process::opaque_metrics::OpaqueMetrics;
@@ -14,8 +15,11 @@
 /// How long a question goes on, in milliseconds: about the longest wait between two copies of a
 /// caller's packet, which start it anew.
 const GIVE_UP_MS: u64 = 1_600;
-/// The most agents that are asked; with more, only the likely ones are, and nothing is proved.
+/// The most agents that are asked. Where there are more, those that come first in the order in which flows are placed
+/// are asked, so that a flow is found that was passed on again and again, and nothing is proved.
 pub(crate) const MAX_ASKED: usize = 256;
+/// By how much the number of those that are asked grows from one question to the next, where not all are asked.
+const WIDEN_FACTOR: usize = 4;
 /// How many agents are asked first, where there are more than twice as many: a flow stands with one of the
 /// eight that were first in its order, or with one of the eight to which those may pass an opener.
 pub(crate) const FIRST_ASKED: usize = 16;
@@ -227,10 +231,7 @@
             let doublings = if has_deadline { lookup.repeats } else { 0 };
             lookup.ask_ms = now_ms + (ASK_AGAIN_MS << doublings);
             lookup.repeats += 1;
-            let hosts = unanswered(lookup, directory, own_host);
-            if hosts.len() > MAX_ASKED {
-                continue;
-            }
+            let hosts = asked_now(lookup, directory, own_host);
             asked.extend(hosts.into_iter().map(|host| (host, lookup.packet.clone())));
         }
         asked
@@ -252,6 +253,23 @@
     }
 }
 
+/// Returns whom to ask now of those that have not answered: all of them, or more than before of those that come first
+/// for the flow.
+fn asked_now(lookup: &Lookup, directory: &Directory, own_host: Ipv4Addr) -> Vec<Ipv4Addr> {
+    let hosts = unanswered(lookup, directory, own_host);
+    // By all agents and not by those that are left: above this number nobody tells of servers that are not published.
+    if directory.current_hosts().len() <= MAX_ASKED {
+        return hosts;
+    }
+    let widened = WIDEN_FACTOR.saturating_pow(lookup.repeats);
+    let count = FIRST_ASKED.saturating_mul(widened).min(MAX_ASKED);
+    let mut others = directory.current_hosts().to_vec();
+    others.retain(|host| *host != own_host);
+    let mut first = placement::first_hosts(others, lookup.flow.hash(), count);
+    first.retain(|host| hosts.binary_search(host).is_ok());
+    first
+}
+
 fn unanswered(lookup: &Lookup, directory: &Directory, own_host: Ipv4Addr) -> Vec<Ipv4Addr> {
     let hosts = directory.current_hosts().iter().copied();
     hosts
--- a/tests/opaque/lookup.rs
+++ b/tests/opaque/lookup.rs
@@ -94,17 +94,31 @@
 }
 
 #[test]
-fn a_site_too_large_to_ask_whole_asks_the_likely_holders_and_proves_nothing() {
-    let mut lookups = Lookups::new(&OpaqueMetrics::default());
-    assert_eq!(ask(&mut lookups, 300), LIKELY.map(host));
-    for index in LIKELY {
-        lookups.absent(&flow(1), host(index), 300);
+fn a_site_too_large_to_ask_whole_asks_a_bounded_number_and_proves_nothing() {
+    for count in [260, 300, 1_000, 6_000] {
+        let directory = directory(count);
+        let mut lookups = Lookups::new(&OpaqueMetrics::default());
+        assert_eq!(ask(&mut lookups, count), LIKELY.map(host));
+        assert!(lookups.due(&directory, 1_019).is_empty(), "too soon");
+        let mut asked = Vec::new();
+        for (now_ms, most) in [(1_020, 64), (1_220, 256), (1_420, 256)] {
+            let due = lookups.due(&directory, now_ms);
+            assert_eq!(due.len(), most, "{count} agents");
+            asked.extend(due.into_iter().map(|(host, _)| host));
+        }
+        asked.sort_unstable();
+        asked.dedup();
+        assert_eq!(asked.len(), 256, "the same are asked again");
+        for host in asked {
+            lookups.absent(&flow(1), host, u64::from(count));
+        }
+        assert!(
+            lookups.due(&directory, 1_620).is_empty(),
+            "all of them answered"
+        );
+        let verdict = lookups.verdict(&flow(1), &directory, u64::from(count));
+        assert_eq!(verdict, Verdict::Open);
     }
-    assert!(lookups.due(&directory(300), 1_100).is_empty());
-    assert_eq!(
-        lookups.verdict(&flow(1), &directory(300), 300),
-        Verdict::Open
-    );
 }
 
 #[test]
--- a/tests/opaque/message_bounds.rs
+++ b/tests/opaque/message_bounds.rs
@@ -2,10 +2,11 @@
 
 use std::net::Ipv4Addr;
 
+use endivedyke::ServiceId;
 use endivedyke::opaque::{Action, FlowKey, Keeper, Message, MessageKind, Scene};
 
 use crate::builder::{
-    Agents, BALANCER, acceptance, flow, forwarder, host, index_of, opener, request,
+    Agents, BALANCER, SERVICE, acceptance, flow, forwarder, host, index_of, opener, request,
 };
 
 const SIZES: [u16; 4] = [7, 45, 250, 1_000];
@@ -100,6 +101,13 @@
         }
     }
 
+    /// Returns the agent at a place in the order in which a flow is placed.
+    fn agent_in_order(&self, key: &FlowKey, place: usize) -> Ipv4Addr {
+        let table = self.agents.directory.table(ServiceId::of(SERVICE));
+        let table = table.expect("a service");
+        endivedyke::ranked(table, key.hash(), |_| true)[place].host
+    }
+
     /// Fills the places of every second backend server.
     fn crowd(&mut self) {
         let mut port = 20_000;
@@ -173,6 +181,31 @@
     }
 }
 
+#[test]
+fn a_flow_that_was_passed_on_often_is_found_within_bounded_messages_at_any_size() {
+    for size in [300, 1_000, 6_000] {
+        let mut site = Site::new(size);
+        for (port, place) in [(7, 20), (8, 60), (9, 200)] {
+            let key = flow(port);
+            let holder = site.agent_in_order(&key, place);
+            site.deliver(holder, &opener(&key, 0));
+            site.open(&key, holder);
+            let asked = site.first_choice(request(&key, 501));
+            site.messages = 0;
+            let mut found = site.deliver(asked, &request(&key, 501));
+            for passed_ms in [20, 200, 200] {
+                found = found.or_else(|| site.tick_after(passed_ms, asked));
+            }
+            assert_eq!(found, Some(holder), "{size}, place {place}");
+            let messages = site.messages as f64;
+            assert!(
+                messages <= bound("opaque_messages_a_question_far_away"),
+                "{size}, place {place}: {messages}"
+            );
+        }
+    }
+}
+
 #[test]
 fn a_flow_where_nobody_expects_it_is_found_by_asking_all() {
     for size in [7, 45, 250] {
