Tell where questions prove nothing, which flows ended by one word, and how many agents were heard of

Three parts of the search for flows stop at a count, and nobody saw it: above 256 agents questions prove nothing, a balancer without a configuration shows packets to those that it has heard of, and an end that is known needs no question. No decision changes.

--- a/src/opaque/finding/lookup.rs
+++ b/src/opaque/finding/lookup.rs
@@ -231,6 +231,10 @@
             let doublings = if has_deadline { lookup.repeats } else { 0 };
             lookup.ask_ms = now_ms + (ASK_AGAIN_MS << doublings);
             lookup.repeats += 1;
+            let is_partial = directory.current_hosts().len() > MAX_ASKED;
+            self.metrics
+                .lookups_partial
+                .inc_by(u64::from(is_partial && lookup.repeats == 1));
             let hosts = asked_now(lookup, directory, own_host);
             asked.extend(hosts.into_iter().map(|host| (host, lookup.packet.clone())));
         }
--- a/src/opaque/forwarder/without_routes.rs
+++ b/src/opaque/forwarder/without_routes.rs
@@ -38,6 +38,7 @@
         let find = Message::new(MessageKind::Find);
         let agents = search.next_agents(&flow, now_ms);
         self.metrics.packets_shown.inc_by(agents.len() as u64);
+        self.metrics.agents_heard.set(search.known() as i64);
         let agents = agents.into_iter();
         let shown = agents.map(|host| Action::ToPeer(host, find, packet.to_vec()));
         Ok(shown.collect())
--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -82,7 +82,10 @@
                     Holding::Unconfirmed {
                         origin: Origin::OpenedHere,
                         ..
-                    } => self.end_gone(scene, &key, segment.acknowledgement, 0, actions),
+                    } => {
+                        self.metrics.flows_ended_there.inc();
+                        self.end_gone(scene, &key, segment.acknowledgement, 0, actions);
+                    }
                     _ => self.look_up(scene, segment, &packet, Ipv4Addr::UNSPECIFIED, actions),
                 }
             }
--- a/src/opaque/processes/state.rs
+++ b/src/opaque/processes/state.rs
@@ -66,7 +66,10 @@
         "lookups_started": opaque.lookups_started.get(),
         "packets_shown": opaque.packets_shown.get(),
         "retries_known": opaque.retries_known.get(),
+        "agents_heard": opaque.agents_heard.get(),
         "lookups_given_up": opaque.lookups_given_up.get(),
+        "lookups_partial": opaque.lookups_partial.get(),
+        "flows_ended_there": opaque.flows_ended_there.get(),
         "entries_unusable": opaque.entries_unusable.get(),
         "values_age_ms": (opaque.values_age_seconds.get() * 1_000.0) as u64,
     });
--- a/src/process/opaque_metrics.rs
+++ b/src/process/opaque_metrics.rs
@@ -42,6 +42,9 @@
     pub(crate) lookups_started: Counter,
     pub(crate) lookups_found: Counter,
     pub(crate) lookups_given_up: Counter,
+    pub(crate) lookups_partial: Counter,
+    pub(crate) flows_ended_there: Counter,
+    pub(crate) agents_heard: Gauge,
     pub(crate) hints_right: Counter,
     pub(crate) hints_wrong: Counter,
     pub(crate) hints_held: Gauge,
@@ -84,6 +87,9 @@
             lookups_started: Counter::default(),
             lookups_found: Counter::default(),
             lookups_given_up: Counter::default(),
+            lookups_partial: Counter::default(),
+            flows_ended_there: Counter::default(),
+            agents_heard: Gauge::default(),
             hints_right: Counter::default(),
             hints_wrong: Counter::default(),
             hints_held: Gauge::default(),
@@ -137,7 +143,7 @@
         );
     }
 
-    fn counters(&self) -> [(&'static str, &'static str, &Counter); 23] {
+    fn counters(&self) -> [(&'static str, &'static str, &Counter); 25] {
         [
             (
                 "packets_shown",
@@ -234,6 +240,16 @@
                 "Such questions without all answers",
                 &self.lookups_given_up,
             ),
+            (
+                "lookups_partial",
+                "Questions on sites too large to ask all agents, which prove nothing",
+                &self.lookups_partial,
+            ),
+            (
+                "flows_ended_there",
+                "Flows ended since the backend server where they had opened returned a packet",
+                &self.flows_ended_there,
+            ),
             (
                 "hints_right",
                 "Packets sent where a hint said",
@@ -257,7 +273,7 @@
         ]
     }
 
-    fn gauges(&self) -> [(&'static str, &'static str, &Gauge); 7] {
+    fn gauges(&self) -> [(&'static str, &'static str, &Gauge); 8] {
         [
             (
                 "opaque_flows_open",
@@ -284,6 +300,11 @@
                 "Published entries that name no backend server to use",
                 &self.entries_unusable,
             ),
+            (
+                "agents_heard",
+                "Agents heard of while there was no configuration",
+                &self.agents_heard,
+            ),
             (
                 "zones_evacuated",
                 "Availability zones whose backend servers get no new flow",
