Ask further agents for a flow only once the nearer ones have answered

Cause: on a site of more than 256 agents each question went on to 256 of them while a likely holder was dark.

Change: beyond the first 64 nobody is asked while one of these is silent, since it most likely holds the flow.

--- a/src/opaque/finding/lookup.rs
+++ b/src/opaque/finding/lookup.rs
@@ -18,8 +18,8 @@
 /// The most agents that are asked. Where there are more, those that come first in the order in which flows are placed
 /// are asked, so that a flow is found that was passed on again and again, and nothing is proved.
 pub(crate) const MAX_ASKED: usize = 256;
-/// By how much the number of those that are asked grows from one question to the next, where not all are asked.
-const WIDEN_FACTOR: usize = 4;
+/// How many of these are asked before all of them.
+const WIDENED: usize = 64;
 /// How many agents are asked first, where there are more than twice as many: a flow stands with one of the
 /// eight that were first in its order, or with one of the eight to which those may pass an opener.
 pub(crate) const FIRST_ASKED: usize = 16;
@@ -257,21 +257,25 @@
     }
 }
 
-/// Returns whom to ask now of those that have not answered: all of them, or more than before of those that come first
-/// for the flow.
+/// Returns whom to ask now of those that have not answered: all of them on a site that is not too large.
+///
+/// On a larger one those that come first for the flow, and further ones only once all of these have answered: while
+/// one of them is silent, it most likely holds the flow.
 fn asked_now(lookup: &Lookup, directory: &Directory, own_host: Ipv4Addr) -> Vec<Ipv4Addr> {
     let hosts = unanswered(lookup, directory, own_host);
     // By all agents and not by those that are left: above this number nobody tells of servers that are not published.
     if directory.current_hosts().len() <= MAX_ASKED {
         return hosts;
     }
-    let widened = WIDEN_FACTOR.saturating_pow(lookup.repeats);
-    let count = FIRST_ASKED.saturating_mul(widened).min(MAX_ASKED);
     let mut others = directory.current_hosts().to_vec();
     others.retain(|host| *host != own_host);
-    let mut first = placement::first_hosts(others, lookup.flow.hash(), count);
-    first.retain(|host| hosts.binary_search(host).is_ok());
-    first
+    let mut order = placement::first_hosts(others, lookup.flow.hash(), MAX_ASKED);
+    let is_unanswered = |host: &Ipv4Addr| hosts.binary_search(host).is_ok();
+    if order[..WIDENED].iter().any(is_unanswered) {
+        order.truncate(WIDENED);
+    }
+    order.retain(is_unanswered);
+    order
 }
 
 fn unanswered(lookup: &Lookup, directory: &Directory, own_host: Ipv4Addr) -> Vec<Ipv4Addr> {
