--- a/src/opaque/finding/flow.rs
+++ b/src/opaque/finding/flow.rs
@@ -33,14 +33,14 @@
     Absent,
 }
 
-/// Whence a packet came of whose flow the agent can't say whether its backend server holds it.
+/// Who sent a packet of a flow that the agent does not know.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Origin {
-    /// From a balancer that does not know where the flow opened.
+    /// A balancer that does not know where the flow opened.
     Balancer,
-    /// From a balancer that was told that the flow opened here.
+    /// A balancer that was told that the flow opened here.
     OpenedHere,
-    /// From an agent that asks who holds the flow.
+    /// An agent that asks who holds the flow.
     Asker(Ipv4Addr),
 }
 
--- a/src/opaque/finding/lookup.rs
+++ b/src/opaque/finding/lookup.rs
@@ -17,9 +17,9 @@
 const GIVE_UP_MS: u64 = 1_600;
 /// The most agents that are asked. Where there are more, those that come first in the order in which flows are placed
 /// are asked, so that a flow is found that was passed on again and again, and nothing is proved.
-pub(crate) const MAX_ASKED: usize = 256;
-/// How many of these are asked before all of them.
-const WIDENED: usize = 64;
+const MAX_ASKED: usize = 256;
+/// How many of these are asked before the others of them.
+const NEAR_ASKED: usize = 64;
 /// How many agents are asked first, where there are more than twice as many: a flow stands with one of the
 /// eight that were first in its order, or with one of the eight to which those may pass an opener.
 pub(crate) const FIRST_ASKED: usize = 16;
@@ -231,10 +231,9 @@
             let doublings = if has_deadline { lookup.repeats } else { 0 };
             lookup.ask_ms = now_ms + (ASK_AGAIN_MS << doublings);
             lookup.repeats += 1;
-            let is_partial = directory.current_hosts().len() > MAX_ASKED;
-            self.metrics
-                .lookups_partial
-                .inc_by(u64::from(is_partial && lookup.repeats == 1));
+            if lookup.repeats == 1 && !asks_all(directory) {
+                self.metrics.lookups_partial.inc();
+            }
             let hosts = asked_now(lookup, directory, own_host);
             asked.extend(hosts.into_iter().map(|host| (host, lookup.packet.clone())));
         }
@@ -257,22 +256,29 @@
     }
 }
 
+/// Tells whether questions go to all agents, so that their answers may prove that nobody holds a flow.
+///
+/// By the number of all agents and not of those that have not answered: on larger sites nobody tells of backend servers
+/// that are not published.
+pub(crate) fn asks_all(directory: &Directory) -> bool {
+    directory.current_hosts().len() <= MAX_ASKED
+}
+
 /// Returns whom to ask now of those that have not answered: all of them on a site that is not too large.
 ///
 /// On a larger one those that come first for the flow, and further ones only once all of these have answered: while
 /// one of them is silent, it most likely holds the flow.
 fn asked_now(lookup: &Lookup, directory: &Directory, own_host: Ipv4Addr) -> Vec<Ipv4Addr> {
     let hosts = unanswered(lookup, directory, own_host);
-    // By all agents and not by those that are left: above this number nobody tells of servers that are not published.
-    if directory.current_hosts().len() <= MAX_ASKED {
+    if asks_all(directory) {
         return hosts;
     }
     let mut others = directory.current_hosts().to_vec();
     others.retain(|host| *host != own_host);
     let mut order = placement::first_hosts(others, lookup.flow.hash(), MAX_ASKED);
     let is_unanswered = |host: &Ipv4Addr| hosts.binary_search(host).is_ok();
-    if order[..WIDENED].iter().any(is_unanswered) {
-        order.truncate(WIDENED);
+    if order[..NEAR_ASKED].iter().any(is_unanswered) {
+        order.truncate(NEAR_ASKED);
     }
     order.retain(is_unanswered);
     order
--- a/src/opaque/keeper/answers.rs
+++ b/src/opaque/keeper/answers.rs
@@ -83,7 +83,7 @@
                         origin: Origin::OpenedHere,
                         ..
                     } => {
-                        self.metrics.flows_ended_there.inc();
+                        self.metrics.ends_proved_by_backend.inc();
                         self.end_gone(scene, &key, segment.acknowledgement, 0, actions);
                     }
                     _ => self.look_up(scene, segment, &packet, Ipv4Addr::UNSPECIFIED, actions),
--- a/src/opaque/keeper/delivery.rs
+++ b/src/opaque/keeper/delivery.rs
@@ -54,7 +54,7 @@
                 say_holds(&key, balancer, host, actions);
                 actions.push(Action::ToPeer(host, message, packet.to_vec()));
             }
-            // Its backend server returns it, which ends the search before it begins.
+            // What the backend server returns has ended, and nobody need be asked.
             _ if message.has_opened => {
                 self.try_backend(scene, segment, packet, Origin::OpenedHere, actions);
             }
--- a/src/opaque/processes/state.rs
+++ b/src/opaque/processes/state.rs
@@ -69,7 +69,7 @@
         "agents_heard": opaque.agents_heard.get(),
         "lookups_given_up": opaque.lookups_given_up.get(),
         "lookups_partial": opaque.lookups_partial.get(),
-        "flows_ended_there": opaque.flows_ended_there.get(),
+        "ends_proved_by_backend": opaque.ends_proved_by_backend.get(),
         "entries_unusable": opaque.entries_unusable.get(),
         "values_age_ms": (opaque.values_age_seconds.get() * 1_000.0) as u64,
     });
--- a/src/opaque/values/known_balancers.rs
+++ b/src/opaque/values/known_balancers.rs
@@ -50,8 +50,8 @@
 
     /// Returns those that are quiet and that the agent on `own` is to greet, as one of a few among `agents`.
     ///
-    /// The seeds belong to them whether they were heard or not: an agent hears few of many balancers, and a
-    /// balancer that starts asks the seeds.
+    /// The seeds are greeted whether they were heard or not: an agent hears few of many balancers, and a balancer
+    /// that starts asks the seeds.
     pub(crate) fn due_greetings(
         &mut self,
         own: Ipv4Addr,
