Tell from log lines how long a change takes to reach all processes

endivedyke-lab spread LOG... gives for each change of the routes the time until the median, the 99th in a hundred and the last of the processes that ran all the while have it, and how many never told so.

--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -19,6 +19,7 @@
 };
 use crate::quickstart::run_quickstart;
 use crate::runtime::block_on;
+use crate::value_spread::{table_of_spreads, value_spreads};
 use crate::{config_service, fabric};
 
 #[derive(Debug, Options)]
@@ -47,6 +48,8 @@
     Soak(SoakOptions),
     #[options(help = "openers LOG...: what became of openers, by log lines")]
     Openers(OpenersOptions),
+    #[options(help = "spread LOG...: how long changes of the routes took to reach all processes")]
+    Spread(SpreadOptions),
     #[options(help = "stand in for the fabric")]
     Fabric(FabricOptions),
     #[options(help = "stand in for the platform's configuration service")]
@@ -83,6 +86,14 @@
     logs: Option<PathBuf>,
 }
 
+#[derive(Debug, Options)]
+struct SpreadOptions {
+    #[options(help = "print this help and exit")]
+    help: bool,
+    #[options(free, help = "files with log lines")]
+    logs: Vec<PathBuf>,
+}
+
 #[derive(Debug, Options)]
 struct OpenersOptions {
     #[options(help = "print this help and exit")]
@@ -249,6 +260,7 @@
         Some(Command::Soak(options)) => soak(&options),
         Some(Command::OpaqueLoad(options)) => opaque_load(&options),
         Some(Command::Openers(options)) => print_openers(&options),
+        Some(Command::Spread(options)) => print_spread(&options),
         Some(Command::Experiment(options)) => experiments::run(&options),
         Some(Command::Load(options)) => run_load(&options),
         Some(Command::Fabric(options)) => run_fabric(&options),
@@ -329,18 +341,29 @@
     Err(Error::new(Code::OutcomeUnknown, message))
 }
 
-fn print_openers(options: &OpenersOptions) -> Result<()> {
-    if options.logs.is_empty() {
-        return Err(Error::new(Code::Usage, "openers LOG..."));
+/// Reads log files, of which there must be one at least, each with its name.
+fn read_logs(paths: &[PathBuf], usage: &str) -> Result<Vec<(String, String)>> {
+    if paths.is_empty() {
+        return Err(Error::new(Code::Usage, usage));
     }
-    let mut logs = Vec::new();
-    for path in &options.logs {
+    let read = |path: &PathBuf| {
         let bytes = std::fs::read(path)?;
-        logs.push((
-            path.display().to_string(),
-            String::from_utf8_lossy(&bytes).into_owned(),
-        ));
-    }
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        Ok((path.display().to_string(), text))
+    };
+    paths.iter().map(read).collect()
+}
+
+fn print_spread(options: &SpreadOptions) -> Result<()> {
+    let logs = read_logs(&options.logs, "spread LOG...")?;
+    let lines = logs.iter().flat_map(|(name, text)| parse_log(name, text));
+    let lines: Vec<_> = lines.collect();
+    print!("{}", table_of_spreads(&value_spreads(&lines)));
+    Ok(())
+}
+
+fn print_openers(options: &OpenersOptions) -> Result<()> {
+    let logs = read_logs(&options.logs, "openers LOG...")?;
     let lines = logs.iter().flat_map(|(name, text)| parse_log(name, text));
     let lines: Vec<_> = lines.collect();
     let zones: Vec<&str> = options
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -31,6 +31,7 @@
 mod site;
 mod site_files;
 mod tally;
+mod value_spread;
 
 pub use crate::caller::{Caller, Reply};
 pub use crate::caller_process::{CallerLoad, CallerProcess};
@@ -47,3 +48,4 @@
 pub use crate::service_model::{ModelLoad, Policy, ServiceModel, imbalance};
 pub use crate::site::{Site, SiteBuilder};
 pub use crate::tally::Tally;
+pub use crate::value_spread::{ValueSpread, table_of_spreads, value_spreads};
