review: a rolling restart resets open flows on a route that was just added

Case 5 adds a route, opens flows on it and restarts the balancers of a zone in turn. A balancer that has started again serves by a read that may be seconds old and resets open flows on the route (FLOW a, planned work).

--- a/review/rig-2/standins.py
+++ b/review/rig-2/standins.py
@@ -220,7 +220,6 @@
         self.items, self.events, self.revision = {}, [], 1_000
         self.times = []                    # when each event came
         self.stale_ms = 0.0                # how old a read with staleOk=1 may be
-        self.stale_calls = 0
         self.answer_ms = 0.0
         self.changed = threading.Condition()
         self.record = record
@@ -266,13 +265,7 @@
             return self.revision
 
     def stale_state(self):
-        """Returns items and revision as one of two replicas has them; they answer in turn.
-
-        One replica is up to date and the other is `stale_ms` behind, each in itself consistent.
-        """
-        self.stale_calls += 1
-        if self.stale_calls % 2:
-            return self.items, self.revision
+        """Returns items and revision as they were `stale_ms` ago."""
         until, items, revision = now_ms() - self.stale_ms, {}, 1_000
         for event, when in zip(self.events, self.times):
             if when > until:
@@ -396,95 +389,79 @@
 
 
 class Links:
-    """The network between balancers and agents, which can silence the connections that are open.
+    """The links between zones: each passes what it gets after `delay_ms`, or nothing while it is cut.
 
-    Balancers use PROXIED_PORT for all that they exchange with other machines, agents use INTERNAL_PORT.
-    At each machine's address the port of the other role belongs to this proxy. It forwards datagrams and
-    connections from the address of their sender, so that the two ends see each other's true addresses.
+    Each zone has a port that its machines use for all that they exchange with other machines. At a
+    machine's address the ports of the other zones belong to this proxy, which forwards datagrams and
+    connections from the address of their sender, so that both ends see each other's true address.
     """
 
-    PROXIED_PORT = 7_740
+    FIRST_PORT = 7_720
 
-    def __init__(self, site):
-        self.site = site
-        self.roles, self.senders, self.connections = {}, {}, []
-        self.lock = threading.Lock()
+    def __init__(self, site, delay_ms):
+        self.site, self.delay_ms = site, delay_ms
+        self.zones, self.senders = {}, {}
 
-    def port(self, role):
-        return self.PROXIED_PORT if role == "balancer" else INTERNAL_PORT
+    def port(self, zone):
+        return self.FIRST_PORT + self.site.ZONES.index(zone)
 
-    def add(self, role, host):
-        """Stands between a machine and the machines of the other role."""
-        self.roles[host] = role
+    def add(self, host, zone):
+        self.zones[host] = zone
         sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sender.bind((host, 0))
         sender.setblocking(False)
         self.senders[host] = sender
-        others = INTERNAL_PORT if role == "balancer" else self.PROXIED_PORT
-        self.site.loop.udp((host, others), lambda raw, peer: self.forward(raw, peer[0], host))
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((host, others))
-        listener.listen(64)
-        threading.Thread(target=self.accept, args=(listener, host), daemon=True).start()
+        for other in self.site.ZONES:
+            if other == zone:
+                continue
+            self.site.loop.udp((host, self.port(other)), lambda raw, peer: self.forward(raw, peer[0], host))
+            listener = socket.socket()
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind((host, self.port(other)))
+            listener.listen(64)
+            threading.Thread(target=self.accept, args=(listener, host), daemon=True).start()
 
     def forward(self, raw, sender, host):
-        try:
-            self.senders[sender].sendto(raw, (host, self.port(self.roles[host])))
-        except (KeyError, OSError):
-            pass
+        def send():
+            try:
+                self.senders[sender].sendto(raw, (host, self.port(self.zones[host])))
+            except (KeyError, OSError):
+                pass
+        self.site.loop.after(self.delay_ms, send)
 
     def accept(self, listener, host):
         while True:
             near, (sender, _) = listener.accept()
-            far = socket.socket()
-            try:
-                far.bind((sender, 0))
-                far.connect((host, self.port(self.roles[host])))
-            except OSError:
-                near.close()
-                far.close()
-                continue
-            link = {"from": sender, "to": host, "silent": False, "open": True}
-            with self.lock:
-                self.connections.append(link)
-            for one, other in ((near, far), (far, near)):
-                one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                threading.Thread(target=self.copy, args=(link, one, other), daemon=True).start()
-
-    def copy(self, link, one, other):
+            threading.Thread(target=self.connect, args=(near, sender, host), daemon=True).start()
+
+    def connect(self, near, sender, host):
+        # The handshake takes a round trip before the first byte can be sent.
+        time.sleep(2 * self.delay_ms / 1000)
+        far = socket.socket()
         try:
-            while True:
-                data = one.recv(65536)
-                if link["silent"]:
-                    if not data:
-                        return
-                    continue
-                if not data:
-                    break
+            far.bind((sender, 0))
+            far.connect((host, self.port(self.zones[host])))
+        except OSError:
+            near.close()
+            far.close()
+            return
+        for one, other in ((near, far), (far, near)):
+            one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            threading.Thread(target=self.copy, args=(one, other), daemon=True).start()
+
+    def copy(self, one, other):
+        try:
+            while data := one.recv(65536):
+                time.sleep(self.delay_ms / 1000)
                 other.sendall(data)
         except OSError:
-            if link["silent"]:
-                return
-        link["open"] = False
+            pass
         for sock in (one, other):
             try:
                 sock.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
 
-    def open_from(self, host):
-        """Returns the machines to which a machine has open connections that are not silent."""
-        with self.lock:
-            return sorted({c["to"] for c in self.connections if c["open"] and not c["silent"] and c["from"] == host})
-
-    def silence_open(self):
-        """All connections that are open now pass nothing more, without a reset; new ones work."""
-        with self.lock:
-            for link in self.connections:
-                link["silent"] = True
-        self.site.record.line("all open connections between balancers and agents go silent")
-
 
 class Target:
     """A target beside an agent; see PROTOCOL.md, "Targets" and "Service discovery"."""
@@ -632,8 +609,9 @@
 class Client:
     """A client that keeps one flow for many requests, with pauses between them."""
 
-    def __init__(self, site, host, zone, dst, service, pause_ms, limit_ms=2_500.0):
+    def __init__(self, site, host, zone, dst, service, pause_ms, is_safe=True, limit_ms=2_500.0):
         self.site, self.host, self.zone, self.dst, self.service = site, host, zone, dst, service
+        self.is_safe = is_safe
         self.pause_ms, self.limit_ms = pause_ms, limit_ms
         self.port = 0
         self.end = self.opening = None
@@ -682,9 +660,10 @@
     def send_request(self):
         if self.request and self.end:
             self.request["sent"] = now_ms()
-            text = (f"GET /feed HTTP/1.1\r\nHost: feed\r\nEndivedyke-Request-Id: {self.request['id']}\r\n"
-                    f"Content-Length: 0\r\n\r\n")
-            self.end.pending += text.encode()
+            method, body = ("GET", b"") if self.is_safe else ("POST", b"x" * 900)
+            text = (f"{method} /feed HTTP/1.1\r\nHost: feed\r\nEndivedyke-Request-Id: {self.request['id']}\r\n"
+                    f"Content-Length: {len(body)}\r\n\r\n")
+            self.end.pending += text.encode() + body
 
     def read_answer(self, now):
         message = take_message(self.end)
@@ -706,6 +685,7 @@
             self.site.record.line(f"answer {request_id} WRONG")
         else:
             self.site.answered += 1
+            self.site.answered_ids.add(request_id)
             self.site.record.line(f"answer {request_id} after_ms={now - self.request['started']:.1f}")
         self.request = None
         self.next_at = now + random.uniform(0.5, 1.5) * self.pause_ms
@@ -720,13 +700,15 @@
         self.end = self.opening = None
 
     def fail_attempt(self, now, why):
-        """Ends an attempt; a safe request is retried twice."""
+        """Ends an attempt. It is retried twice, but an unsafe request only if its flow never opened."""
+        was_open = self.end is not None
         self.end = self.opening = None
         if not self.request:
             return
         self.site.record.line(f"attempt {self.request['id']} ended: {why}")
         self.request["tries"] += 1
-        if self.request["tries"] > 2 or now > self.request["started"] + self.limit_ms:
+        may_retry = self.is_safe or not was_open
+        if not may_retry or self.request["tries"] > 2 or now > self.request["started"] + self.limit_ms:
             self.give_up()
         else:
             self.site.sent += 1
@@ -788,10 +770,12 @@
         self.sent = self.answered = self.failed = self.wrong = self.forged = 0
         self.ids = 0
         self.ran, self.resets, self.openers = {}, [], []
+        self.answered_ids = set()
         self.version = 0
         self.is_probing = True
         self.is_first_start = True
         self.links = None
+        self.seeds = [self.ip(10), self.ip(12), self.ip(13)]   # the first balancer of each zone
 
     def free_net(self):
         for _ in range(200):
@@ -829,7 +813,7 @@
     # Processes of the product.
 
     def settings(self, role, host, zone, service=""):
-        port = self.links.port(role) if self.links else INTERNAL_PORT
+        port = self.links.port(zone) if self.links else INTERNAL_PORT
         values = {
             "ip": host, "zone": zone, "internalPortRange.0": str(port),
             "listen.datagramAddr": f"{host}:{PACKET_PORT}", "listen.ready": f"{host}:{READY_PORT}",
@@ -837,7 +821,7 @@
             "service": service, "bounds.maxFlowS": str(MAX_FLOW_S),
             "bootstrap": "true" if self.is_first_start else "false",
             "platform.address": f"{self.ip(2)}:{STORE_PORT}",
-            "seeds": ",".join(f"{self.ip(10 + i)}:{CONTROL_PORT}" for i in range(3)),
+            "seeds": ",".join(f"{seed}:{CONTROL_PORT}" for seed in self.seeds),
         }
         text = (REPOSITORY / "deploy" / f"{role}.ini").read_text()
         for name, value in values.items():
@@ -877,7 +861,7 @@
         self.balancers.append((host, zone))
         self.rotation[host] = 2
         if self.links:
-            self.links.add("balancer", host)
+            self.links.add(host, zone)
         self.start("balancer", host, zone)
         threading.Thread(target=self.probe, args=(host,), daemon=True).start()
 
@@ -886,7 +870,7 @@
         target = Target(self, host, zone, service, work_ms)
         self.targets.append(target)
         if self.links:
-            self.links.add("agent", host)
+            self.links.add(host, zone)
         self.start("agent", host, zone, service)
         return target
 
@@ -908,13 +892,17 @@
     # Routers and clients.
 
     def route(self, zone, packet):
-        """Forwards a client's packet to a balancer of its zone, by a steady hash."""
+        """Forwards a client's packet to a balancer of its zone, by a steady hash.
+
+        If fewer than half of a zone's balancers are in rotation, all of them are used; if none is, those of
+        the other zones.
+        """
         near = [host for host, its_zone in self.balancers if its_zone == zone]
         ready = [host for host in near if self.rotation[host] < 2]
-        if 2 * len(ready) < len(near):
-            ready = near
         if not ready:
-            return
+            ready = [host for host, _ in self.balancers if self.rotation[host] < 2] or near
+        elif 2 * len(ready) < len(near):
+            ready = near
         text = f"{packet.src}{packet.dst}"
         host = max(ready, key=lambda h: zlib.crc32(f"{text}{h}".encode()) * 2654435761 % 2**32)
         try:
@@ -928,11 +916,11 @@
         self.by_port[(host, port)] = client
         return port
 
-    def add_client(self, last, zone, dst, service, pause_ms):
+    def add_client(self, last, zone, dst, service, pause_ms, is_safe=True):
         host = self.ip(last)
         if host not in self.client_socks:
             self.client_socks[host] = self.loop.udp((host, PACKET_PORT), self.on_client_packet)
-        client = Client(self, host, zone, dst, service, pause_ms)
+        client = Client(self, host, zone, dst, service, pause_ms, is_safe)
         self.clients.append(client)
         return client
 
@@ -974,8 +962,8 @@
 
     # The run as a whole.
 
-    def start_all(self, work_ms=20.0, front=((0, 3), (1, 2), (2, 2)), intake=((0, 1), (1, 1), (2, 1))):
-        for last, zone in ((10, 0), (11, 0), (12, 1), (13, 2)):
+    def start_all(self, work_ms=20.0, edges=((10, 0), (11, 0), (12, 1), (13, 2)), front=((0, 3), (1, 2), (2, 2)), intake=((0, 1), (1, 1), (2, 1))):
+        for last, zone in edges:
             self.add_balancer(last, self.ZONES[zone])
         last = 100
         for service, counts in (("panel-front", front), ("study-intake", intake)):
@@ -1010,7 +998,9 @@
             process.wait()
 
     def summary(self):
+        unanswered = len(self.ran.keys() - self.answered_ids)
         return (f"{self.sent} requests sent, {self.answered} answered, {self.failed} given up, {self.wrong} wrong, "
+                f"{unanswered} ran and were never answered, "
                 f"{self.forged} forged packets, {len(self.resets)} resets of open flows, "
                 f"{len(self.wrong_resets())} of them by the system while a living target held the flow")
 
