review: an acknowledged configuration is lost on a stale read of two pages

Case 5 kills all processes right after a configuration was acknowledged and starts them on reads whose second page is older than the first, as reads with staleOk=1 may be. The added route then stays refused by all balancers (CONFIG).

--- a/review/rig-2/standins.py
+++ b/review/rig-2/standins.py
@@ -116,11 +116,13 @@
         self.resend_at = None
         self.resends = 0
         self.must_ack = False
+        self.last_ms = now_ms()
 
     def packet(self, flags, offset, data=b""):
         return Packet(flags | ACK, self.acked + offset, self.expected, self.local, self.remote, data)
 
     def receive(self, packet, now):
+        self.last_ms = now
         moved = (packet.ack - self.acked) & 0xFFFFFFFF
         limit = self.in_flight + (1 if self.fin_sent else 0)
         if 1 <= moved <= limit:
@@ -219,7 +221,8 @@
     def __init__(self, address, record):
         self.items, self.events, self.revision = {}, [], 1_000
         self.times = []                    # when each event came
-        self.stale_ms = 0.0                # how old a read with staleOk=1 may be
+        self.stale_ms = 0.0                # how old a read with staleOk=1 is, ...
+        self.stale_from = ""               # ... if its page begins after this key or a later one
         self.answer_ms = 0.0
         self.changed = threading.Condition()
         self.record = record
@@ -300,9 +303,9 @@
             time.sleep(self.answer_ms / 1000)
             with self.changed:
                 items, revision = self.items, self.revision
-                if query.get("staleOk") == "1" and self.stale_ms:
-                    items, revision = self.stale_state()
                 prefix, after = query.get("prefix", ""), query.get("after", "")
+                if query.get("staleOk") == "1" and self.stale_ms and after >= self.stale_from:
+                    items, revision = self.stale_state()
                 keys = sorted(k for k in items if k.startswith(prefix) and k > after)
                 page = [items[k] for k in keys[:500]]
                 return 200, {"items": page, "hasMore": len(keys) > 500, "storeRevision": revision}
@@ -599,6 +602,12 @@
         if self.state == "draining":
             end.wants_close = True
 
+    def discard_idle(self, idle_ms):
+        """Forgets the flows that have been idle for so long."""
+        for key, end in list(self.flows.items()):
+            if now_ms() - end.last_ms >= idle_ms:
+                del self.flows[key]
+
     def crash(self):
         self.is_alive = False
         self.site.loop.close(self.sock)
@@ -614,6 +623,7 @@
         self.is_safe = is_safe
         self.pause_ms, self.limit_ms = pause_ms, limit_ms
         self.port = 0
+        self.fixed_port = None             # the only port that the client may use
         self.end = self.opening = None
         self.opened_ms = None
         self.request = None
@@ -625,7 +635,7 @@
         self.site.route(self.zone, packet)
 
     def open(self, now):
-        self.port = self.site.next_port(self.host, self)
+        self.port = self.fixed_port or self.site.next_port(self.host, self)
         self.opening = [random.getrandbits(32), now, 0]
         self.end = None
         self.send_opener(0)
@@ -748,6 +758,10 @@
             for packet in self.end.due(now):
                 self.send(packet)
 
+    def discard(self):
+        """Forgets the flow, as either end may after `idleTimeoutMs`."""
+        self.end = self.opening = None
+
 
 class Site:
     """A small deployment: 4 balancers and 10 agents in 3 zones, like sites/pwz-lb.toml."""
@@ -795,7 +809,7 @@
         self.ids += 1
         return f"r{self.ids}"
 
-    def write_config(self, routes, services=("panel-front", "study-intake")):
+    def write_config(self, routes, services=("panel-front", "study-intake"), idle_ms=60_000):
         """Writes the next configuration; returns when the store has acknowledged it."""
         self.version += 3
         wire_routes = [
@@ -807,7 +821,7 @@
         self.store.put("op/config", {
             "version": self.version, "routes": wire_routes, "services": wire_services,
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 5000,
-                       "idleTimeoutMs": 60000}})
+                       "idleTimeoutMs": idle_ms}})
         self.record.line(f"config version={self.version} acknowledged")
 
     # Processes of the product.
@@ -1006,9 +1020,12 @@
 
 
 def run_case(folder, case):
-    """Runs case(site, has_trouble); exits with 1 if it returns broken rules, 0 if none, 2 if it couldn't run."""
+    """Runs case(site, has_trouble); exits with 11 if it returns broken rules, 10 if none, 2 if it couldn't run.
+
+    run.sh turns 11 into 1 and 10 into 0, so that an error of the interpreter doesn't pass for a result.
+    """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    site = None
+    site, code = None, 2
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         site = Site(folder)
@@ -1021,10 +1038,10 @@
     else:
         for text in broken:
             site.record.line(f"BROKEN {text}")
-            print(f"BROKEN {text}")
+            print(f"BROKEN {text}", flush=True)
         site.record.line(site.summary())
         print(site.summary())
-        code = 1 if broken else 0
+        code = 11 if broken else 10
     finally:
         if site:
             site.stop()
